--- /dev/null
+++ b/crates/cli/src/ids.rs
@@ -0,0 +1,75 @@
+//! Submission ids taken ahead in blocks.
+
+use std::collections::VecDeque;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use gannetvane_wire::api::IdsBody;
+use oxhttp::model::Method;
+
+use crate::client::CallError;
+use crate::client::Client;
+use crate::client::Response;
+
+/// Ids taken in one call.
+const BLOCK_IDS: usize = 64;
+const WAIT: Duration = Duration::from_secs(5);
+
+/// Ids of one service, shared by the senders.
+#[derive(Debug)]
+pub(crate) struct IdPool {
+    service: String,
+    ids: Mutex<VecDeque<String>>,
+}
+
+/// Why there is no id.
+#[derive(Debug)]
+pub(crate) enum NoId {
+    Refused(Response),
+    Call(CallError),
+}
+
+impl IdPool {
+    pub(crate) fn new(service: &str) -> Self {
+        Self {
+            service: service.to_owned(),
+            ids: Mutex::default(),
+        }
+    }
+
+    /// An id, from the pool or through `entry`.
+    pub(crate) fn take(&self, entry: &Client) -> Result<String, NoId> {
+        if let Some(id) = self.pop() {
+            return Ok(id);
+        }
+        let path = format!("/v1/ids?service={}&count={BLOCK_IDS}", self.service);
+        let response = entry
+            .call(Method::POST, &path, Vec::new(), WAIT)
+            .map_err(NoId::Call)?;
+        if !response.is_success() {
+            return Err(NoId::Refused(response));
+        }
+        let taken: IdsBody = response.json().map_err(NoId::Call)?;
+        self.lock().extend(taken.ids);
+        self.pop().ok_or(NoId::Refused(response))
+    }
+
+    /// Drops the ids of a home that is lost.
+    pub(crate) fn forget_home_of(&self, id: &str) {
+        let home = home_of(id).to_owned();
+        self.lock().retain(|other| home_of(other) != home);
+    }
+
+    fn pop(&self) -> Option<String> {
+        self.lock().pop_front()
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, VecDeque<String>> {
+        self.ids.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn home_of(id: &str) -> &str {
+    id.split('-').next().unwrap_or_default()
+}
--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,27 @@
+//! What the `gannetvane` command does: calls to an entry, and the load tool.
+
+mod client;
+mod ids;
+mod load;
+mod model;
+mod plot;
+mod report;
+mod scrape;
+mod workload;
+
+pub use client::CallError;
+pub use client::Client;
+pub use client::Response;
+pub use load::Load;
+pub use load::LoadBuilder;
+pub use load::LoadError;
+pub use model::Discipline;
+pub use model::model_responses;
+pub use plot::PlotError;
+pub use plot::draw;
+pub use report::Comparison;
+pub use report::Outcomes;
+pub use report::Quantiles;
+pub use report::Report;
+pub use workload::Arrival;
+pub use workload::Workload;
--- /dev/null
+++ b/crates/cli/src/scrape.rs
@@ -0,0 +1,156 @@
+//! Figures that the processes and stand-ins tell of themselves.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use serde::Deserialize;
+
+use crate::client::CallError;
+use crate::client::Client;
+use crate::report::Messages;
+
+const MESSAGES: &str = "gannetvane_messages_sent_total";
+const BYTES: &str = "gannetvane_bytes_sent_total";
+const RESENDS: &str = "gannetvane_resends_total";
+const RETRIES: &str = "gannetvane_retries_total";
+/// Messages without which no task can be served.
+const NEEDFUL: [&str; 4] = ["submit", "answer", "start", "finished"];
+/// Messages of the task path that a task can do without.
+const AVOIDABLE: [&str; 3] = ["credit-request", "credit-grant", "revoke"];
+const WAIT: Duration = Duration::from_secs(5);
+
+/// Sums of counters over several processes, by metric and label.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Counters {
+    values: BTreeMap<CounterKey, u64>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct CounterKey {
+    metric: String,
+    label: String,
+}
+
+/// One start as a minion tells it.
+#[derive(Clone, Debug, Deserialize)]
+struct Start {
+    task: String,
+    is_repeatable: bool,
+}
+
+/// Starts over all minions.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Starts {
+    pub(crate) count: u64,
+    pub(crate) double: u64,
+    pub(crate) submissions: BTreeSet<String>,
+}
+
+impl Counters {
+    /// Reads the metrics of these processes; those that are gone count nothing.
+    pub(crate) fn scrape(urls: &[String]) -> Self {
+        let mut counters = Self::default();
+        for url in urls {
+            if let Ok(response) = Client::new(url).get("/metrics", WAIT) {
+                counters.add(&String::from_utf8_lossy(&response.body));
+            }
+        }
+        counters
+    }
+
+    fn add(&mut self, text: &str) {
+        for line in text.lines().filter(|line| !line.starts_with('#')) {
+            let Some((metric, rest)) = line.split_once('{') else {
+                continue;
+            };
+            let Some((labels, value)) = rest.rsplit_once("} ") else {
+                continue;
+            };
+            let value = value.trim().parse::<f64>().unwrap_or(0.0) as u64;
+            let key = CounterKey {
+                metric: metric.to_owned(),
+                label: label_of(labels),
+            };
+            *self.values.entry(key).or_default() += value;
+        }
+    }
+
+    fn get(&self, metric: &str, label: &str) -> u64 {
+        let key = CounterKey {
+            metric: metric.to_owned(),
+            label: label.to_owned(),
+        };
+        self.values.get(&key).copied().unwrap_or(0)
+    }
+
+    fn sum(&self, metric: &str) -> u64 {
+        self.values
+            .iter()
+            .filter(|(key, _)| key.metric == metric)
+            .map(|(_, value)| value)
+            .sum()
+    }
+
+    /// Messages since `earlier`, for this many tasks.
+    pub(crate) fn messages_since(&self, earlier: &Self, tasks: u64) -> Messages {
+        let since = |metric: &str, label: &str| {
+            self.get(metric, label)
+                .saturating_sub(earlier.get(metric, label))
+        };
+        let sum_since = |metric: &str| self.sum(metric).saturating_sub(earlier.sum(metric));
+        let mut by_kind = BTreeMap::new();
+        for kind in NEEDFUL.iter().chain(&AVOIDABLE) {
+            by_kind.insert((*kind).to_owned(), since(MESSAGES, kind));
+        }
+        let all: u64 = by_kind.values().sum();
+        let avoidable: u64 = AVOIDABLE.iter().map(|kind| since(MESSAGES, kind)).sum();
+        let repeated = sum_since(RESENDS) + 2 * sum_since(RETRIES);
+        let wasted = avoidable + repeated;
+        let path_bytes: u64 = NEEDFUL
+            .iter()
+            .chain(&AVOIDABLE)
+            .map(|kind| since(BYTES, kind))
+            .sum();
+        Messages {
+            by_kind,
+            per_task: all as f64 / tasks.max(1) as f64,
+            wasted_share: wasted as f64 / all.saturating_sub(wasted).max(1) as f64,
+            control_bytes: sum_since(BYTES).saturating_sub(path_bytes),
+        }
+    }
+}
+
+impl Starts {
+    /// Reads the starts of these minions.
+    ///
+    /// # Errors
+    ///
+    /// [`CallError`] when a minion does not tell them.
+    pub(crate) fn read(urls: &[String]) -> Result<Self, CallError> {
+        let mut counts: BTreeMap<String, u64> = BTreeMap::new();
+        let mut starts = Self::default();
+        for url in urls {
+            let response = Client::new(url).get("/starts", WAIT)?;
+            for start in response.json::<Vec<Start>>()? {
+                starts.count += 1;
+                let submission = start.task.split('/').next().unwrap_or_default();
+                starts.submissions.insert(submission.to_owned());
+                if !start.is_repeatable {
+                    *counts.entry(start.task).or_default() += 1;
+                }
+            }
+        }
+        starts.double = counts.values().filter(|count| **count > 1).count() as u64;
+        Ok(starts)
+    }
+}
+
+/// The first label that is not about the library.
+fn label_of(labels: &str) -> String {
+    let pairs = labels.split(',').filter_map(|pair| pair.split_once('='));
+    let mut own = pairs.filter(|(key, _)| matches!(*key, "message" | "reason" | "event"));
+    own.next()
+        .map(|(_, value)| value.trim_matches('"').to_owned())
+        .unwrap_or_default()
+}
--- /dev/null
+++ b/crates/core/src/confirm.rs
@@ -0,0 +1,232 @@
+//! Changes that operators confirmed, until their outcome is read from the log.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use gannetvane_wire::Answer;
+use gannetvane_wire::Change;
+use gannetvane_wire::LogRecord;
+use gannetvane_wire::Name;
+use gannetvane_wire::Ran;
+use gannetvane_wire::Reason;
+
+use crate::Action;
+use crate::CallerId;
+use crate::ChangeOutcome;
+use crate::ConfigurationStore;
+use crate::Counter;
+use crate::Reply;
+
+/// Time for which a confirmation waits for its outcome, in milliseconds.
+const MAX_WAIT_MS: u64 = 5_000;
+/// When to repeat a confirmation whose outcome is not known.
+const RETRY_SOON_MS: u32 = 1_000;
+/// Interval between reads of the log while an outcome is awaited.
+const POLL_MS: u64 = 20;
+
+/// Confirmations without an outcome.
+#[derive(Debug, Default)]
+pub(crate) struct Confirmations {
+    pending: BTreeMap<Name, Pending>,
+    next_poll_ms: u64,
+}
+
+#[derive(Debug)]
+struct Pending {
+    /// The change to append; `None` when only its outcome is asked for.
+    change: Option<Change>,
+    callers: Vec<CallerId>,
+    is_appended: bool,
+    deadline_at_ms: u64,
+}
+
+impl Confirmations {
+    pub(crate) fn len(&self) -> usize {
+        self.pending
+            .values()
+            .map(|pending| pending.callers.len())
+            .sum()
+    }
+
+    /// Puts a change into force, unless it was seen before.
+    ///
+    /// The log is read to its end first: an earlier confirmation of the same
+    /// change may have taken effect although its answer was lost.
+    pub(crate) fn confirm(
+        &mut self,
+        now_ms: u64,
+        caller: CallerId,
+        change: Change,
+        configuration: &ConfigurationStore,
+        actions: &mut Vec<Action>,
+    ) {
+        let change_id = change.change_id.clone();
+        self.add(
+            now_ms,
+            caller,
+            change_id,
+            Some(change),
+            configuration,
+            actions,
+        );
+    }
+
+    /// Tells what became of a change.
+    pub(crate) fn status(
+        &mut self,
+        now_ms: u64,
+        caller: CallerId,
+        change_id: Name,
+        configuration: &ConfigurationStore,
+        actions: &mut Vec<Action>,
+    ) {
+        self.add(now_ms, caller, change_id, None, configuration, actions);
+    }
+
+    /// Looks at all that is pending after the configuration moved on.
+    /// `at_end` tells that the log was just read to its end.
+    pub(crate) fn progress(
+        &mut self,
+        now_ms: u64,
+        at_end: bool,
+        configuration: &ConfigurationStore,
+        actions: &mut Vec<Action>,
+    ) {
+        let ids: Vec<Name> = self.pending.keys().cloned().collect();
+        for change_id in ids {
+            match configuration.outcome(&change_id) {
+                ChangeOutcome::Accepted => self.accepted(&change_id, configuration, actions),
+                ChangeOutcome::Conflict => self.conflict(&change_id, Ran::NotRun, actions),
+                ChangeOutcome::Unseen if at_end => {
+                    self.unseen_at_end(&change_id, configuration, actions);
+                }
+                ChangeOutcome::Unseen => {}
+            }
+        }
+        self.next_poll_ms = now_ms + POLL_MS;
+    }
+
+    /// The log cannot be reached: the outcome stays unknown for now.
+    pub(crate) fn log_failed(&mut self, actions: &mut Vec<Action>) {
+        let ids: Vec<Name> = self.pending.keys().cloned().collect();
+        for change_id in ids {
+            let answer = Answer::refusal(Ran::Unknown, Reason::LogDown, Some(RETRY_SOON_MS));
+            self.end(&change_id, &Reply::Answer(Arc::new(answer)), actions);
+            actions.push(Action::Count(Counter::Failed(Reason::LogDown)));
+        }
+    }
+
+    /// Reads on for what is pending, and gives up what waited too long.
+    pub(crate) fn expire(
+        &mut self,
+        now_ms: u64,
+        configuration: &ConfigurationStore,
+        actions: &mut Vec<Action>,
+    ) {
+        let is_late = |pending: &Pending| now_ms >= pending.deadline_at_ms;
+        let late: Vec<Name> = self
+            .pending
+            .iter()
+            .filter(|(_, p)| is_late(p))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for change_id in late {
+            let answer = Answer::refusal(Ran::Unknown, Reason::ChangePending, Some(RETRY_SOON_MS));
+            self.end(&change_id, &Reply::Answer(Arc::new(answer)), actions);
+            actions.push(Action::Count(Counter::Failed(Reason::ChangePending)));
+        }
+        if !self.pending.is_empty() && now_ms >= self.next_poll_ms {
+            self.next_poll_ms = now_ms + POLL_MS;
+            actions.push(Action::ReadLog {
+                from_offset: configuration.next_offset(),
+            });
+        }
+    }
+
+    fn add(
+        &mut self,
+        now_ms: u64,
+        caller: CallerId,
+        change_id: Name,
+        change: Option<Change>,
+        configuration: &ConfigurationStore,
+        actions: &mut Vec<Action>,
+    ) {
+        let pending = self.pending.entry(change_id).or_insert_with(|| Pending {
+            change: None,
+            callers: Vec::new(),
+            is_appended: false,
+            deadline_at_ms: now_ms + MAX_WAIT_MS,
+        });
+        pending.callers.push(caller);
+        pending.change = pending.change.take().or(change);
+        self.progress(now_ms, false, configuration, actions);
+        if !self.pending.is_empty() {
+            actions.push(Action::ReadLog {
+                from_offset: configuration.next_offset(),
+            });
+        }
+    }
+
+    fn accepted(
+        &mut self,
+        id: &Name,
+        configuration: &ConfigurationStore,
+        actions: &mut Vec<Action>,
+    ) {
+        let version = configuration.current().version;
+        self.end(id, &Reply::ChangeAccepted { version }, actions);
+    }
+
+    fn conflict(&mut self, change_id: &Name, ran: Ran, actions: &mut Vec<Action>) {
+        let answer = Answer::refusal(ran, Reason::VersionConflict, None);
+        self.end(change_id, &Reply::Answer(Arc::new(answer)), actions);
+        actions.push(Action::Count(Counter::Refused(Reason::VersionConflict)));
+    }
+
+    /// The whole log was read and the change is not in it.
+    fn unseen_at_end(
+        &mut self,
+        change_id: &Name,
+        configuration: &ConfigurationStore,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(pending) = self.pending.get_mut(change_id) else {
+            return;
+        };
+        if pending.is_appended || configuration.has_gap() {
+            return;
+        }
+        let Some(change) = pending.change.clone() else {
+            let answer = Answer::refusal(Ran::Unknown, Reason::NeverSubmitted, None);
+            self.end(change_id, &Reply::Answer(Arc::new(answer)), actions);
+            return;
+        };
+        if change.base_version < configuration.current().version {
+            let ran = if configuration.remembers(change.base_version) {
+                Ran::NotRun
+            } else {
+                Ran::Unknown
+            };
+            self.conflict(change_id, ran, actions);
+            return;
+        }
+        pending.is_appended = true;
+        actions.push(Action::Append(LogRecord::Change(change)));
+        actions.push(Action::ReadLog {
+            from_offset: configuration.next_offset(),
+        });
+    }
+
+    fn end(&mut self, change_id: &Name, reply: &Reply, actions: &mut Vec<Action>) {
+        let Some(pending) = self.pending.remove(change_id) else {
+            return;
+        };
+        for caller in pending.callers {
+            actions.push(Action::Reply {
+                caller,
+                reply: reply.clone(),
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/credits.rs
@@ -0,0 +1,102 @@
+//! Slot credits that a home holds.
+
+use std::collections::BTreeMap;
+
+use gannetvane_wire::Credit;
+use gannetvane_wire::NodeId;
+use gannetvane_wire::SlotCredit;
+
+/// Credits of one service at one home, at most one for each slot.
+#[derive(Clone, Debug, Default)]
+pub struct CreditPool {
+    idle: BTreeMap<NodeId, Vec<Idle>>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Idle {
+    credit: Credit,
+    idle_since_ms: u64,
+    usable_at_ms: u64,
+}
+
+impl CreditPool {
+    /// Adds a credit, unless a newer one of the same slot is held.
+    /// `idle_since_ms` may lie in the past; it is usable from `usable_at_ms`.
+    pub fn add(&mut self, credit: Credit, idle_since_ms: u64, usable_at_ms: u64) {
+        let of_agent = self.idle.entry(credit.agent).or_default();
+        let added = Idle {
+            credit,
+            idle_since_ms,
+            usable_at_ms,
+        };
+        match of_agent
+            .iter_mut()
+            .find(|idle| idle.credit.slot == credit.slot)
+        {
+            Some(held) if held.credit.sequence >= credit.sequence => {}
+            Some(held) => *held = added,
+            None => of_agent.push(added),
+        }
+    }
+
+    /// Number of credits held.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.idle.values().map(Vec::len).sum()
+    }
+
+    /// Whether no credit is held.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Takes a usable credit of the agent that `rank` ranks highest; agents
+    /// for which it gives `None` are passed over. Among equals the agent with
+    /// the most idle slots is taken.
+    pub fn take(&mut self, now_ms: u64, rank: impl Fn(NodeId) -> Option<u32>) -> Option<Credit> {
+        let usable = |idle: &Idle| idle.usable_at_ms <= now_ms;
+        let (_, _, agent) = self
+            .idle
+            .iter()
+            .filter(|(_, of_agent)| of_agent.iter().any(usable))
+            .filter_map(|(agent, of_agent)| Some((rank(*agent)?, of_agent.len(), *agent)))
+            .max()?;
+        let of_agent = self.idle.get_mut(&agent)?;
+        let position = of_agent.iter().position(usable)?;
+        Some(of_agent.swap_remove(position).credit)
+    }
+
+    /// Takes up to `count` usable credits to pass them on.
+    pub fn take_spare(&mut self, now_ms: u64, count: usize) -> Vec<SlotCredit> {
+        let mut spare = Vec::new();
+        for of_agent in self.idle.values_mut() {
+            while spare.len() < count {
+                let Some(position) = of_agent.iter().position(|idle| idle.usable_at_ms <= now_ms)
+                else {
+                    break;
+                };
+                let idle = of_agent.swap_remove(position);
+                let idle_ms = now_ms.saturating_sub(idle.idle_since_ms);
+                spare.push(SlotCredit {
+                    credit: idle.credit,
+                    idle_ms,
+                });
+            }
+        }
+        spare
+    }
+
+    /// Drops all credits of an agent.
+    pub fn drop_agent(&mut self, agent: NodeId) {
+        self.idle.remove(&agent);
+    }
+
+    /// Drops credits that have been idle for longer than `lease_ms`.
+    pub fn expire(&mut self, now_ms: u64, lease_ms: u64) {
+        for of_agent in self.idle.values_mut() {
+            of_agent.retain(|idle| now_ms.saturating_sub(idle.idle_since_ms) < lease_ms);
+        }
+        self.idle.retain(|_, of_agent| !of_agent.is_empty());
+    }
+}
--- /dev/null
+++ b/crates/core/src/drain.rs
@@ -0,0 +1,198 @@
+//! The planned stop of an agent: finish, hand the table over, leave.
+
+use std::collections::BTreeMap;
+
+use gannetvane_wire::HandoverEntry;
+use gannetvane_wire::MemberState;
+use gannetvane_wire::Message;
+use gannetvane_wire::NodeId;
+
+use crate::Peer;
+use crate::SubmissionTable;
+use crate::View;
+
+/// Submissions in one part of a table.
+const MAX_PART_ENTRIES: usize = 256;
+/// Bytes of output in one part of a table.
+const MAX_PART_BYTES: usize = 512 * 1024;
+/// Interval between sendings of a part that was not acknowledged.
+const RESEND_PART_MS: u64 = 500;
+/// Time after which the handover is given up, in milliseconds.
+const MAX_HANDOVER_MS: u64 = 15_000;
+/// Time for which a stopped agent still tells who succeeds it.
+const LINGER_MS: u64 = 1_500;
+/// Interval between these announcements.
+const ANNOUNCE_MS: u64 = 300;
+
+/// How far a planned stop has come.
+#[derive(Debug)]
+pub(crate) enum Drain {
+    /// No stop is planned.
+    Working,
+    /// Finishes what it has.
+    Leaving { since_ms: u64 },
+    /// Moves its tables to the successor.
+    HandingOver(Handover),
+    /// Tells who answers for it.
+    Left {
+        since_ms: u64,
+        next_announce_ms: u64,
+        successor: Option<NodeId>,
+    },
+}
+
+/// Tables on their way to the successor.
+#[derive(Debug)]
+pub(crate) struct Handover {
+    successor: Peer,
+    began_ms: u64,
+    unacknowledged: BTreeMap<PartKey, Part>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct PartKey {
+    pub(crate) home: NodeId,
+    pub(crate) part: u32,
+}
+
+#[derive(Debug)]
+struct Part {
+    message: Message,
+    next_send_ms: u64,
+}
+
+impl Handover {
+    /// Prepares the tables for a successor.
+    pub(crate) fn new<'a>(
+        now_ms: u64,
+        successor: Peer,
+        tables: impl Iterator<Item = &'a SubmissionTable>,
+    ) -> Self {
+        let mut unacknowledged = BTreeMap::new();
+        for table in tables {
+            for (key, message) in parts_of(now_ms, table) {
+                unacknowledged.insert(
+                    key,
+                    Part {
+                        message,
+                        next_send_ms: now_ms,
+                    },
+                );
+            }
+        }
+        Self {
+            successor,
+            began_ms: now_ms,
+            unacknowledged,
+        }
+    }
+
+    pub(crate) fn successor(&self) -> Peer {
+        self.successor
+    }
+
+    pub(crate) fn acknowledge(&mut self, key: PartKey) {
+        self.unacknowledged.remove(&key);
+    }
+
+    pub(crate) fn is_done(&self) -> bool {
+        self.unacknowledged.is_empty()
+    }
+
+    pub(crate) fn is_overdue(&self, now_ms: u64) -> bool {
+        now_ms.saturating_sub(self.began_ms) >= MAX_HANDOVER_MS
+    }
+
+    /// Parts to send now.
+    pub(crate) fn due(&mut self, now_ms: u64) -> Vec<Message> {
+        let mut due = Vec::new();
+        for part in self.unacknowledged.values_mut() {
+            if part.next_send_ms <= now_ms {
+                part.next_send_ms = now_ms + RESEND_PART_MS;
+                due.push(part.message.clone());
+            }
+        }
+        due
+    }
+}
+
+impl Drain {
+    /// Whether it is time to announce the departure again.
+    pub(crate) fn should_announce(&mut self, now_ms: u64) -> bool {
+        match self {
+            Self::Left {
+                next_announce_ms, ..
+            } if *next_announce_ms <= now_ms => {
+                *next_announce_ms = now_ms + ANNOUNCE_MS;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Whether the process may stop.
+    pub(crate) fn is_over(&self, now_ms: u64) -> bool {
+        matches!(self, Self::Left { since_ms, .. } if now_ms.saturating_sub(*since_ms) >= LINGER_MS)
+    }
+}
+
+/// The agent that will answer for the submissions of `me`.
+pub(crate) fn choose_successor(view: &View, me: NodeId, service: &str) -> Option<Peer> {
+    let homes = view.homes(service, usize::MAX);
+    let of_service = homes.into_iter().find(|node| *node != me);
+    let any = || {
+        view.iter()
+            .find(|m| m.state == MemberState::Alive && m.node != me)
+            .map(|m| m.node)
+    };
+    of_service.or_else(any).and_then(|node| view.peer(node))
+}
+
+fn parts_of(now_ms: u64, table: &SubmissionTable) -> Vec<(PartKey, Message)> {
+    let chunks = split(table.export());
+    let parts = u32::try_from(chunks.len()).unwrap_or(u32::MAX);
+    let message = |(part, entries): (u32, Vec<HandoverEntry>)| {
+        let message = Message::Handover {
+            home: table.home(),
+            uptime_ms: table.uptime_ms(now_ms),
+            oldest_generation: table.oldest_generation(),
+            entries,
+            part,
+            parts,
+        };
+        (
+            PartKey {
+                home: table.home(),
+                part,
+            },
+            message,
+        )
+    };
+    (0u32..).zip(chunks).map(message).collect()
+}
+
+/// At least one chunk, so that an empty table is handed over as well.
+fn split(entries: Vec<HandoverEntry>) -> Vec<Vec<HandoverEntry>> {
+    let mut chunks = vec![Vec::new()];
+    let mut bytes = 0;
+    for entry in entries {
+        let added = output_bytes(&entry);
+        let is_full = chunks.last().is_some_and(|chunk| {
+            chunk.len() == MAX_PART_ENTRIES || (!chunk.is_empty() && bytes + added > MAX_PART_BYTES)
+        });
+        if is_full {
+            chunks.push(Vec::new());
+            bytes = 0;
+        }
+        bytes += added;
+        if let Some(chunk) = chunks.last_mut() {
+            chunk.push(entry);
+        }
+    }
+    chunks
+}
+
+fn output_bytes(entry: &HandoverEntry) -> usize {
+    let tasks = entry.answer.iter().flat_map(|answer| &answer.tasks);
+    tasks.map(|task| task.output.len()).sum()
+}
--- /dev/null
+++ b/crates/core/src/entry.rs
@@ -0,0 +1,694 @@
+//! The core of an entry: it finds the home of each submission and waits for
+//! the answer on behalf of its callers.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use gannetvane_wire::Answer;
+use gannetvane_wire::Change;
+use gannetvane_wire::Envelope;
+use gannetvane_wire::Member;
+use gannetvane_wire::MemberState;
+use gannetvane_wire::Message;
+use gannetvane_wire::Name;
+use gannetvane_wire::NodeId;
+use gannetvane_wire::Operation;
+use gannetvane_wire::Ran;
+use gannetvane_wire::Reason;
+use gannetvane_wire::Snapshot;
+use gannetvane_wire::Submission;
+use gannetvane_wire::SubmissionId;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::seq::IndexedRandom;
+use rand_chacha::ChaCha8Rng;
+
+use crate::Action;
+use crate::CallerId;
+use crate::ConfigurationStore;
+use crate::Counter;
+use crate::HomeTarget;
+use crate::LogPage;
+use crate::Peer;
+use crate::Plan;
+use crate::PlanError;
+use crate::View;
+use crate::confirm::Confirmations;
+use crate::home::fingerprint;
+use crate::table::generation_at;
+
+/// Interval between pulls of an agent's view in milliseconds.
+const PULL_MS: u64 = 500;
+/// Interval between looks at the waiting callers.
+const SCAN_MS: u64 = 20;
+/// Time after which a submission without an answer is sent again, at first.
+const FIRST_RESEND_MS: u64 = 5_000;
+/// Longest such time.
+const MAX_RESEND_MS: u64 = 20_000;
+/// Pause before a submission is sent again after its connection broke.
+const RECONNECT_MS: u64 = 200;
+/// Time past the caller's deadline for which a home's own answer is awaited.
+const GRACE_MS: u64 = 250;
+/// Time after the first whole view for which an unheard home may still appear.
+const SETTLE_MS: u64 = 3_000;
+/// When to come back after a refusal that passes by itself, in milliseconds.
+const RETRY_SOON_MS: u32 = 1_000;
+
+/// Settings of an entry's core.
+#[derive(Clone, Debug)]
+pub struct EntrySettings {
+    /// The run of this process.
+    pub node: NodeId,
+    /// Where it receives.
+    pub addr: SocketAddr,
+    /// Addresses of agents for the first contact.
+    pub contacts: Vec<SocketAddr>,
+    /// Most callers that wait at one time.
+    pub max_waiting: usize,
+    /// Time for which members that are gone are remembered, in milliseconds.
+    pub retention_ms: u64,
+}
+
+/// What a caller or operator asks of an entry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Command {
+    /// Ids for new submissions to a service.
+    TakeIds {
+        /// The service.
+        service: Name,
+        /// Number of ids.
+        count: usize,
+    },
+    /// Run a submission and wait for its answer.
+    Submit {
+        /// Its id.
+        id: SubmissionId,
+        /// What to run.
+        submission: Arc<Submission>,
+        /// Time that the caller waits, in milliseconds.
+        deadline_ms: u64,
+    },
+    /// Wait for the answer to a submission.
+    Lookup {
+        /// Its id.
+        id: SubmissionId,
+        /// Time that the caller waits, in milliseconds.
+        wait_ms: u64,
+    },
+    /// Stop a submission.
+    Cancel {
+        /// Its id.
+        id: SubmissionId,
+    },
+    /// Work out what an intent would change.
+    Plan {
+        /// Id for the change.
+        change_id: Name,
+        /// The intent.
+        operations: Vec<Operation>,
+    },
+    /// Put a plan into force.
+    Confirm {
+        /// The planned change.
+        change: Change,
+    },
+    /// What became of a change.
+    ChangeStatus {
+        /// Its id.
+        change_id: Name,
+    },
+    /// The configuration in force.
+    Configuration,
+    /// The members known.
+    Members,
+}
+
+/// Reply to a [`Command`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// Ids for new submissions.
+    Ids(Vec<SubmissionId>),
+    /// The final answer, or the refusal of the command.
+    Answer(Arc<Answer>),
+    /// A plan, or why there is none.
+    Plan(Result<Plan, PlanError>),
+    /// The change is in force since this version or an earlier one.
+    ChangeAccepted {
+        /// Version of the configuration now.
+        version: u64,
+    },
+    /// The configuration in force.
+    Configuration(Snapshot),
+    /// The members known.
+    Members(Vec<Member>),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct WaitKey {
+    id: SubmissionId,
+    fingerprint: u64,
+}
+
+/// What the callers of one submission wait for.
+#[derive(Clone, Debug)]
+enum Request {
+    Submit(Arc<Submission>),
+    Lookup,
+}
+
+#[derive(Clone, Debug)]
+struct Waiting {
+    request: Request,
+    callers: Vec<Caller>,
+    sent_to: Option<Peer>,
+    next_send_ms: u64,
+    interval_ms: u64,
+    is_cancel: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Caller {
+    id: CallerId,
+    deadline_at_ms: u64,
+}
+
+/// The core of an entry.
+#[derive(Debug)]
+pub struct Entry {
+    settings: EntrySettings,
+    view: View,
+    configuration: ConfigurationStore,
+    rng: ChaCha8Rng,
+    waiting: BTreeMap<WaitKey, Waiting>,
+    waiting_callers: usize,
+    confirmations: Confirmations,
+    pulled: BTreeMap<NodeId, u64>,
+    pulls: usize,
+    next_pull_ms: u64,
+    next_scan_ms: u64,
+    whole_view_since_ms: Option<u64>,
+}
+
+impl Entry {
+    /// The core of an entry that just started.
+    #[must_use]
+    pub fn new(settings: EntrySettings, now_ms: u64) -> Self {
+        Self {
+            rng: ChaCha8Rng::seed_from_u64(settings.node.0),
+            settings,
+            view: View::default(),
+            configuration: ConfigurationStore::default(),
+            waiting: BTreeMap::new(),
+            waiting_callers: 0,
+            confirmations: Confirmations::default(),
+            pulled: BTreeMap::new(),
+            pulls: 0,
+            next_pull_ms: now_ms,
+            next_scan_ms: now_ms,
+            whole_view_since_ms: None,
+        }
+    }
+
+    /// What this entry knows of the agents.
+    #[must_use]
+    pub fn view(&self) -> &View {
+        &self.view
+    }
+
+    /// The configuration in force here.
+    #[must_use]
+    pub fn configuration(&self) -> &ConfigurationStore {
+        &self.configuration
+    }
+
+    /// Callers that wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.waiting_callers + self.confirmations.len()
+    }
+
+    /// Whether the entry knows the agents and can serve.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.whole_view_since_ms.is_some()
+    }
+
+    /// Adds addresses for the first contact.
+    pub fn add_contacts(&mut self, contacts: impl IntoIterator<Item = SocketAddr>) {
+        for contact in contacts {
+            if !self.settings.contacts.contains(&contact) {
+                self.settings.contacts.push(contact);
+            }
+        }
+    }
+
+    /// Handles a command of a caller or operator.
+    pub fn command(&mut self, now_ms: u64, caller: CallerId, command: Command) -> Vec<Action> {
+        let mut actions = Vec::new();
+        match command {
+            Command::TakeIds { service, count } => {
+                let reply = self.take_ids(now_ms, &service, count);
+                count_refusal(&reply, &mut actions);
+                actions.push(Action::Reply { caller, reply });
+            }
+            Command::Submit {
+                id,
+                submission,
+                deadline_ms,
+            } => {
+                let key = WaitKey {
+                    id,
+                    fingerprint: fingerprint(&submission),
+                };
+                let caller = Caller {
+                    id: caller,
+                    deadline_at_ms: now_ms + deadline_ms,
+                };
+                self.wait(
+                    now_ms,
+                    key,
+                    Request::Submit(submission),
+                    caller,
+                    &mut actions,
+                );
+            }
+            Command::Lookup { id, wait_ms } => {
+                let key = WaitKey { id, fingerprint: 0 };
+                let caller = Caller {
+                    id: caller,
+                    deadline_at_ms: now_ms + wait_ms,
+                };
+                self.wait(now_ms, key, Request::Lookup, caller, &mut actions);
+            }
+            Command::Cancel { id } => self.cancel(now_ms, id, caller, &mut actions),
+            Command::Plan {
+                change_id,
+                operations,
+            } => {
+                let reply = Reply::Plan(self.configuration.plan(change_id, operations));
+                actions.push(Action::Reply { caller, reply });
+            }
+            Command::Confirm { change } => {
+                self.confirmations.confirm(
+                    now_ms,
+                    caller,
+                    change,
+                    &self.configuration,
+                    &mut actions,
+                );
+            }
+            Command::ChangeStatus { change_id } => {
+                self.confirmations.status(
+                    now_ms,
+                    caller,
+                    change_id,
+                    &self.configuration,
+                    &mut actions,
+                );
+            }
+            Command::Configuration => {
+                let reply = Reply::Configuration(self.configuration.snapshot());
+                actions.push(Action::Reply { caller, reply });
+            }
+            Command::Members => {
+                let reply = Reply::Members(self.view.snapshot(now_ms));
+                actions.push(Action::Reply { caller, reply });
+            }
+        }
+        actions
+    }
+
+    /// Handles a message from another process.
+    pub fn message(&mut self, now_ms: u64, envelope: Envelope) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if envelope.to.is_some_and(|node| node != self.settings.node) {
+            return actions;
+        }
+        let from = Peer::known(envelope.from, envelope.from_addr);
+        match envelope.message {
+            Message::Answer {
+                id,
+                fingerprint,
+                answer,
+            } => {
+                self.answered(WaitKey { id, fingerprint }, &answer, &mut actions);
+            }
+            Message::ViewDelta {
+                upto,
+                more,
+                members,
+                configuration,
+            } => {
+                for member in &members {
+                    self.view.merge(now_ms, member);
+                }
+                self.pulled.insert(envelope.from, upto);
+                if more {
+                    actions.push(self.pull(from));
+                } else {
+                    self.whole_view_since_ms.get_or_insert(now_ms);
+                }
+                if let Some(snapshot) = configuration {
+                    self.adopt_configuration(now_ms, &snapshot, &mut actions);
+                }
+                self.scan(now_ms, &mut actions);
+            }
+            Message::ConfigurationState(snapshot) => {
+                self.adopt_configuration(now_ms, &snapshot, &mut actions);
+            }
+            Message::ConfigurationPull => {
+                let message = Message::ConfigurationState(self.configuration.snapshot());
+                actions.push(Action::Send { to: from, message });
+            }
+            _ => {}
+        }
+        actions
+    }
+
+    /// A connection broke; messages on it may be lost.
+    pub fn peer_down(&mut self, now_ms: u64, addr: SocketAddr) -> Vec<Action> {
+        for waiting in self.waiting.values_mut() {
+            if waiting.sent_to.is_some_and(|peer| peer.addr == addr) {
+                waiting.next_send_ms = waiting.next_send_ms.min(now_ms + RECONNECT_MS);
+            }
+        }
+        self.next_pull_ms = self.next_pull_ms.min(now_ms + RECONNECT_MS);
+        Vec::new()
+    }
+
+    /// Takes in a part of the configuration stream.
+    pub fn log_page(&mut self, now_ms: u64, page: LogPage) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let at_end = page.at_end;
+        let version = self.configuration.current().version;
+        self.configuration.read(now_ms, page);
+        if self.configuration.current().version > version {
+            self.spread_configuration(&mut actions);
+        }
+        if !at_end {
+            let from_offset = self.configuration.next_offset();
+            actions.push(Action::ReadLog { from_offset });
+        }
+        self.confirmations
+            .progress(now_ms, at_end, &self.configuration, &mut actions);
+        actions
+    }
+
+    /// The platform's log could not be read.
+    pub fn log_failed(&mut self) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.confirmations.log_failed(&mut actions);
+        actions
+    }
+
+    /// Does what is due. To be called every few milliseconds.
+    pub fn tick(&mut self, now_ms: u64) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if now_ms >= self.next_pull_ms {
+            self.next_pull_ms = now_ms + PULL_MS;
+            self.view.forget_gone(now_ms, self.settings.retention_ms);
+            self.pull_views(&mut actions);
+        }
+        if now_ms >= self.next_scan_ms {
+            self.next_scan_ms = now_ms + SCAN_MS;
+            self.scan(now_ms, &mut actions);
+            self.confirmations
+                .expire(now_ms, &self.configuration, &mut actions);
+        }
+        actions
+    }
+
+    fn take_ids(&mut self, now_ms: u64, service: &Name, count: usize) -> Reply {
+        let refused = |reason, retry_after_ms| {
+            Reply::Answer(Arc::new(Answer::refusal(
+                Ran::NotRun,
+                reason,
+                retry_after_ms,
+            )))
+        };
+        let Some(config) = self.configuration.current().services.get(service) else {
+            return refused(Reason::UnknownService, None);
+        };
+        let homes = self.view.homes(service, config.homes());
+        if homes.is_empty() {
+            return refused(Reason::NoCapacity, Some(RETRY_SOON_MS));
+        }
+        let ids = (0..count)
+            .filter_map(|_| self.draw_id(now_ms, &homes))
+            .collect();
+        Reply::Ids(ids)
+    }
+
+    /// A home's generation follows from its age; no message is needed.
+    fn draw_id(&mut self, now_ms: u64, homes: &[NodeId]) -> Option<SubmissionId> {
+        let home = *homes.choose(&mut self.rng)?;
+        let generation = generation_at(self.view.uptime_ms(now_ms, home)?);
+        Some(SubmissionId {
+            home,
+            generation,
+            nonce: self.rng.random(),
+        })
+    }
+
+    fn wait(
+        &mut self,
+        now_ms: u64,
+        key: WaitKey,
+        request: Request,
+        caller: Caller,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.waiting_callers >= self.settings.max_waiting {
+            // Another entry may have run it already, so "not run" would be a guess.
+            let answer =
+                Answer::refusal(Ran::Unknown, Reason::EntryOverloaded, Some(RETRY_SOON_MS));
+            actions.push(Action::Count(Counter::Refused(Reason::EntryOverloaded)));
+            reply(caller.id, Arc::new(answer), actions);
+            return;
+        }
+        self.waiting_callers += 1;
+        let waiting = self
+            .waiting
+            .entry(key)
+            .or_insert_with(|| Waiting::new(request, now_ms));
+        waiting.callers.push(caller);
+        self.send_due(now_ms, key, actions);
+    }
+
+    fn cancel(
+        &mut self,
+        now_ms: u64,
+        id: SubmissionId,
+        caller: CallerId,
+        actions: &mut Vec<Action>,
+    ) {
+        let key = WaitKey { id, fingerprint: 0 };
+        let caller = Caller {
+            id: caller,
+            deadline_at_ms: now_ms + FIRST_RESEND_MS,
+        };
+        let waiting = self
+            .waiting
+            .entry(key)
+            .or_insert_with(|| Waiting::new(Request::Lookup, now_ms));
+        waiting.is_cancel = true;
+        waiting.next_send_ms = now_ms;
+        waiting.callers.push(caller);
+        self.waiting_callers += 1;
+        self.send_due(now_ms, key, actions);
+    }
+
+    fn answered(&mut self, key: WaitKey, answer: &Arc<Answer>, actions: &mut Vec<Action>) {
+        let Some(waiting) = self.waiting.remove(&key) else {
+            return;
+        };
+        self.waiting_callers -= waiting.callers.len();
+        for caller in waiting.callers {
+            reply(caller.id, Arc::clone(answer), actions);
+        }
+    }
+
+    /// Sends again what is due, and gives up what can no longer be answered.
+    fn scan(&mut self, now_ms: u64, actions: &mut Vec<Action>) {
+        let keys: Vec<WaitKey> = self.waiting.keys().copied().collect();
+        for key in keys {
+            self.expire_callers(now_ms, key, actions);
+            self.send_due(now_ms, key, actions);
+        }
+    }
+
+    fn expire_callers(&mut self, now_ms: u64, key: WaitKey, actions: &mut Vec<Action>) {
+        let Some(waiting) = self.waiting.get_mut(&key) else {
+            return;
+        };
+        let is_late = |caller: &Caller| now_ms >= caller.deadline_at_ms + GRACE_MS;
+        let late: Vec<Caller> = waiting.callers.iter().copied().filter(is_late).collect();
+        if late.is_empty() {
+            return;
+        }
+        waiting.callers.retain(|caller| !is_late(caller));
+        let is_empty = waiting.callers.is_empty();
+        self.waiting_callers -= late.len();
+        let answer = Answer::refusal(Ran::Unknown, Reason::HomeSilent, Some(RETRY_SOON_MS));
+        let answer = Arc::new(answer);
+        for caller in late {
+            actions.push(Action::Count(Counter::Failed(Reason::HomeSilent)));
+            reply(caller.id, Arc::clone(&answer), actions);
+        }
+        if is_empty {
+            self.waiting.remove(&key);
+        }
+    }
+
+    fn send_due(&mut self, now_ms: u64, key: WaitKey, actions: &mut Vec<Action>) {
+        let target = self.view.resolve(key.id.home);
+        let version = self.configuration.current().version;
+        let Some(waiting) = self.waiting.get_mut(&key) else {
+            return;
+        };
+        match target {
+            HomeTarget::Answers(peer) => {
+                let has_moved = waiting.sent_to.is_some_and(|sent_to| sent_to != peer);
+                if has_moved || now_ms >= waiting.next_send_ms {
+                    if waiting.sent_to.is_some() {
+                        actions.push(Action::Count(Counter::Resent(Reason::HomeSilent)));
+                    }
+                    actions.push(waiting.send(now_ms, key, peer, version));
+                }
+            }
+            HomeTarget::Lost => self.home_lost(key, actions),
+            HomeTarget::Unheard => {
+                let is_settled = self
+                    .whole_view_since_ms
+                    .is_some_and(|since_ms| now_ms.saturating_sub(since_ms) >= SETTLE_MS);
+                if is_settled {
+                    self.home_lost(key, actions);
+                }
+            }
+        }
+    }
+
+    fn home_lost(&mut self, key: WaitKey, actions: &mut Vec<Action>) {
+        let answer = Answer::refusal(Ran::Unknown, Reason::HomeLost, None);
+        actions.push(Action::Count(Counter::Failed(Reason::HomeLost)));
+        self.answered(key, &Arc::new(answer), actions);
+    }
+
+    fn adopt_configuration(&mut self, now_ms: u64, snapshot: &Snapshot, actions: &mut Vec<Action>) {
+        if self.configuration.adopt(snapshot) {
+            let version = self.configuration.current().version;
+            actions.push(Action::log("configuration-adopted", version));
+            self.confirmations
+                .progress(now_ms, false, &self.configuration, actions);
+        }
+    }
+
+    /// Tells one agent of each zone of a change that was read from the log.
+    fn spread_configuration(&mut self, actions: &mut Vec<Action>) {
+        for to in self.one_agent_of_each_zone() {
+            let message = Message::ConfigurationState(self.configuration.snapshot());
+            actions.push(Action::Send { to, message });
+        }
+    }
+
+    /// Pulls the view of one agent; the zones take turns.
+    fn pull_views(&mut self, actions: &mut Vec<Action>) {
+        self.pulls += 1;
+        let known = self.one_agent_of_each_zone();
+        let first = |addr: &SocketAddr| Peer {
+            node: None,
+            addr: *addr,
+        };
+        let peers: Vec<Peer> = match known.get(self.pulls % known.len().max(1)) {
+            Some(peer) => vec![*peer],
+            None => self.settings.contacts.iter().map(first).collect(),
+        };
+        actions.extend(peers.into_iter().map(|peer| self.pull(peer)));
+    }
+
+    fn one_agent_of_each_zone(&mut self) -> Vec<Peer> {
+        let mut zones: BTreeMap<&Name, Vec<Peer>> = BTreeMap::new();
+        for member in self
+            .view
+            .iter()
+            .filter(|member| member.state == MemberState::Alive)
+        {
+            let peer = Peer::known(member.node, member.addr);
+            zones.entry(&member.zone).or_default().push(peer);
+        }
+        zones
+            .values()
+            .filter_map(|peers| peers.choose(&mut self.rng).copied())
+            .collect()
+    }
+
+    fn pull(&self, to: Peer) -> Action {
+        let since = to
+            .node
+            .and_then(|node| self.pulled.get(&node).copied())
+            .unwrap_or(0);
+        let configuration_version = self.configuration.current().version;
+        Action::Send {
+            to,
+            message: Message::ViewPull {
+                since,
+                configuration_version,
+            },
+        }
+    }
+}
+
+impl Waiting {
+    fn new(request: Request, now_ms: u64) -> Self {
+        Self {
+            request,
+            callers: Vec::new(),
+            sent_to: None,
+            next_send_ms: now_ms,
+            interval_ms: FIRST_RESEND_MS,
+            is_cancel: false,
+        }
+    }
+
+    fn send(&mut self, now_ms: u64, key: WaitKey, to: Peer, configuration_version: u64) -> Action {
+        self.sent_to = Some(to);
+        self.next_send_ms = now_ms + self.interval_ms;
+        self.interval_ms = (self.interval_ms * 2).min(MAX_RESEND_MS);
+        let latest = self
+            .callers
+            .iter()
+            .map(|caller| caller.deadline_at_ms)
+            .max()
+            .unwrap_or(now_ms);
+        let submission = match &self.request {
+            Request::Submit(submission) => Some(Arc::clone(submission)),
+            Request::Lookup => None,
+        };
+        let message = if self.is_cancel {
+            Message::Cancel { id: key.id }
+        } else {
+            Message::Submit {
+                id: key.id,
+                submission,
+                fingerprint: key.fingerprint,
+                remaining_ms: latest.saturating_sub(now_ms),
+                configuration_version,
+            }
+        };
+        Action::Send { to, message }
+    }
+}
+
+fn reply(caller: CallerId, answer: Arc<Answer>, actions: &mut Vec<Action>) {
+    actions.push(Action::Reply {
+        caller,
+        reply: Reply::Answer(answer),
+    });
+}
+
+fn count_refusal(reply: &Reply, actions: &mut Vec<Action>) {
+    if let Reply::Answer(answer) = reply {
+        actions.push(Action::Count(Counter::Refused(answer.reason)));
+    }
+}
--- /dev/null
+++ b/crates/core/src/estimate.rs
@@ -0,0 +1,140 @@
+//! Run times to expect, from what callers declare and what was observed.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use gannetvane_wire::Name;
+use hdrhistogram::Histogram;
+
+/// Run time assumed for a kind that was never seen and declares nothing.
+const DEFAULT_RUN_MS: u32 = 300;
+/// Observations after which the older half of the history is dropped.
+const WINDOW_OBSERVATIONS: u64 = 512;
+/// Observations before they are trusted over declarations.
+const MIN_OBSERVATIONS: u64 = 16;
+/// Most kinds for which a history is kept.
+const MAX_KINDS: usize = 1_024;
+/// Ratios of observed to declared time are kept in thousandths.
+const RATIO_SCALE: u64 = 1_000;
+/// Largest value that a history tells apart from larger ones.
+const MAX_VALUE: u64 = 100_000_000;
+/// Quantile above which a run counts as a straggler.
+const STRAGGLER_QUANTILE: f64 = 0.99;
+
+/// Observed run times for each kind of task.
+#[derive(Debug, Default)]
+pub struct Estimates {
+    kinds: BTreeMap<Name, Kind>,
+}
+
+#[derive(Debug)]
+struct Kind {
+    run_ms: History,
+    ratio: History,
+}
+
+/// A histogram of recent observations, in two windows.
+struct History {
+    current: Histogram<u32>,
+    previous: Histogram<u32>,
+}
+
+impl Estimates {
+    /// Run time to expect of a task, in milliseconds.
+    #[must_use]
+    pub fn estimate_ms(&self, kind: &Name, declared_ms: Option<u32>) -> u32 {
+        let Some(history) = self.kinds.get(kind) else {
+            return declared_ms.unwrap_or(DEFAULT_RUN_MS);
+        };
+        match declared_ms {
+            Some(declared_ms) => history.corrected_ms(declared_ms),
+            None => history
+                .run_ms
+                .quantile(0.5)
+                .map_or(DEFAULT_RUN_MS, saturate),
+        }
+    }
+
+    /// Time in milliseconds after which a task is later than almost all.
+    #[must_use]
+    pub fn straggler_ms(&self, kind: &Name, declared_ms: Option<u32>) -> u32 {
+        let estimate_ms = self.estimate_ms(kind, declared_ms);
+        let observed = self
+            .kinds
+            .get(kind)
+            .and_then(|k| k.run_ms.quantile(STRAGGLER_QUANTILE));
+        observed.map_or(estimate_ms, saturate).max(estimate_ms)
+    }
+
+    /// Takes in the run time of a finished task.
+    pub fn observe(&mut self, kind: &Name, declared_ms: Option<u32>, run_ms: u32) {
+        if !self.kinds.contains_key(kind) && self.kinds.len() >= MAX_KINDS {
+            return;
+        }
+        let history = self.kinds.entry(kind.clone()).or_insert_with(Kind::new);
+        history.run_ms.record(u64::from(run_ms));
+        if let Some(declared_ms) = declared_ms.filter(|ms| *ms > 0) {
+            history
+                .ratio
+                .record(u64::from(run_ms) * RATIO_SCALE / u64::from(declared_ms));
+        }
+    }
+}
+
+impl Kind {
+    fn new() -> Self {
+        Self {
+            run_ms: History::new(),
+            ratio: History::new(),
+        }
+    }
+
+    fn corrected_ms(&self, declared_ms: u32) -> u32 {
+        match self.ratio.quantile(0.5) {
+            Some(ratio) => saturate(u64::from(declared_ms) * ratio / RATIO_SCALE),
+            None => declared_ms,
+        }
+    }
+}
+
+impl History {
+    fn new() -> Self {
+        Self {
+            current: new_histogram(),
+            previous: new_histogram(),
+        }
+    }
+
+    fn record(&mut self, value: u64) {
+        if self.current.len() >= WINDOW_OBSERVATIONS {
+            std::mem::swap(&mut self.current, &mut self.previous);
+            self.current.reset();
+        }
+        self.current.saturating_record(value.max(1));
+    }
+
+    fn quantile(&self, quantile: f64) -> Option<u64> {
+        let newest = if self.current.len() >= MIN_OBSERVATIONS || self.previous.is_empty() {
+            &self.current
+        } else {
+            &self.previous
+        };
+        (newest.len() >= MIN_OBSERVATIONS).then(|| newest.value_at_quantile(quantile))
+    }
+}
+
+impl fmt::Debug for History {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("History")
+            .field("observations", &self.current.len())
+            .finish_non_exhaustive()
+    }
+}
+
+fn new_histogram() -> Histogram<u32> {
+    Histogram::new_with_bounds(1, MAX_VALUE, 2).expect("constant bounds are valid")
+}
+
+fn saturate(value: u64) -> u32 {
+    u32::try_from(value).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/core/src/queue.rs
@@ -0,0 +1,166 @@
+//! The order in which waiting tasks are started.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use gannetvane_wire::Name;
+use gannetvane_wire::SubmissionId;
+
+/// How strongly the expected time of a submission delays its turn.
+///
+/// A submission's turn comes at its arrival plus this factor times the time it
+/// needs at least, so that all are stretched by about the same ratio.
+const STRETCH: f64 = 2.0;
+/// Most that a submission can be put back behind later ones, in milliseconds.
+const MAX_DELAY_MS: u64 = 5_000;
+
+/// A waiting task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct QueuedTask {
+    /// Expected run time in milliseconds.
+    pub estimate_ms: u32,
+    /// Position in its submission.
+    pub index: u16,
+}
+
+/// Waiting tasks of one service at one home.
+#[derive(Clone, Debug, Default)]
+pub struct TaskQueue {
+    submissions: BTreeMap<SubmissionId, Waiting>,
+    turns: BTreeMap<Name, BTreeSet<Turn>>,
+    tasks: usize,
+    work_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Turn {
+    at_ms: u64,
+    id: SubmissionId,
+}
+
+#[derive(Clone, Debug)]
+struct Waiting {
+    team: Name,
+    turn: Turn,
+    /// In ascending order of the estimate: the longest is started first.
+    tasks: Vec<QueuedTask>,
+}
+
+impl TaskQueue {
+    /// Adds the tasks of a submission that arrived at `arrived_ms`.
+    pub fn push(&mut self, id: SubmissionId, team: &Name, arrived_ms: u64, tasks: Vec<QueuedTask>) {
+        let mut all = self.remove(id);
+        all.extend(tasks);
+        if all.is_empty() {
+            return;
+        }
+        all.sort_unstable();
+        let longest_ms = all.last().map_or(0, |task| task.estimate_ms);
+        let turn = Turn {
+            at_ms: arrived_ms + delay_ms(longest_ms),
+            id,
+        };
+        self.tasks += all.len();
+        self.work_ms += work_ms(&all);
+        self.turns.entry(team.clone()).or_default().insert(turn);
+        self.submissions.insert(
+            id,
+            Waiting {
+                team: team.clone(),
+                turn,
+                tasks: all,
+            },
+        );
+    }
+
+    /// Takes all waiting tasks of a submission out.
+    pub fn remove(&mut self, id: SubmissionId) -> Vec<QueuedTask> {
+        let Some(waiting) = self.submissions.remove(&id) else {
+            return Vec::new();
+        };
+        self.tasks -= waiting.tasks.len();
+        self.work_ms -= work_ms(&waiting.tasks);
+        self.remove_turn(&waiting);
+        waiting.tasks
+    }
+
+    /// Number of waiting tasks.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.tasks
+    }
+
+    /// Whether no task waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.tasks == 0
+    }
+
+    /// Sum of the expected run times of the waiting tasks, in milliseconds.
+    #[must_use]
+    pub fn work_ms(&self) -> u64 {
+        self.work_ms
+    }
+
+    /// Number of waiting tasks of a team.
+    #[must_use]
+    pub fn len_of_team(&self, team: &Name) -> usize {
+        let turns = self.turns.get(team).into_iter().flatten();
+        turns
+            .filter_map(|turn| self.submissions.get(&turn.id))
+            .map(|w| w.tasks.len())
+            .sum()
+    }
+
+    /// Teams with waiting tasks.
+    #[must_use]
+    pub fn teams(&self) -> Vec<Name> {
+        self.turns.keys().cloned().collect()
+    }
+
+    /// Submissions of a team in the order of their turns.
+    pub fn in_turn<'a>(&'a self, team: &Name) -> impl Iterator<Item = SubmissionId> + 'a {
+        self.turns
+            .get(team)
+            .into_iter()
+            .flatten()
+            .map(|turn| turn.id)
+    }
+
+    /// The next task of a submission: its longest one that waits.
+    #[must_use]
+    pub fn next_of(&self, id: SubmissionId) -> Option<QueuedTask> {
+        self.submissions.get(&id)?.tasks.last().copied()
+    }
+
+    /// Takes the next task of a submission out.
+    pub fn pop_of(&mut self, id: SubmissionId) -> Option<QueuedTask> {
+        let waiting = self.submissions.get_mut(&id)?;
+        let task = waiting.tasks.pop()?;
+        self.tasks -= 1;
+        self.work_ms -= u64::from(task.estimate_ms);
+        if waiting.tasks.is_empty() {
+            let waiting = self.submissions.remove(&id)?;
+            self.remove_turn(&waiting);
+        }
+        Some(task)
+    }
+
+    fn remove_turn(&mut self, waiting: &Waiting) {
+        if let Some(turns) = self.turns.get_mut(&waiting.team) {
+            turns.remove(&waiting.turn);
+            if turns.is_empty() {
+                self.turns.remove(&waiting.team);
+            }
+        }
+    }
+}
+
+fn delay_ms(longest_ms: u32) -> u64 {
+    let delay_ms = (f64::from(longest_ms) * STRETCH).round() as u64;
+    delay_ms.min(MAX_DELAY_MS)
+}
+
+fn work_ms(tasks: &[QueuedTask]) -> u64 {
+    tasks.iter().map(|task| u64::from(task.estimate_ms)).sum()
+}
--- /dev/null
+++ b/crates/core/src/runner.rs
@@ -0,0 +1,330 @@
+//! Slots of one minion, and the at-most-once start of tasks on them.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+
+use gannetvane_wire::Credit;
+use gannetvane_wire::Finished;
+use gannetvane_wire::NodeId;
+use gannetvane_wire::Reason;
+use gannetvane_wire::SlotCredit;
+use gannetvane_wire::TaskId;
+use gannetvane_wire::TaskResult;
+use gannetvane_wire::TaskStart;
+
+use crate::Action;
+use crate::Counter;
+use crate::Peer;
+
+/// Uses of each slot that are remembered, to answer repeated starts.
+const REMEMBERED_USES: usize = 8;
+
+/// Slot accounting of one agent.
+///
+/// Each slot counts its uses. A [`Credit`] names one use; a start with any
+/// other use count than the present one starts nothing.
+#[derive(Clone, Debug)]
+pub struct Runner {
+    me: NodeId,
+    slots: Vec<Slot>,
+    leaving: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Slot {
+    sequence: u64,
+    state: SlotState,
+    uses: VecDeque<Use>,
+}
+
+#[derive(Clone, Debug)]
+enum SlotState {
+    /// Free; `holder` has the credit.
+    Idle {
+        since_ms: u64,
+        holder: Option<NodeId>,
+    },
+    Busy {
+        home: Peer,
+        started_at_ms: u64,
+    },
+}
+
+#[derive(Clone, Debug)]
+struct Use {
+    sequence: u64,
+    kind: UseKind,
+}
+
+#[derive(Clone, Debug)]
+enum UseKind {
+    Revoked,
+    Running(TaskId),
+    Ended(Finished),
+}
+
+/// A task that just ended, and the home that waits for it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Ended {
+    pub(crate) home: Peer,
+    pub(crate) finished: Finished,
+}
+
+/// A slot whose credit nobody holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct FreeSlot {
+    pub(crate) index: u16,
+    pub(crate) last_holder: Option<NodeId>,
+}
+
+impl Runner {
+    /// A runner with idle slots that nobody holds credits for.
+    #[must_use]
+    pub fn new(me: NodeId, slots: u16, now_ms: u64) -> Self {
+        let idle = Slot {
+            sequence: 0,
+            state: SlotState::Idle {
+                since_ms: now_ms,
+                holder: None,
+            },
+            uses: VecDeque::new(),
+        };
+        Self {
+            me,
+            slots: vec![idle; usize::from(slots)],
+            leaving: false,
+        }
+    }
+
+    /// Number of slots on which a task runs.
+    #[must_use]
+    pub fn busy(&self) -> usize {
+        self.slots
+            .iter()
+            .filter(|slot| matches!(slot.state, SlotState::Busy { .. }))
+            .count()
+    }
+
+    /// Handles a start; an answer that is due at once is returned.
+    pub(crate) fn start(
+        &mut self,
+        now_ms: u64,
+        home: Peer,
+        start: TaskStart,
+        actions: &mut Vec<Action>,
+    ) -> Option<Finished> {
+        let task_id = start.task_id;
+        let credit = start.credit;
+        let Some(slot) = self.slots.get_mut(usize::from(credit.slot)) else {
+            return Some(ended_without_run(task_id, TaskResult::Unknown));
+        };
+        if credit.agent != self.me || credit.sequence > slot.sequence {
+            return Some(ended_without_run(task_id, TaskResult::Unknown));
+        }
+        if credit.sequence < slot.sequence {
+            actions.push(Action::Count(Counter::RepeatedStart));
+            return slot.answer_repeated(credit, task_id);
+        }
+        if self.leaving {
+            slot.revoke(now_ms);
+            let result = TaskResult::NotStarted(Reason::AgentLeaving);
+            return Some(ended_without_run(task_id, result));
+        }
+        slot.use_up(UseKind::Running(task_id));
+        slot.state = SlotState::Busy {
+            home,
+            started_at_ms: now_ms,
+        };
+        actions.push(Action::Count(Counter::TaskStarted));
+        actions.push(Action::Run(start));
+        None
+    }
+
+    /// Makes sure that a start which has not arrived yet will start nothing;
+    /// returns the task to stop if it runs already.
+    pub(crate) fn revoke(&mut self, now_ms: u64, credit: Credit) -> Option<TaskId> {
+        let slot = self.slots.get_mut(usize::from(credit.slot))?;
+        if credit.agent != self.me {
+            return None;
+        }
+        if credit.sequence == slot.sequence {
+            slot.revoke(now_ms);
+            return None;
+        }
+        let last = slot.uses.back()?;
+        match last.kind {
+            UseKind::Running(task_id) if last.sequence == credit.sequence => Some(task_id),
+            _ => None,
+        }
+    }
+
+    /// Takes in the result of a task from the minion.
+    pub(crate) fn finish(
+        &mut self,
+        now_ms: u64,
+        credit: Credit,
+        result: TaskResult,
+    ) -> Option<Ended> {
+        let slot = self.slots.get_mut(usize::from(credit.slot))?;
+        let SlotState::Busy {
+            home,
+            started_at_ms,
+        } = slot.state
+        else {
+            return None;
+        };
+        let last = slot.uses.back_mut()?;
+        let UseKind::Running(task_id) = last.kind else {
+            return None;
+        };
+        if last.sequence != credit.sequence {
+            return None;
+        }
+        let run_ms = u32::try_from(now_ms.saturating_sub(started_at_ms)).unwrap_or(u32::MAX);
+        let next = Credit {
+            agent: self.me,
+            slot: credit.slot,
+            sequence: slot.sequence,
+        };
+        let next_credit = (!self.leaving).then_some(next);
+        let finished = Finished {
+            task_id,
+            result,
+            run_ms,
+            next_credit,
+        };
+        last.kind = UseKind::Ended(finished.clone());
+        slot.state = SlotState::Idle {
+            since_ms: now_ms,
+            holder: home.node,
+        };
+        Some(Ended { home, finished })
+    }
+
+    /// Takes back idle credits that are due for renewal or whose holder
+    /// `is_lost`, and lists all slots that nobody holds a credit for.
+    pub(crate) fn reclaim(
+        &mut self,
+        now_ms: u64,
+        renewal_ms: u64,
+        is_lost: impl Fn(NodeId) -> bool,
+    ) -> Vec<FreeSlot> {
+        let mut free = Vec::new();
+        for (index, slot) in (0u16..).zip(self.slots.iter_mut()) {
+            let SlotState::Idle { since_ms, holder } = slot.state else {
+                continue;
+            };
+            let is_due = now_ms.saturating_sub(since_ms) >= renewal_ms;
+            match holder {
+                None => free.push(FreeSlot {
+                    index,
+                    last_holder: None,
+                }),
+                Some(home) if is_due || is_lost(home) => {
+                    slot.revoke(now_ms);
+                    free.push(FreeSlot {
+                        index,
+                        last_holder: Some(home),
+                    });
+                }
+                Some(_) => {}
+            }
+        }
+        free
+    }
+
+    /// Gives the credit of an idle slot to a home.
+    pub(crate) fn grant(&mut self, now_ms: u64, index: u16, home: NodeId) -> Option<SlotCredit> {
+        let slot = self.slots.get_mut(usize::from(index))?;
+        if !matches!(slot.state, SlotState::Idle { .. }) {
+            return None;
+        }
+        slot.state = SlotState::Idle {
+            since_ms: now_ms,
+            holder: Some(home),
+        };
+        let credit = Credit {
+            agent: self.me,
+            slot: index,
+            sequence: slot.sequence,
+        };
+        Some(SlotCredit { credit, idle_ms: 0 })
+    }
+
+    /// Takes no more work; all idle credits become void.
+    pub(crate) fn leave(&mut self, now_ms: u64) {
+        self.leaving = true;
+        for slot in &mut self.slots {
+            if matches!(slot.state, SlotState::Idle { .. }) {
+                slot.revoke(now_ms);
+            }
+        }
+    }
+
+    /// Homes whose tasks run here, and where their results go.
+    #[must_use]
+    pub fn homes_of_running(&self) -> Vec<SocketAddr> {
+        let addr = |slot: &Slot| match slot.state {
+            SlotState::Busy { home, .. } => Some(home.addr),
+            SlotState::Idle { .. } => None,
+        };
+        self.slots.iter().filter_map(addr).collect()
+    }
+}
+
+impl Slot {
+    fn use_up(&mut self, kind: UseKind) {
+        if self.uses.len() == REMEMBERED_USES {
+            self.uses.pop_front();
+        }
+        self.uses.push_back(Use {
+            sequence: self.sequence,
+            kind,
+        });
+        self.sequence += 1;
+    }
+
+    fn revoke(&mut self, now_ms: u64) {
+        self.use_up(UseKind::Revoked);
+        self.state = SlotState::Idle {
+            since_ms: now_ms,
+            holder: None,
+        };
+    }
+
+    /// What to say of a start whose credit is used up already.
+    fn answer_repeated(&self, credit: Credit, task_id: TaskId) -> Option<Finished> {
+        let Some(used) = self
+            .uses
+            .iter()
+            .find(|used| used.sequence == credit.sequence)
+        else {
+            return Some(ended_without_run(task_id, TaskResult::Unknown));
+        };
+        let stale = TaskResult::NotStarted(Reason::StaleCredit);
+        match &used.kind {
+            UseKind::Running(running) if *running == task_id => None,
+            UseKind::Ended(finished) if finished.task_id == task_id => Some(self.repeat(finished)),
+            _ => Some(ended_without_run(task_id, stale)),
+        }
+    }
+
+    /// The next credit is repeated only while it is still unused.
+    fn repeat(&self, finished: &Finished) -> Finished {
+        let is_unused = |next: &Credit| next.sequence == self.sequence;
+        let next_credit = finished.next_credit.filter(is_unused);
+        Finished {
+            next_credit,
+            ..finished.clone()
+        }
+    }
+}
+
+fn ended_without_run(task_id: TaskId, result: TaskResult) -> Finished {
+    Finished {
+        task_id,
+        result,
+        run_ms: 0,
+        next_credit: None,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/connection.rs
@@ -0,0 +1,153 @@
+//! One TCP connection between two processes, with its frames.
+
+use std::collections::VecDeque;
+use std::io::ErrorKind;
+use std::io::Read;
+use std::io::Result;
+use std::io::Write;
+use std::net::SocketAddr;
+
+use gannetvane_wire::MAX_FRAME_BYTES;
+use mio::net::TcpStream;
+
+/// Bytes of the length before each frame.
+const LENGTH_BYTES: usize = 4;
+/// Bytes that one read takes at most.
+const READ_BYTES: usize = 64 * 1024;
+/// Bytes that may wait to be written before the connection is given up.
+const MAX_QUEUED_BYTES: usize = 64 * 1024 * 1024;
+
+/// A connection and what waits on it.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    pub(crate) stream: TcpStream,
+    /// Where the other process receives, once known.
+    pub(crate) peer: Option<SocketAddr>,
+    pub(crate) is_established: bool,
+    pub(crate) opened_ms: u64,
+    pub(crate) used_ms: u64,
+    received: Vec<u8>,
+    queued: VecDeque<Frame>,
+    queued_bytes: usize,
+}
+
+#[derive(Debug)]
+struct Frame {
+    bytes: Vec<u8>,
+    written: usize,
+}
+
+/// What reading from a connection gave.
+#[derive(Debug, Default)]
+pub(crate) struct Received {
+    /// Whole frames, without their lengths.
+    pub(crate) frames: Vec<Vec<u8>>,
+    /// The other side closed the connection as planned.
+    pub(crate) is_goodbye: bool,
+    /// The other side is gone, or sent nonsense.
+    pub(crate) is_broken: bool,
+}
+
+impl Connection {
+    pub(crate) fn new(stream: TcpStream, peer: Option<SocketAddr>, now_ms: u64) -> Self {
+        Self {
+            stream,
+            is_established: peer.is_none(),
+            peer,
+            opened_ms: now_ms,
+            used_ms: now_ms,
+            received: Vec::new(),
+            queued: VecDeque::new(),
+            queued_bytes: 0,
+        }
+    }
+
+    /// Queues a frame; an empty one says goodbye. False when too much waits.
+    pub(crate) fn queue(&mut self, payload: &[u8]) -> bool {
+        let length = u32::try_from(payload.len()).unwrap_or(u32::MAX);
+        let mut bytes = Vec::with_capacity(LENGTH_BYTES + payload.len());
+        bytes.extend_from_slice(&length.to_le_bytes());
+        bytes.extend_from_slice(payload);
+        self.queued_bytes += bytes.len();
+        self.queued.push_back(Frame { bytes, written: 0 });
+        self.queued_bytes <= MAX_QUEUED_BYTES
+    }
+
+    /// Writes what the socket takes.
+    pub(crate) fn flush(&mut self) -> Result<()> {
+        if !self.is_established {
+            return Ok(());
+        }
+        while let Some(frame) = self.queued.front_mut() {
+            match self.stream.write(&frame.bytes[frame.written..]) {
+                Ok(0) => return Err(ErrorKind::WriteZero.into()),
+                Ok(written) => frame.written += written,
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) => return Err(error),
+            }
+            if frame.written == frame.bytes.len() {
+                self.queued_bytes -= frame.bytes.len();
+                self.queued.pop_front();
+            }
+        }
+        Ok(())
+    }
+
+    /// Reads all that is there.
+    pub(crate) fn receive(&mut self) -> Received {
+        let mut result = Received::default();
+        let mut chunk = vec![0; READ_BYTES];
+        loop {
+            match self.stream.read(&mut chunk) {
+                Ok(0) => {
+                    result.is_broken = true;
+                    break;
+                }
+                Ok(read) => self.received.extend_from_slice(&chunk[..read]),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => break,
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(_) => {
+                    result.is_broken = true;
+                    break;
+                }
+            }
+        }
+        self.split_frames(&mut result);
+        result
+    }
+
+    /// Frames of which nothing was written.
+    pub(crate) fn unsent(self) -> impl Iterator<Item = Vec<u8>> {
+        self.queued
+            .into_iter()
+            .filter(|frame| frame.written == 0 && frame.bytes.len() > LENGTH_BYTES)
+            .map(|frame| frame.bytes[LENGTH_BYTES..].to_vec())
+    }
+
+    fn split_frames(&mut self, result: &mut Received) {
+        let mut at = 0;
+        while let Some(length) = frame_length(&self.received[at..]) {
+            if length == 0 {
+                result.is_goodbye = true;
+                break;
+            }
+            if length > MAX_FRAME_BYTES {
+                result.is_broken = true;
+                break;
+            }
+            let end = at + LENGTH_BYTES + length;
+            let Some(frame) = self.received.get(at + LENGTH_BYTES..end) else {
+                break;
+            };
+            result.frames.push(frame.to_vec());
+            at = end;
+        }
+        self.received.drain(..at);
+    }
+}
+
+fn frame_length(bytes: &[u8]) -> Option<usize> {
+    let length: [u8; LENGTH_BYTES] = bytes.get(..LENGTH_BYTES)?.try_into().ok()?;
+    usize::try_from(u32::from_le_bytes(length)).ok()
+}
--- /dev/null
+++ b/crates/daemon/src/http.rs
@@ -0,0 +1,134 @@
+//! The HTTP server and its limits.
+
+use std::io::Read;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use gannetvane_wire::Answer;
+use gannetvane_wire::Ran;
+use gannetvane_wire::Reason;
+use oxhttp::Server;
+use oxhttp::model::Body;
+use oxhttp::model::Request;
+use oxhttp::model::Response;
+
+use crate::problem::refusal_response;
+use crate::problem::rejection;
+
+/// Connections beyond the limit on requests that are still answered, with a
+/// refusal.
+const SPARE_CONNECTIONS: usize = 128;
+/// When to come back after a refusal, in milliseconds.
+const RETRY_SOON_MS: u32 = 1_000;
+
+/// Bounds on what callers may send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct HttpLimits {
+    /// Requests served at one time; further ones are refused.
+    pub max_requests: usize,
+    /// Largest body in bytes.
+    pub max_body_bytes: u64,
+    /// Longest pause of a caller while it sends or receives.
+    pub io_timeout: Duration,
+}
+
+/// A request whose body was read.
+#[derive(Clone, Debug)]
+pub(crate) struct HttpCall {
+    pub(crate) method: String,
+    pub(crate) path: String,
+    pub(crate) query: String,
+    pub(crate) has_own_key: bool,
+    pub(crate) body: Vec<u8>,
+}
+
+/// Answers a request.
+pub(crate) type Handler = dyn Fn(&HttpCall) -> Response<Body> + Send + Sync;
+
+/// Serves callers, operators, scrapers and the balancer.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct HttpServer {
+    active: Arc<AtomicUsize>,
+}
+
+struct ActiveGuard(Arc<AtomicUsize>);
+
+impl Drop for ActiveGuard {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+impl HttpServer {
+    /// Binds the address and serves it on threads of its own.
+    ///
+    /// # Errors
+    ///
+    /// When the address cannot be bound.
+    pub(crate) fn start(
+        addr: SocketAddr,
+        limits: HttpLimits,
+        handler: Box<Handler>,
+    ) -> std::io::Result<Self> {
+        let server = Self::default();
+        let active = Arc::clone(&server.active);
+        let listening = Server::new(move |request| {
+            let count = active.fetch_add(1, Ordering::SeqCst);
+            let _guard = ActiveGuard(Arc::clone(&active));
+            if count >= limits.max_requests {
+                return overloaded();
+            }
+            match read_call(request, limits.max_body_bytes) {
+                Ok(call) => handler(&call),
+                Err(refusal) => *refusal,
+            }
+        })
+        .bind(addr)
+        .with_max_concurrent_connections(limits.max_requests + SPARE_CONNECTIONS)
+        .with_global_timeout(limits.io_timeout)
+        .spawn()?;
+        // The listener runs until the process ends.
+        std::mem::forget(listening);
+        Ok(server)
+    }
+
+    /// Requests that are being served.
+    #[must_use]
+    pub fn active(&self) -> usize {
+        self.active.load(Ordering::SeqCst)
+    }
+}
+
+fn overloaded() -> Response<Body> {
+    // Another entry may have run it already, so "not run" would be a guess.
+    let answer = Answer::refusal(Ran::Unknown, Reason::EntryOverloaded, Some(RETRY_SOON_MS));
+    refusal_response(&answer, "try any other entry".to_owned())
+}
+
+fn read_call(
+    request: &mut Request<Body>,
+    max_body_bytes: u64,
+) -> Result<HttpCall, Box<Response<Body>>> {
+    let mut body = Vec::new();
+    let mut limited = request.body_mut().take(max_body_bytes + 1);
+    if let Err(error) = limited.read_to_end(&mut body) {
+        return Err(Box::new(rejection(
+            Reason::BadRequest,
+            format!("body: {error}"),
+        )));
+    }
+    if body.len() as u64 > max_body_bytes {
+        let detail = format!("body: over {max_body_bytes} bytes");
+        return Err(Box::new(rejection(Reason::BodyTooLarge, detail)));
+    }
+    Ok(HttpCall {
+        method: request.method().as_str().to_owned(),
+        path: request.uri().path().to_owned(),
+        query: request.uri().query().unwrap_or_default().to_owned(),
+        has_own_key: request.headers().contains_key("idempotency-key"),
+        body,
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,22 @@
+//! The processes of gannetvane: threads, sockets and HTTP around the cores of
+//! `gannetvane-core`.
+
+mod clock;
+mod connection;
+mod http;
+mod logging;
+mod metrics;
+mod minion;
+mod net;
+mod platform;
+mod problem;
+mod process;
+mod routes;
+pub mod settings;
+
+pub use logging::logger;
+pub use process::ProcessError;
+pub use process::run_agent;
+pub use process::run_entry;
+pub use settings::Settings;
+pub use settings::SettingsError;
--- /dev/null
+++ b/crates/daemon/src/metrics.rs
@@ -0,0 +1,155 @@
+//! Metrics by OpenTelemetry, read by a scraper over HTTP.
+
+use std::fmt;
+
+use gannetvane_core::Counter;
+use gannetvane_wire::Reason;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter as OtelCounter;
+use opentelemetry::metrics::Gauge;
+use opentelemetry::metrics::MeterProvider;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::Encoder;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+/// All metrics of one process.
+pub(crate) struct Metrics {
+    registry: Registry,
+    provider: SdkMeterProvider,
+    submissions: OtelCounter<u64>,
+    retries: OtelCounter<u64>,
+    resends: OtelCounter<u64>,
+    events: OtelCounter<u64>,
+    messages_sent: OtelCounter<u64>,
+    bytes_sent: OtelCounter<u64>,
+    waiting: Gauge<u64>,
+    retained: Gauge<u64>,
+    members: Gauge<u64>,
+    configuration_version: Gauge<u64>,
+}
+
+/// Present sizes of what a process holds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Sizes {
+    /// Submissions or callers without an answer.
+    pub waiting: usize,
+    /// Submissions whose ids are held.
+    pub retained: usize,
+    /// Members known.
+    pub members: usize,
+    /// Version of the configuration in force.
+    pub configuration_version: u64,
+}
+
+impl Metrics {
+    /// New metrics, all at zero.
+    ///
+    /// # Panics
+    ///
+    /// Never with the fixed names used here.
+    #[must_use]
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .build()
+            .expect("a fresh registry takes the exporter");
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("gannetvane");
+        Self {
+            submissions: meter.u64_counter("gannetvane_submissions").build(),
+            retries: meter.u64_counter("gannetvane_retries").build(),
+            resends: meter.u64_counter("gannetvane_resends").build(),
+            events: meter.u64_counter("gannetvane_events").build(),
+            messages_sent: meter.u64_counter("gannetvane_messages_sent").build(),
+            bytes_sent: meter.u64_counter("gannetvane_bytes_sent").build(),
+            waiting: meter.u64_gauge("gannetvane_waiting").build(),
+            retained: meter.u64_gauge("gannetvane_retained_submissions").build(),
+            members: meter.u64_gauge("gannetvane_members").build(),
+            configuration_version: meter.u64_gauge("gannetvane_configuration_version").build(),
+            registry,
+            provider,
+        }
+    }
+
+    /// Counts something that a core decided.
+    pub fn count(&self, counter: Counter) {
+        match counter {
+            Counter::Completed => self.submission("complete", Reason::None),
+            Counter::Refused(reason) => self.submission("refused", reason),
+            Counter::Failed(reason) => self.submission("failed", reason),
+            Counter::Retried(reason) => self.retries.add(1, &[reason_label(reason)]),
+            Counter::Resent(reason) => self.resends.add(1, &[reason_label(reason)]),
+            Counter::TaskStarted => self.event("task-started"),
+            Counter::RepeatedStart => self.event("repeated-start"),
+            Counter::MinionEjected => self.event("minion-ejected"),
+            Counter::CreditsReclaimed => self.event("credits-reclaimed"),
+        }
+    }
+
+    /// Counts a message that was sent.
+    pub fn sent(&self, message: &'static str, bytes: usize) {
+        let label = [KeyValue::new("message", message)];
+        self.messages_sent.add(1, &label);
+        self.bytes_sent.add(bytes as u64, &label);
+    }
+
+    /// Records the present sizes.
+    pub fn sizes(&self, sizes: Sizes) {
+        self.waiting.record(sizes.waiting as u64, &[]);
+        self.retained.record(sizes.retained as u64, &[]);
+        self.members.record(sizes.members as u64, &[]);
+        self.configuration_version
+            .record(sizes.configuration_version, &[]);
+    }
+
+    /// All metrics in the Prometheus text format.
+    #[must_use]
+    pub fn text(&self) -> String {
+        let mut bytes = Vec::new();
+        let families = self.registry.gather();
+        match TextEncoder::new().encode(&families, &mut bytes) {
+            Ok(()) => String::from_utf8_lossy(&bytes).into_owned(),
+            Err(error) => format!("# {error}\n"),
+        }
+    }
+
+    fn submission(&self, outcome: &'static str, reason: Reason) {
+        self.submissions.add(
+            1,
+            &[KeyValue::new("outcome", outcome), reason_label(reason)],
+        );
+    }
+
+    fn event(&self, event: &'static str) {
+        self.events.add(1, &[KeyValue::new("event", event)]);
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl fmt::Debug for Metrics {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Metrics")
+            .field("provider", &self.provider)
+            .finish_non_exhaustive()
+    }
+}
+
+fn reason_label(reason: Reason) -> KeyValue {
+    KeyValue::new("reason", reason_name(reason))
+}
+
+/// The name of a reason, as in JSON.
+pub(crate) fn reason_name(reason: Reason) -> String {
+    match serde_json::to_value(reason) {
+        Ok(serde_json::Value::String(name)) => name,
+        _ => format!("{reason:?}"),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/minion.rs
@@ -0,0 +1,180 @@
+//! The minion beside an agent, over HTTP.
+
+use std::fmt::Debug;
+use std::io::ErrorKind;
+use std::io::Read;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use crossbeam::channel::Receiver;
+use crossbeam::channel::Sender;
+use crossbeam::channel::unbounded;
+use gannetvane_wire::Name;
+use gannetvane_wire::Reason;
+use gannetvane_wire::TaskId;
+use gannetvane_wire::TaskResult;
+use gannetvane_wire::TaskStart;
+use oxhttp::Client;
+use oxhttp::model::Body;
+use oxhttp::model::Method;
+use oxhttp::model::Request;
+use oxhttp::model::Response;
+use oxhttp::model::StatusCode;
+
+use crate::process::Input;
+
+/// Largest output of a task in bytes.
+const MAX_OUTPUT_BYTES: u64 = 256 * 1024;
+/// Time to wait for the minion to take a request to stop a task.
+const STOP_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Runs tasks.
+pub(crate) trait Minion: Debug + Send + Sync {
+    /// Runs a task to its end.
+    fn run(&self, start: &TaskStart) -> TaskResult;
+
+    /// Asks for a running task to be stopped; its run then ends early.
+    fn stop(&self, task_id: TaskId);
+}
+
+/// A minion that takes tasks over HTTP.
+pub(crate) struct HttpMinion {
+    url: String,
+    client: Client,
+    stop_client: Client,
+}
+
+impl Debug for HttpMinion {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("HttpMinion")
+            .field("url", &self.url)
+            .finish_non_exhaustive()
+    }
+}
+
+impl HttpMinion {
+    /// The minion at `url`; a task that takes longer than `timeout` counts as
+    /// one whose end is not known.
+    #[must_use]
+    pub fn new(url: &str, timeout: Duration) -> Self {
+        Self {
+            url: url.trim_end_matches('/').to_owned(),
+            client: Client::new().with_global_timeout(timeout),
+            stop_client: Client::new().with_global_timeout(STOP_TIMEOUT),
+        }
+    }
+
+    /// `None` when the kind of task is not a valid header value.
+    fn request(&self, start: &TaskStart) -> Option<Request<Body>> {
+        Request::builder()
+            .method(Method::POST)
+            .uri(format!("{}/tasks/{}", self.url, start.task_id))
+            .header("gannetvane-kind", &*start.task.kind)
+            .header("gannetvane-attempt", start.task_id.attempt.to_string())
+            .header("gannetvane-repeatable", start.repeatable.to_string())
+            .header("gannetvane-remaining-ms", start.remaining_ms.to_string())
+            .body(Body::from(start.task.payload.to_string()))
+            .ok()
+    }
+}
+
+impl Minion for HttpMinion {
+    fn run(&self, start: &TaskStart) -> TaskResult {
+        let Some(request) = self.request(start) else {
+            return TaskResult::Failed(Name::from("kind of task is not a valid header value"));
+        };
+        match self.client.request(request) {
+            Ok(response) => result_of(response),
+            Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
+                TaskResult::NotStarted(Reason::MinionUnreachable)
+            }
+            Err(_) => TaskResult::Unknown,
+        }
+    }
+
+    fn stop(&self, task_id: TaskId) {
+        let url = format!("{}/tasks/{task_id}", self.url);
+        let request = Request::builder()
+            .method(Method::DELETE)
+            .uri(url)
+            .body(Body::empty());
+        if let Ok(request) = request {
+            // The task runs to its end when the minion does not hear of it.
+            let _ = self.stop_client.request(request);
+        }
+    }
+}
+
+fn result_of(response: Response<Body>) -> TaskResult {
+    let status = response.status();
+    let mut text = String::new();
+    let mut body = response.into_body().take(MAX_OUTPUT_BYTES + 1);
+    if body.read_to_string(&mut text).is_err() {
+        return TaskResult::Unknown;
+    }
+    if text.len() as u64 > MAX_OUTPUT_BYTES {
+        return TaskResult::Failed(Name::from("output over the limit"));
+    }
+    if status == StatusCode::TOO_MANY_REQUESTS {
+        TaskResult::NotStarted(Reason::MinionUnreachable)
+    } else if status.is_success() {
+        TaskResult::Done(Name::from(text))
+    } else {
+        TaskResult::Failed(Name::from(format!("minion answered {status}: {text}")))
+    }
+}
+
+/// One thread for each slot, and one to stop tasks.
+#[derive(Debug)]
+pub(crate) struct MinionWorkers {
+    starts: Sender<TaskStart>,
+    stops: Sender<TaskId>,
+}
+
+impl MinionWorkers {
+    pub(crate) fn start(
+        minion: Arc<dyn Minion>,
+        slots: u16,
+        inputs: &Sender<Input>,
+    ) -> std::io::Result<Self> {
+        let (starts, to_run) = unbounded();
+        let (stops, to_stop) = unbounded();
+        for slot in 0..slots {
+            let minion = Arc::clone(&minion);
+            let to_run: Receiver<TaskStart> = to_run.clone();
+            let inputs = inputs.clone();
+            thread::Builder::new()
+                .name(format!("slot-{slot}"))
+                .spawn(move || run_tasks(&*minion, &to_run, &inputs))?;
+        }
+        thread::Builder::new()
+            .name("stop-tasks".into())
+            .spawn(move || to_stop.iter().for_each(|task_id| minion.stop(task_id)))?;
+        Ok(Self { starts, stops })
+    }
+
+    pub(crate) fn run(&self, start: TaskStart) {
+        // Fails only when the threads have ended, with the process.
+        let _ = self.starts.send(start);
+    }
+
+    pub(crate) fn stop(&self, task_id: TaskId) {
+        let _ = self.stops.send(task_id);
+    }
+}
+
+fn run_tasks(minion: &dyn Minion, to_run: &Receiver<TaskStart>, inputs: &Sender<Input>) {
+    for start in to_run {
+        let result = minion.run(&start);
+        if inputs
+            .send(Input::TaskEnded {
+                credit: start.credit,
+                result,
+            })
+            .is_err()
+        {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/net.rs
@@ -0,0 +1,423 @@
+//! Messages between processes: datagrams for membership, TCP for the rest.
+//!
+//! One thread serves all sockets, so that the number of peers costs neither
+//! threads nor, once idle, connections.
+
+use std::collections::BTreeMap;
+use std::fmt::Debug;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use crossbeam::channel::Receiver;
+use crossbeam::channel::Sender;
+use crossbeam::channel::unbounded;
+use gannetvane_core::Peer;
+use gannetvane_wire::Envelope;
+use gannetvane_wire::Message;
+use gannetvane_wire::NodeId;
+use gannetvane_wire::decode;
+use gannetvane_wire::encode;
+use mio::Events;
+use mio::Interest;
+use mio::Poll;
+use mio::Token;
+use mio::Waker;
+use mio::event::Event;
+use mio::net::TcpListener;
+use mio::net::TcpStream;
+use mio::net::UdpSocket;
+use socket2::Domain;
+use socket2::Protocol;
+use socket2::SockRef;
+use socket2::Socket;
+use socket2::Type;
+
+use crate::clock::Clock;
+use crate::connection::Connection;
+use crate::metrics::Metrics;
+use crate::process::Input;
+
+const LISTENER: Token = Token(0);
+const DATAGRAMS: Token = Token(1);
+const WAKER: Token = Token(2);
+const FIRST_CONNECTION: usize = 3;
+
+/// Largest message that travels as a datagram, in bytes.
+const MAX_DATAGRAM_BYTES: usize = 1_200;
+/// Receive buffer of the datagram socket in bytes.
+const DATAGRAM_BUFFER_BYTES: usize = 2 * 1024 * 1024;
+/// Time without use after which a connection is closed.
+const IDLE_CLOSE_MS: u64 = 60_000;
+/// Time to wait for a connection to open.
+const CONNECT_TIMEOUT_MS: u64 = 2_000;
+/// Time for which data may stay unacknowledged before a connection is broken.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
+/// Interval between looks for idle connections.
+const SWEEP_MS: u64 = 500;
+/// Connections that wait to be accepted.
+const BACKLOG: i32 = 1_024;
+
+/// Sends messages to other processes.
+pub(crate) trait Transport: Debug + Send + Sync {
+    /// Sends a message; whether it arrives is not known.
+    fn send(&self, to: Peer, message: Message);
+}
+
+/// The sockets of one process.
+#[derive(Debug)]
+pub(crate) struct Network {
+    outgoing: Sender<Outgoing>,
+    waker: Arc<Waker>,
+}
+
+#[derive(Debug)]
+struct Outgoing {
+    to: Peer,
+    message: Message,
+}
+
+/// The process that the sockets belong to.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Identity {
+    /// Its run.
+    pub node: NodeId,
+    /// Where it receives.
+    pub addr: SocketAddr,
+}
+
+impl Network {
+    /// Binds the sockets and starts the thread that serves them.
+    ///
+    /// # Errors
+    ///
+    /// When the address cannot be bound.
+    pub fn start(
+        me: Identity,
+        inputs: Sender<Input>,
+        metrics: Arc<Metrics>,
+        clock: Arc<dyn Clock>,
+    ) -> io::Result<Self> {
+        let poll = Poll::new()?;
+        let waker = Arc::new(Waker::new(poll.registry(), WAKER)?);
+        let (outgoing, to_send) = unbounded();
+        let mut server = Server {
+            listener: listen(me.addr)?,
+            datagrams: bind_datagrams(me.addr)?,
+            me,
+            poll,
+            connections: BTreeMap::new(),
+            by_peer: BTreeMap::new(),
+            next_token: FIRST_CONNECTION,
+            next_sweep_ms: 0,
+            inputs,
+            to_send,
+            metrics,
+            clock,
+        };
+        server.register()?;
+        thread::Builder::new()
+            .name("network".into())
+            .spawn(move || server.run())?;
+        Ok(Self { outgoing, waker })
+    }
+}
+
+impl Transport for Network {
+    fn send(&self, to: Peer, message: Message) {
+        // Both fail only when the thread has ended, with the process.
+        if self.outgoing.send(Outgoing { to, message }).is_ok() {
+            let _ = self.waker.wake();
+        }
+    }
+}
+
+struct Server {
+    me: Identity,
+    poll: Poll,
+    listener: TcpListener,
+    datagrams: UdpSocket,
+    connections: BTreeMap<Token, Connection>,
+    by_peer: BTreeMap<SocketAddr, Token>,
+    next_token: usize,
+    next_sweep_ms: u64,
+    inputs: Sender<Input>,
+    to_send: Receiver<Outgoing>,
+    metrics: Arc<Metrics>,
+    clock: Arc<dyn Clock>,
+}
+
+impl Server {
+    fn register(&mut self) -> io::Result<()> {
+        let registry = self.poll.registry();
+        registry.register(&mut self.listener, LISTENER, Interest::READABLE)?;
+        registry.register(&mut self.datagrams, DATAGRAMS, Interest::READABLE)
+    }
+
+    fn run(mut self) {
+        let mut events = Events::with_capacity(1_024);
+        loop {
+            let timeout = Duration::from_millis(SWEEP_MS);
+            if let Err(error) = self.poll.poll(&mut events, Some(timeout)) {
+                if error.kind() == io::ErrorKind::Interrupted {
+                    continue;
+                }
+                self.input(Input::Failed(error.to_string()));
+                return;
+            }
+            for event in &events {
+                match event.token() {
+                    LISTENER => self.accept(),
+                    DATAGRAMS => self.read_datagrams(),
+                    WAKER => {}
+                    token => self.serve(token, event),
+                }
+            }
+            while let Ok(outgoing) = self.to_send.try_recv() {
+                self.send(&outgoing);
+            }
+            self.sweep();
+        }
+    }
+
+    fn accept(&mut self) {
+        while let Ok((stream, _)) = self.listener.accept() {
+            let now_ms = self.clock.now_ms();
+            if let Err(error) = self.add(Connection::new(stream, None, now_ms)) {
+                self.input(Input::Failed(error.to_string()));
+            }
+        }
+    }
+
+    fn add(&mut self, mut connection: Connection) -> io::Result<Token> {
+        let token = Token(self.next_token);
+        self.next_token += 1;
+        let _ = connection.stream.set_nodelay(true);
+        let socket = SockRef::from(&connection.stream);
+        let _ = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT));
+        let interest = Interest::READABLE | Interest::WRITABLE;
+        self.poll
+            .registry()
+            .register(&mut connection.stream, token, interest)?;
+        if let Some(peer) = connection.peer {
+            self.by_peer.insert(peer, token);
+        }
+        self.connections.insert(token, connection);
+        Ok(token)
+    }
+
+    fn read_datagrams(&mut self) {
+        let mut buffer = vec![0; 64 * 1024];
+        loop {
+            match self.datagrams.recv_from(&mut buffer) {
+                Ok((read, _)) => {
+                    self.received(&buffer[..read]);
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                // An earlier datagram met a closed port.
+                Err(_) => {}
+            }
+        }
+    }
+
+    fn received(&self, bytes: &[u8]) -> Option<SocketAddr> {
+        match decode(bytes) {
+            Ok(envelope) => {
+                let from = envelope.from_addr;
+                self.input(Input::Message(envelope));
+                Some(from)
+            }
+            Err(error) => {
+                self.input(Input::Failed(error.to_string()));
+                None
+            }
+        }
+    }
+
+    fn serve(&mut self, token: Token, event: &Event) {
+        let now_ms = self.clock.now_ms();
+        let Some(connection) = self.connections.get_mut(&token) else {
+            return;
+        };
+        if event.is_writable() && !connection.is_established {
+            match is_connected(&connection.stream) {
+                Ok(true) => connection.is_established = true,
+                Ok(false) => {}
+                Err(_) => return self.broken(token),
+            }
+        }
+        let Some(connection) = self.connections.get_mut(&token) else {
+            return;
+        };
+        if event.is_writable() && connection.flush().is_err() {
+            return self.broken(token);
+        }
+        if !event.is_readable() || !connection.is_established {
+            return;
+        }
+        connection.used_ms = now_ms;
+        let received = connection.receive();
+        for frame in &received.frames {
+            if let Some(from) = self.received(frame) {
+                self.learn_peer(token, from);
+            }
+        }
+        if received.is_goodbye {
+            self.remove(token);
+        } else if received.is_broken {
+            self.broken(token);
+        }
+    }
+
+    /// Answers go back over the connection that a peer opened.
+    fn learn_peer(&mut self, token: Token, from: SocketAddr) {
+        let Some(connection) = self.connections.get_mut(&token) else {
+            return;
+        };
+        if connection.peer.is_none() {
+            connection.peer = Some(from);
+            self.by_peer.entry(from).or_insert(token);
+        }
+    }
+
+    fn send(&mut self, outgoing: &Outgoing) {
+        let envelope = Envelope {
+            from: self.me.node,
+            from_addr: self.me.addr,
+            to: outgoing.to.node,
+            message: outgoing.message.clone(),
+        };
+        let bytes = match encode(&envelope) {
+            Ok(bytes) => bytes,
+            Err(error) => return self.input(Input::Failed(error.to_string())),
+        };
+        self.metrics.sent(outgoing.message.name(), bytes.len());
+        let to = outgoing.to.addr;
+        if outgoing.message.is_control() && bytes.len() <= MAX_DATAGRAM_BYTES {
+            // Lost datagrams are made up for by the next probe or pull.
+            let _ = self.datagrams.send_to(&bytes, to);
+            return;
+        }
+        self.send_over_connection(to, &bytes);
+    }
+
+    fn send_over_connection(&mut self, to: SocketAddr, bytes: &[u8]) {
+        let now_ms = self.clock.now_ms();
+        let token = match self.by_peer.get(&to) {
+            Some(token) => *token,
+            None => {
+                match connect(to).and_then(|s| self.add(Connection::new(s, Some(to), now_ms))) {
+                    Ok(token) => token,
+                    Err(_) => return self.undelivered(to, std::iter::once(bytes.to_vec())),
+                }
+            }
+        };
+        let Some(connection) = self.connections.get_mut(&token) else {
+            return;
+        };
+        connection.used_ms = now_ms;
+        let has_room = connection.queue(bytes);
+        if !has_room || connection.flush().is_err() {
+            self.broken(token);
+        }
+    }
+
+    fn broken(&mut self, token: Token) {
+        let Some(connection) = self.remove(token) else {
+            return;
+        };
+        if let Some(peer) = connection.peer {
+            let unsent: Vec<Vec<u8>> = connection.unsent().collect();
+            self.undelivered(peer, unsent.into_iter());
+        }
+    }
+
+    fn undelivered(&self, peer: SocketAddr, frames: impl Iterator<Item = Vec<u8>>) {
+        for frame in frames {
+            if let Ok(envelope) = decode(&frame) {
+                self.input(Input::Undelivered(envelope.message));
+            }
+        }
+        self.input(Input::PeerDown(peer));
+    }
+
+    fn remove(&mut self, token: Token) -> Option<Connection> {
+        let mut connection = self.connections.remove(&token)?;
+        let _ = self.poll.registry().deregister(&mut connection.stream);
+        if let Some(peer) = connection.peer
+            && self.by_peer.get(&peer) == Some(&token)
+        {
+            self.by_peer.remove(&peer);
+        }
+        Some(connection)
+    }
+
+    fn sweep(&mut self) {
+        let now_ms = self.clock.now_ms();
+        if now_ms < self.next_sweep_ms {
+            return;
+        }
+        self.next_sweep_ms = now_ms + SWEEP_MS;
+        let is_stuck = |c: &Connection| {
+            !c.is_established && now_ms.saturating_sub(c.opened_ms) > CONNECT_TIMEOUT_MS
+        };
+        let is_idle = |c: &Connection| now_ms.saturating_sub(c.used_ms) > IDLE_CLOSE_MS;
+        let tokens_of = |connections: &BTreeMap<Token, Connection>,
+                         is: &dyn Fn(&Connection) -> bool| {
+            connections
+                .iter()
+                .filter(|(_, c)| is(c))
+                .map(|(t, _)| *t)
+                .collect::<Vec<_>>()
+        };
+        for token in tokens_of(&self.connections, &is_stuck) {
+            self.broken(token);
+        }
+        for token in tokens_of(&self.connections, &is_idle) {
+            if let Some(mut connection) = self.remove(token) {
+                connection.queue(&[]);
+                let _ = connection.flush();
+            }
+        }
+    }
+
+    fn input(&self, input: Input) {
+        // Fails only when the process is stopping.
+        let _ = self.inputs.send(input);
+    }
+}
+
+fn listen(addr: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(addr), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&addr.into())?;
+    socket.listen(BACKLOG)?;
+    Ok(TcpListener::from_std(socket.into()))
+}
+
+fn bind_datagrams(addr: SocketAddr) -> io::Result<UdpSocket> {
+    let socket = Socket::new(Domain::for_address(addr), Type::DGRAM, Some(Protocol::UDP))?;
+    socket.set_nonblocking(true)?;
+    // The system may grant less.
+    let _ = socket.set_recv_buffer_size(DATAGRAM_BUFFER_BYTES);
+    socket.bind(&addr.into())?;
+    Ok(UdpSocket::from_std(socket.into()))
+}
+
+fn connect(to: SocketAddr) -> io::Result<TcpStream> {
+    TcpStream::connect(to)
+}
+
+fn is_connected(stream: &TcpStream) -> io::Result<bool> {
+    if let Some(error) = stream.take_error()? {
+        return Err(error);
+    }
+    match stream.peer_addr() {
+        Ok(_) => Ok(true),
+        Err(error) if error.kind() == io::ErrorKind::NotConnected => Ok(false),
+        Err(error) => Err(error),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/platform.rs
@@ -0,0 +1,287 @@
+//! The platform's append-only log, over HTTP.
+
+use std::fmt::Debug;
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+
+use crossbeam::channel::Receiver;
+use crossbeam::channel::Sender;
+use crossbeam::channel::bounded;
+use gannetvane_core::LogPage;
+use gannetvane_core::LoggedRecord;
+use gannetvane_wire::LogRecord;
+use gannetvane_wire::api::ContactsBody;
+use oxhttp::Client;
+use oxhttp::model::Body;
+use oxhttp::model::Method;
+use oxhttp::model::Request;
+use serde::Deserialize;
+use serde::Serialize;
+use thiserror::Error;
+
+use crate::process::Input;
+
+/// Stream of configuration records.
+const CONFIGURATION: &str = "configuration";
+/// Stream in which agents announce where they receive.
+const AGENTS: &str = "agents";
+/// Records in one page.
+const PAGE_RECORDS: usize = 256;
+/// Calls that wait for the log before further ones are dropped.
+const QUEUED_CALLS: usize = 64;
+/// Newest announcements that are used as contacts.
+const MAX_CONTACTS: usize = 64;
+/// Largest reply of the log in bytes.
+const MAX_REPLY_BYTES: u64 = 64 * 1024 * 1024;
+
+/// A call to the log that failed. An append may have taken effect.
+#[derive(Debug, Error)]
+pub(crate) enum LogError {
+    /// The log cannot be reached or did not answer in time.
+    #[error("log not reached: {0}")]
+    Unreachable(#[from] std::io::Error),
+    /// The log answered with an error.
+    #[error("log answered with status {status}")]
+    Status {
+        /// The HTTP status.
+        status: u16,
+    },
+    /// The log's answer cannot be read.
+    #[error("log answer not understood: {0}")]
+    Malformed(#[from] serde_json::Error),
+    /// The call cannot be made.
+    #[error("call not valid: {reason}")]
+    Invalid {
+        /// Why not.
+        reason: String,
+    },
+}
+
+/// The platform's log.
+pub(crate) trait LogClient: Debug + Send {
+    /// Appends a configuration record.
+    ///
+    /// # Errors
+    ///
+    /// [`LogError`]; the record may have been appended all the same.
+    fn append(&self, record: &LogRecord) -> Result<(), LogError>;
+
+    /// Reads configuration records from an offset on.
+    ///
+    /// # Errors
+    ///
+    /// [`LogError`] when the log gives no page.
+    fn read(&self, from_offset: u64) -> Result<LogPage, LogError>;
+
+    /// Announces where this agent receives.
+    ///
+    /// # Errors
+    ///
+    /// [`LogError`]; the announcement may have been appended all the same.
+    fn announce(&self, addr: SocketAddr) -> Result<(), LogError>;
+
+    /// Where agents lately announced that they receive.
+    ///
+    /// # Errors
+    ///
+    /// [`LogError`] when neither the log nor an entry can be reached.
+    fn contacts(&self) -> Result<Vec<SocketAddr>, LogError>;
+}
+
+/// The log's own HTTP protocol.
+pub(crate) struct HttpLog {
+    url: String,
+    balancer_url: Option<String>,
+    client: Client,
+}
+
+impl Debug for HttpLog {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("HttpLog")
+            .field("url", &self.url)
+            .finish_non_exhaustive()
+    }
+}
+
+#[derive(Debug, Deserialize)]
+struct Page {
+    oldest_offset: u64,
+    next_offset: u64,
+    end_offset: u64,
+    records: Vec<PageRecord>,
+}
+
+#[derive(Debug, Deserialize)]
+struct PageRecord {
+    offset: u64,
+    data: String,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct Announcement {
+    address: SocketAddr,
+}
+
+impl HttpLog {
+    /// A client of the log at `url`; `balancer_url` leads to any entry, for
+    /// first contact while the log is down.
+    #[must_use]
+    pub fn new(url: &str, balancer_url: Option<&str>, timeout: Duration) -> Self {
+        let trimmed = |url: &str| url.trim_end_matches('/').to_owned();
+        Self {
+            url: trimmed(url),
+            balancer_url: balancer_url.map(trimmed),
+            client: Client::new().with_global_timeout(timeout),
+        }
+    }
+
+    fn call(&self, method: Method, url: String, body: Vec<u8>) -> Result<Vec<u8>, LogError> {
+        let request = Request::builder()
+            .method(method)
+            .uri(url)
+            .body(Body::from(body));
+        let request = request.map_err(|error| LogError::Invalid {
+            reason: error.to_string(),
+        })?;
+        let response = self.client.request(request)?;
+        let status = response.status().as_u16();
+        if !response.status().is_success() {
+            return Err(LogError::Status { status });
+        }
+        let mut bytes = Vec::new();
+        let mut body = std::io::Read::take(response.into_body(), MAX_REPLY_BYTES);
+        std::io::Read::read_to_end(&mut body, &mut bytes)?;
+        Ok(bytes)
+    }
+
+    fn append_to(&self, stream: &str, data: Vec<u8>) -> Result<(), LogError> {
+        let url = format!("{}/streams/{stream}/records", self.url);
+        self.call(Method::POST, url, data).map(|_| ())
+    }
+
+    fn read_from(&self, stream: &str, offset: u64) -> Result<Page, LogError> {
+        let url = format!(
+            "{}/streams/{stream}/records?from={offset}&limit={PAGE_RECORDS}",
+            self.url
+        );
+        let bytes = self.call(Method::GET, url, Vec::new())?;
+        Ok(serde_json::from_slice(&bytes)?)
+    }
+
+    fn announced(&self) -> Result<Vec<SocketAddr>, LogError> {
+        let mut addresses: Vec<SocketAddr> = Vec::new();
+        let mut offset = 0;
+        loop {
+            let page = self.read_from(AGENTS, offset)?;
+            for record in &page.records {
+                if let Ok(announcement) = serde_json::from_str::<Announcement>(&record.data) {
+                    addresses.retain(|address| *address != announcement.address);
+                    addresses.push(announcement.address);
+                }
+            }
+            if page.next_offset >= page.end_offset {
+                break;
+            }
+            offset = page.next_offset;
+        }
+        let excess = addresses.len().saturating_sub(MAX_CONTACTS);
+        Ok(addresses.split_off(excess))
+    }
+
+    fn contacts_of_entry(&self, balancer_url: &str) -> Result<Vec<SocketAddr>, LogError> {
+        let url = format!("{balancer_url}/v1/contacts");
+        let bytes = self.call(Method::GET, url, Vec::new())?;
+        Ok(serde_json::from_slice::<ContactsBody>(&bytes)?.addresses)
+    }
+}
+
+impl LogClient for HttpLog {
+    fn append(&self, record: &LogRecord) -> Result<(), LogError> {
+        self.append_to(CONFIGURATION, serde_json::to_vec(record)?)
+    }
+
+    fn read(&self, from_offset: u64) -> Result<LogPage, LogError> {
+        let page = self.read_from(CONFIGURATION, from_offset)?;
+        let records = page.records.into_iter().map(|record| LoggedRecord {
+            offset: record.offset,
+            record: serde_json::from_str(&record.data).ok(),
+        });
+        Ok(LogPage {
+            oldest_offset: page.oldest_offset,
+            next_offset: page.next_offset,
+            at_end: page.next_offset >= page.end_offset,
+            records: records.collect(),
+        })
+    }
+
+    fn announce(&self, address: SocketAddr) -> Result<(), LogError> {
+        self.append_to(AGENTS, serde_json::to_vec(&Announcement { address })?)
+    }
+
+    fn contacts(&self) -> Result<Vec<SocketAddr>, LogError> {
+        let announced = self.announced();
+        match (&announced, &self.balancer_url) {
+            (Ok(addresses), _) if !addresses.is_empty() => announced,
+            (_, Some(url)) => self.contacts_of_entry(url),
+            _ => announced,
+        }
+    }
+}
+
+/// A call for the thread that talks to the log.
+#[derive(Debug)]
+pub(crate) enum LogCall {
+    Append(LogRecord),
+    Read { from_offset: u64 },
+    Announce(SocketAddr),
+    FindContacts,
+}
+
+/// What the log answered.
+#[derive(Debug)]
+pub(crate) enum LogReply {
+    Page(LogPage),
+    Contacts(Vec<SocketAddr>),
+    Failed(LogError),
+}
+
+/// The thread that talks to the log, one call at a time.
+#[derive(Clone, Debug)]
+pub(crate) struct LogWorker {
+    calls: Sender<LogCall>,
+}
+
+impl LogWorker {
+    pub(crate) fn start(log: Box<dyn LogClient>, inputs: Sender<Input>) -> std::io::Result<Self> {
+        let (calls, queue) = bounded(QUEUED_CALLS);
+        thread::Builder::new()
+            .name("platform-log".into())
+            .spawn(move || serve(&*log, &queue, &inputs))?;
+        Ok(Self { calls })
+    }
+
+    /// Queues a call; dropped when the log is too slow, and made again later.
+    pub(crate) fn call(&self, call: LogCall) {
+        let _ = self.calls.try_send(call);
+    }
+}
+
+fn serve(log: &dyn LogClient, queue: &Receiver<LogCall>, inputs: &Sender<Input>) {
+    let mut next = queue.recv().ok();
+    while let Some(call) = next {
+        let reply = match call {
+            LogCall::Append(record) => log.append(&record).map(|()| None),
+            LogCall::Read { from_offset } => log.read(from_offset).map(LogReply::Page).map(Some),
+            LogCall::Announce(addr) => log.announce(addr).map(|()| None),
+            LogCall::FindContacts => log.contacts().map(LogReply::Contacts).map(Some),
+        };
+        let reply = reply.unwrap_or_else(|error| Some(LogReply::Failed(error)));
+        if let Some(reply) = reply
+            && inputs.send(Input::Log(reply)).is_err()
+        {
+            return;
+        }
+        next = queue.recv().ok();
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/routes.rs
@@ -0,0 +1,385 @@
+//! The HTTP interface of an entry, as commands to its core.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use crossbeam::channel::Sender;
+use crossbeam::channel::bounded;
+use gannetvane_core::Command;
+use gannetvane_core::Reply;
+use gannetvane_wire::MemberState;
+use gannetvane_wire::Name;
+use gannetvane_wire::Reason;
+use gannetvane_wire::Submission;
+use gannetvane_wire::SubmissionId;
+use gannetvane_wire::Task;
+use gannetvane_wire::api::ChangeBody;
+use gannetvane_wire::api::ContactsBody;
+use gannetvane_wire::api::IdsBody;
+use gannetvane_wire::api::JobBody;
+use gannetvane_wire::api::PlanBody;
+use gannetvane_wire::api::PlanRequest;
+use gannetvane_wire::api::RequestBody;
+use gannetvane_wire::api::TaskBody;
+use oxhttp::model::Body;
+use oxhttp::model::Response;
+use serde::de::DeserializeOwned;
+
+use crate::http::HttpCall;
+use crate::metrics::Metrics;
+use crate::problem::answer_response;
+use crate::problem::json_response;
+use crate::problem::refusal_response;
+use crate::problem::rejection;
+use crate::problem::text_response;
+use crate::process::Asked;
+use crate::process::Input;
+
+/// Most ids in one reply.
+const MAX_IDS: usize = 10_000;
+/// Most tasks that any submission may have; services may allow fewer.
+const MAX_TASKS: usize = 1_024;
+/// Longest name in bytes.
+const MAX_NAME_BYTES: usize = 64;
+/// Addresses in a reply to a process that looks for agents.
+const MAX_CONTACTS: usize = 16;
+/// Time that a question for an answer waits when it does not say.
+const DEFAULT_WAIT_MS: u64 = 30_000;
+/// Time after which a core that does not reply counts as stopped.
+const CORE_GRACE: Duration = Duration::from_secs(10);
+
+type Refused = Box<Response<Body>>;
+
+/// Routes requests to the core of an entry.
+#[derive(Debug)]
+pub(crate) struct Routes {
+    pub(crate) inputs: Sender<Input>,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) is_ready: Arc<AtomicBool>,
+    pub(crate) max_deadline_ms: u64,
+}
+
+impl Routes {
+    /// Answers one request.
+    pub(crate) fn handle(&self, call: &HttpCall) -> Response<Body> {
+        let parts: Vec<&str> = call.path.trim_matches('/').split('/').collect();
+        let response = match (call.method.as_str(), parts.as_slice()) {
+            ("GET", ["healthz"]) => Ok(text_response(200, "ok\n")),
+            ("GET", ["readyz"]) => Ok(readiness(&self.is_ready)),
+            ("GET", ["metrics"]) => Ok(text_response(200, &self.metrics.text())),
+            ("POST", ["v1", "ids"]) => self.take_ids(call),
+            ("PUT", ["v1", "jobs", id]) => self.submit_job(call, id),
+            ("PUT", ["v1", "requests", id]) => self.submit_request(call, id),
+            ("GET", ["v1", "jobs" | "requests", id]) => self.lookup(call, id),
+            ("DELETE", ["v1", "jobs" | "requests", id]) => self.cancel(id),
+            ("POST", ["v1", "plans"]) => self.plan(call),
+            ("PUT", ["v1", "changes", id]) => self.confirm(call, id),
+            ("GET", ["v1", "changes", id]) => self.change_status(id),
+            ("GET", ["v1", "configuration"]) => self.configuration(),
+            ("GET", ["v1", "members"]) => self.members(),
+            ("GET", ["v1", "contacts"]) => self.contacts(),
+            _ => Err(refuse(
+                Reason::NoSuchPath,
+                format!("{} {}", call.method, call.path),
+            )),
+        };
+        response.unwrap_or_else(|refused| *refused)
+    }
+
+    fn take_ids(&self, call: &HttpCall) -> Result<Response<Body>, Refused> {
+        let service = query_value(&call.query, "service")
+            .ok_or_else(|| refuse(Reason::BadRequest, "service: missing in the query"))?;
+        let service = name("service", service)?;
+        let count = number(&call.query, "count", 1, 1, MAX_IDS as u64)?;
+        let count = usize::try_from(count).unwrap_or(MAX_IDS);
+        let reply = self.ask(
+            Command::TakeIds {
+                service: service.clone(),
+                count,
+            },
+            0,
+        )?;
+        Ok(match reply {
+            Reply::Ids(ids) => {
+                let ids = ids.iter().map(ToString::to_string).collect();
+                json_response(200, &IdsBody { ids })
+            }
+            other => reply_response(other, &format!("ids for service {service}")),
+        })
+    }
+
+    fn submit_job(&self, call: &HttpCall, id: &str) -> Result<Response<Body>, Refused> {
+        let body: JobBody = parse(call)?;
+        let tasks = body
+            .tasks
+            .into_iter()
+            .map(task)
+            .collect::<Result<Vec<Task>, Refused>>()?;
+        let submission = Submission {
+            service: name("service", &body.service)?,
+            team: name("team", &body.team)?,
+            repeatable: false,
+            tasks,
+        };
+        self.submit(call, id, submission, body.deadline_ms)
+    }
+
+    fn submit_request(&self, call: &HttpCall, id: &str) -> Result<Response<Body>, Refused> {
+        let body: RequestBody = parse(call)?;
+        let task_body = TaskBody {
+            kind: body.kind,
+            payload: body.payload,
+            declared_ms: body.declared_ms,
+            needs: body.needs,
+        };
+        let submission = Submission {
+            service: name("service", &body.service)?,
+            team: name("team", &body.team)?,
+            repeatable: body.repeatable,
+            tasks: vec![task(task_body)?],
+        };
+        self.submit(call, id, submission, body.deadline_ms)
+    }
+
+    fn submit(
+        &self,
+        call: &HttpCall,
+        id: &str,
+        submission: Submission,
+        deadline_ms: u64,
+    ) -> Result<Response<Body>, Refused> {
+        if call.has_own_key {
+            let detail = "idempotency-key: not accepted; POST /v1/ids, then PUT under that id";
+            return Err(refuse(Reason::OwnKey, detail));
+        }
+        let id = submission_id(id)?;
+        in_range("deadline_ms", deadline_ms, 1, self.max_deadline_ms)?;
+        in_range("tasks", submission.tasks.len() as u64, 1, MAX_TASKS as u64)?;
+        let submission = Arc::new(submission);
+        let reply = self.ask(
+            Command::Submit {
+                id,
+                submission,
+                deadline_ms,
+            },
+            deadline_ms,
+        )?;
+        Ok(submission_response(id, reply))
+    }
+
+    fn lookup(&self, call: &HttpCall, id: &str) -> Result<Response<Body>, Refused> {
+        let id = submission_id(id)?;
+        let default_ms = DEFAULT_WAIT_MS.min(self.max_deadline_ms);
+        let wait_ms = number(&call.query, "wait_ms", default_ms, 1, self.max_deadline_ms)?;
+        let reply = self.ask(Command::Lookup { id, wait_ms }, wait_ms)?;
+        Ok(submission_response(id, reply))
+    }
+
+    fn cancel(&self, id: &str) -> Result<Response<Body>, Refused> {
+        let id = submission_id(id)?;
+        let reply = self.ask(Command::Cancel { id }, DEFAULT_WAIT_MS)?;
+        Ok(submission_response(id, reply))
+    }
+
+    fn plan(&self, call: &HttpCall) -> Result<Response<Body>, Refused> {
+        let body: PlanRequest = parse(call)?;
+        let change_id = body.change_id.unwrap_or_else(drawn_change_id);
+        let command = Command::Plan {
+            change_id,
+            operations: body.operations,
+        };
+        match self.ask(command, 0)? {
+            Reply::Plan(Ok(plan)) => {
+                let body = PlanBody {
+                    change: plan.change,
+                    effects: plan.effects,
+                };
+                Ok(json_response(200, &body))
+            }
+            Reply::Plan(Err(error)) => Err(refuse(Reason::BadRequest, error.to_string())),
+            other => Ok(reply_response(other, "plan")),
+        }
+    }
+
+    fn confirm(&self, call: &HttpCall, id: &str) -> Result<Response<Body>, Refused> {
+        let body: PlanBody = parse(call)?;
+        if &*body.change.change_id != id {
+            let detail = format!(
+                "change_id: {} in the body, {id} in the path",
+                body.change.change_id
+            );
+            return Err(refuse(Reason::BadRequest, detail));
+        }
+        in_range("operations", body.change.operations.len() as u64, 1, 256)?;
+        let reply = self.ask(
+            Command::Confirm {
+                change: body.change,
+            },
+            DEFAULT_WAIT_MS,
+        )?;
+        Ok(change_response(id, reply))
+    }
+
+    fn change_status(&self, id: &str) -> Result<Response<Body>, Refused> {
+        let change_id = name("change_id", id)?;
+        let reply = self.ask(Command::ChangeStatus { change_id }, DEFAULT_WAIT_MS)?;
+        Ok(change_response(id, reply))
+    }
+
+    fn configuration(&self) -> Result<Response<Body>, Refused> {
+        match self.ask(Command::Configuration, 0)? {
+            Reply::Configuration(snapshot) => Ok(json_response(200, &snapshot.configuration)),
+            other => Ok(reply_response(other, "configuration")),
+        }
+    }
+
+    fn members(&self) -> Result<Response<Body>, Refused> {
+        match self.ask(Command::Members, 0)? {
+            Reply::Members(members) => Ok(json_response(200, &members)),
+            other => Ok(reply_response(other, "members")),
+        }
+    }
+
+    fn contacts(&self) -> Result<Response<Body>, Refused> {
+        let Reply::Members(members) = self.ask(Command::Members, 0)? else {
+            return Ok(json_response(
+                200,
+                &ContactsBody {
+                    addresses: Vec::new(),
+                },
+            ));
+        };
+        let live = members
+            .iter()
+            .filter(|member| member.state == MemberState::Alive);
+        let addresses = live.map(|member| member.addr).take(MAX_CONTACTS).collect();
+        Ok(json_response(200, &ContactsBody { addresses }))
+    }
+
+    /// Hands a command to the core and waits for its reply.
+    fn ask(&self, command: Command, wait_ms: u64) -> Result<Reply, Refused> {
+        let (reply_to, reply) = bounded(1);
+        let stopped = || {
+            let answer = gannetvane_wire::Answer::refusal(
+                gannetvane_wire::Ran::Unknown,
+                Reason::HomeSilent,
+                Some(1_000),
+            );
+            Box::new(refusal_response(
+                &answer,
+                "this entry is stopping".to_owned(),
+            ))
+        };
+        let asked = Input::Asked(Asked { command, reply_to });
+        self.inputs.send(asked).map_err(|_| stopped())?;
+        let timeout = Duration::from_millis(wait_ms) + CORE_GRACE;
+        reply.recv_timeout(timeout).map_err(|_| stopped())
+    }
+}
+
+/// The response of `/readyz`.
+pub(crate) fn readiness(is_ready: &AtomicBool) -> Response<Body> {
+    if is_ready.load(Ordering::SeqCst) {
+        text_response(200, "ready\n")
+    } else {
+        text_response(503, "not ready\n")
+    }
+}
+
+fn submission_response(id: SubmissionId, reply: Reply) -> Response<Body> {
+    match reply {
+        Reply::Answer(answer) => answer_response(id, &answer),
+        other => reply_response(other, &format!("submission {id}")),
+    }
+}
+
+fn change_response(id: &str, reply: Reply) -> Response<Body> {
+    match reply {
+        Reply::ChangeAccepted { version } => json_response(
+            200,
+            &ChangeBody {
+                change_id: Name::from(id),
+                version,
+            },
+        ),
+        other => reply_response(other, &format!("change {id}")),
+    }
+}
+
+fn reply_response(reply: Reply, detail: &str) -> Response<Body> {
+    match reply {
+        Reply::Answer(answer) => refusal_response(&answer, detail.to_owned()),
+        _ => text_response(500, "unexpected reply\n"),
+    }
+}
+
+fn refuse(reason: Reason, detail: impl Into<String>) -> Refused {
+    Box::new(rejection(reason, detail))
+}
+
+fn parse<T: DeserializeOwned>(call: &HttpCall) -> Result<T, Refused> {
+    serde_json::from_slice(&call.body)
+        .map_err(|error| refuse(Reason::BadRequest, format!("body: {error}")))
+}
+
+fn submission_id(text: &str) -> Result<SubmissionId, Refused> {
+    text.parse()
+        .map_err(|error| refuse(Reason::IdInvalid, format!("{error}")))
+}
+
+fn name(field: &str, text: &str) -> Result<Name, Refused> {
+    let is_plain = text.chars().all(|c| c.is_ascii_graphic());
+    if text.is_empty() || text.len() > MAX_NAME_BYTES || !is_plain {
+        let detail = format!(
+            "{field}: from 1 to {MAX_NAME_BYTES} printable characters without spaces allowed"
+        );
+        return Err(refuse(Reason::BadRequest, detail));
+    }
+    Ok(Name::from(text))
+}
+
+fn task(body: TaskBody) -> Result<Task, Refused> {
+    let kind = name("kind", &body.kind)?;
+    Ok(Task {
+        kind,
+        payload: body.payload,
+        declared_ms: body.declared_ms,
+        needs: body.needs,
+    })
+}
+
+fn in_range(field: &str, value: u64, least: u64, most: u64) -> Result<(), Refused> {
+    if (least..=most).contains(&value) {
+        return Ok(());
+    }
+    let detail = format!("{field}: {value} given, from {least} to {most} allowed");
+    Err(refuse(Reason::BadRequest, detail))
+}
+
+fn query_value<'a>(query: &'a str, key: &str) -> Option<&'a str> {
+    query
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(k, _)| *k == key)
+        .map(|(_, v)| v)
+}
+
+fn number(query: &str, key: &str, default: u64, least: u64, most: u64) -> Result<u64, Refused> {
+    let Some(text) = query_value(query, key) else {
+        return Ok(default);
+    };
+    let value = text.parse().map_err(|_| {
+        refuse(
+            Reason::BadRequest,
+            format!("{key}: {text:?} is not a number"),
+        )
+    })?;
+    in_range(key, value, least, most)?;
+    Ok(value)
+}
+
+fn drawn_change_id() -> Name {
+    Name::from(format!("change-{:016x}", rand::random::<u64>()))
+}
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,13 @@
+//! Stand-ins for the platform: its log service, and minions on workers.
+//!
+//! Only tests and the quick start use them. They count what the product must
+//! never cause, such as a task that starts twice.
+
+mod log_service;
+mod minion;
+mod serve;
+
+pub use log_service::LogFault;
+pub use log_service::LogService;
+pub use minion::MinionStandIn;
+pub use minion::StartRecord;
--- /dev/null
+++ b/crates/standins/src/minion.rs
@@ -0,0 +1,189 @@
+//! A minion: runs tasks that only wait, and remembers every start.
+//!
+//! - `POST /tasks/{submission}/{index}` runs a task. The body says how:
+//!   `run_ms=N` and optionally `fail`.
+//! - `DELETE /tasks/{submission}/{index}` stops it.
+//! - `GET /starts` lists all starts, `PUT /fault` with `none` or `fail-all`.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::serve::Answer;
+use crate::serve::Call;
+use crate::serve::serve;
+
+/// Connections that a minion serves at one time.
+const CONNECTIONS: usize = 64;
+
+/// One start of a task, as the minion saw it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StartRecord {
+    /// Submission and index of the task.
+    pub task: String,
+    /// Whether the task may run more than once.
+    pub is_repeatable: bool,
+}
+
+/// A minion with slots.
+#[derive(Clone, Debug)]
+pub struct MinionStandIn {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    state: Mutex<State>,
+    changed: Condvar,
+    slots: usize,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    starts: Vec<StartRecord>,
+    running: BTreeMap<String, bool>,
+    most_running: usize,
+    fails_all: bool,
+}
+
+impl MinionStandIn {
+    /// A minion with this many slots.
+    #[must_use]
+    pub fn new(slots: usize) -> Self {
+        let shared = Shared {
+            state: Mutex::default(),
+            changed: Condvar::new(),
+            slots,
+        };
+        Self {
+            shared: Arc::new(shared),
+        }
+    }
+
+    /// Serves the minion at an address.
+    ///
+    /// # Errors
+    ///
+    /// When the address cannot be bound.
+    pub fn serve(&self, addr: SocketAddr) -> std::io::Result<()> {
+        let minion = self.clone();
+        serve(addr, CONNECTIONS, move |call| minion.answer(call))
+    }
+
+    /// All starts so far.
+    #[must_use]
+    pub fn starts(&self) -> Vec<StartRecord> {
+        self.lock().starts.clone()
+    }
+
+    /// Tasks that run now.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.lock().running.len()
+    }
+
+    /// Whether every task is to fail at once.
+    pub fn set_fails_all(&self, fails_all: bool) {
+        self.lock().fails_all = fails_all;
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.shared
+            .state
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn answer(&self, call: &Call) -> Answer {
+        let path = call.path.trim_matches('/');
+        match (call.method.as_str(), path) {
+            ("GET", "starts") => Answer::new(
+                200,
+                serde_json::to_string(&self.starts()).unwrap_or_default(),
+            ),
+            ("PUT", "fault") => {
+                self.set_fails_all(call.body.trim() == "fail-all");
+                Answer::new(200, "")
+            }
+            _ => match (call.method.as_str(), path.strip_prefix("tasks/")) {
+                ("POST", Some(task)) => self.run(task, call),
+                ("DELETE", Some(task)) => self.stop(task),
+                _ => Answer::new(404, "no such path"),
+            },
+        }
+    }
+
+    fn run(&self, task: &str, call: &Call) -> Answer {
+        {
+            let mut state = self.lock();
+            if state.running.len() >= self.shared.slots {
+                return Answer::new(429, "all slots are busy");
+            }
+            let record = StartRecord {
+                task: task.to_owned(),
+                is_repeatable: call.is_repeatable,
+            };
+            state.starts.push(record);
+            if state.fails_all {
+                return Answer::new(500, "out of order");
+            }
+            state.running.insert(task.to_owned(), false);
+            state.most_running = state.most_running.max(state.running.len());
+        }
+        let was_stopped = self.wait(task, run_time(&call.body));
+        self.lock().running.remove(task);
+        if was_stopped {
+            return Answer::new(409, "stopped");
+        }
+        if call.body.contains("fail") {
+            return Answer::new(500, "failed as asked");
+        }
+        Answer::new(200, format!("done {task}"))
+    }
+
+    /// Waits for the run time to pass; true when the task was stopped.
+    fn wait(&self, task: &str, run_time: Duration) -> bool {
+        let end = Instant::now() + run_time;
+        let mut state = self.lock();
+        loop {
+            if state.running.get(task).copied().unwrap_or(false) {
+                return true;
+            }
+            let left = end.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return false;
+            }
+            let waited = self.shared.changed.wait_timeout(state, left);
+            state = waited.unwrap_or_else(PoisonError::into_inner).0;
+        }
+    }
+
+    fn stop(&self, task: &str) -> Answer {
+        let mut state = self.lock();
+        match state.running.get_mut(task) {
+            Some(is_stopped) => {
+                *is_stopped = true;
+                self.shared.changed.notify_all();
+                Answer::new(200, "")
+            }
+            None => Answer::new(404, "not running"),
+        }
+    }
+}
+
+fn run_time(body: &str) -> Duration {
+    let words = body.split_whitespace();
+    let run_ms = words
+        .filter_map(|word| word.strip_prefix("run_ms="))
+        .find_map(|n| n.parse().ok());
+    Duration::from_millis(run_ms.unwrap_or(0))
+}
--- /dev/null
+++ b/crates/wire/src/submission.rs
@@ -0,0 +1,50 @@
+//! What a caller submits.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::Name;
+
+/// A job of many tasks, or a single request.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Submission {
+    /// The service that runs the tasks.
+    pub service: Name,
+    /// The team whose quota the tasks count against.
+    pub team: Name,
+    /// Whether a task that may have run can be run again. Always false for jobs.
+    pub repeatable: bool,
+    /// The tasks, at least one.
+    pub tasks: Vec<Task>,
+}
+
+/// One task of a submission.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Task {
+    /// Kind of task: run times are observed for each kind.
+    pub kind: Name,
+    /// Opaque text that the minion receives.
+    pub payload: Name,
+    /// Run time that the caller expects, in milliseconds; a hint only.
+    pub declared_ms: Option<u32>,
+    /// What the task needs of its worker.
+    pub needs: Needs,
+}
+
+/// Resources that a task needs of the worker that runs it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Needs {
+    /// Memory in megabytes.
+    pub memory_mb: u32,
+    /// Number of accelerators.
+    pub accelerators: u16,
+}
+
+impl Needs {
+    /// Whether a worker with the capacity `self` can run a task with `needs`.
+    #[must_use]
+    pub fn covers(&self, needs: &Self) -> bool {
+        self.memory_mb >= needs.memory_mb && self.accelerators >= needs.accelerators
+    }
+}
