--- a/crates/core/src/home.rs
+++ b/crates/core/src/home.rs
@@ -34,6 +34,9 @@
 
 /// When to come back after a refusal that passes by itself, in milliseconds.
 const RETRY_SOON_MS: u32 = 1_000;
+/// Factor on the expected wait at admission, for what estimates leave out. A
+/// queue that is admitted up to its very deadlines completes almost nothing.
+const WAIT_MARGIN_PERCENT: u64 = 120;
 
 /// What a home sees of its process when it decides.
 pub(crate) struct Context<'a> {
@@ -304,7 +307,7 @@
             return Err(Refusal::for_good(Reason::FitsNoWorker));
         }
         let service = self.services.entry(submission.service.clone()).or_default();
-        let wait_ms = service.expected_wait_ms();
+        let wait_ms = service.expected_wait_ms(&submission.team, &ctx.configuration.teams);
         let added = submission.tasks.len();
         if service.queue.len() + added > config.max_queued_tasks as usize {
             return Err(Refusal::after(Reason::QueueFull, wait_ms));
@@ -315,7 +318,7 @@
         }
         let estimate = |task: &Task| service.estimates.estimate_ms(&task.kind, task.declared_ms);
         let longest_ms = submission.tasks.iter().map(estimate).max().unwrap_or(0);
-        if wait_ms + u64::from(longest_ms) > remaining_ms {
+        if wait_ms * WAIT_MARGIN_PERCENT / 100 + u64::from(longest_ms) > remaining_ms {
             return Err(Refusal::after(Reason::DeadlineUnreachable, wait_ms));
         }
         Ok(())
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -290,11 +290,12 @@
     }
 
     fn refute(&mut self, now_ms: u64, claim: &Member) {
-        let is_wrong = claim.state != self.me.state && claim.version >= self.me.version;
-        if is_wrong && claim.state.rank() > 0 {
-            self.me.version = claim.version + 1;
-            self.publish_self(now_ms);
+        if claim.state == self.me.state || claim.state.rank() == 0 {
+            return;
         }
+        // An old claim shows that the refutation of it did not arrive.
+        self.me.version = self.me.version.max(claim.version + 1);
+        self.publish_self(now_ms);
     }
 
     fn allow_for_pause(&mut self, now_ms: u64) {
--- a/crates/core/src/progress.rs
+++ b/crates/core/src/progress.rs
@@ -26,7 +26,6 @@
 use crate::queue::QueuedTask;
 use crate::service::Placement;
 use crate::service::Placing;
-use crate::service::Service;
 use crate::submission::OpenSubmission;
 use crate::submission::StartedTask;
 use crate::submission::TaskState;
@@ -41,8 +40,10 @@
 const CHECK_FACTOR: u64 = 2;
 /// Longest interval between two such questions, in milliseconds.
 const MAX_CHECK_MS: u64 = 15_000;
-/// Pause before an agent is asked again after its connection broke.
+/// Pause before an agent is asked again after its connection broke first.
 const RECONNECT_MS: u64 = 100;
+/// Times that this pause is doubled at most.
+const MAX_RECONNECT_DOUBLINGS: u32 = 5;
 /// Attempts at a task, all but the last not started, before it is given up.
 const MAX_ATTEMPTS: u16 = 8;
 /// Most credits asked for in one message.
@@ -154,7 +155,9 @@
             if let TaskState::Started(started) = &mut task.state
                 && started.agent.addr == addr
             {
-                started.check_at_ms = started.check_at_ms.min(now_ms + RECONNECT_MS);
+                let pause_ms = RECONNECT_MS << started.reconnects.min(MAX_RECONNECT_DOUBLINGS);
+                started.check_at_ms = started.check_at_ms.min(now_ms + pause_ms);
+                started.reconnects += 1;
             }
         }
     }
@@ -185,7 +188,7 @@
                 break;
             }
             self.deadlines.remove(&first);
-            self.give_up(ctx, first);
+            self.give_up(ctx, first, Reason::DeadlinePassed);
         }
     }
 
@@ -220,10 +223,44 @@
             .into_iter()
             .filter_map(|node| ctx.view.peer(node))
             .collect();
+        let slots: usize = ctx
+            .view
+            .agents(name)
+            .map(|member| usize::from(member.slots))
+            .sum();
+        service.fair_slots = slots / service.group.len().max(1);
         service.credits.expire(ctx.now_ms, CREDIT_LEASE_MS);
     }
 
+    /// The next task and its slot. What can no longer end before its deadline
+    /// is given up instead, so that it takes no slot from others.
     fn place_next(
+        &mut self,
+        ctx: &mut Context<'_>,
+        name: &Name,
+        last: Option<Placement>,
+    ) -> Option<Placement> {
+        loop {
+            let placement = self.choose_next(ctx, name, last)?;
+            let open = self.open.get(&placement.id)?;
+            let end_ms = ctx.now_ms + u64::from(placement.task.estimate_ms);
+            if end_ms <= open.deadline_at_ms {
+                return Some(placement);
+            }
+            let at_ms = open.deadline_at_ms;
+            let service = self.services.get_mut(name)?;
+            service
+                .credits
+                .add(placement.credit, ctx.now_ms, ctx.now_ms);
+            let deadline = Deadline {
+                at_ms,
+                id: placement.id,
+            };
+            self.give_up(ctx, deadline, Reason::DeadlineUnreachable);
+        }
+    }
+
+    fn choose_next(
         &mut self,
         ctx: &Context<'_>,
         name: &Name,
@@ -263,6 +300,7 @@
             check_at_ms,
             check_interval_ms,
             is_resent: false,
+            reconnects: 0,
         };
         service.running += 1;
         service.teams.started(&open.submission.team);
@@ -474,21 +512,18 @@
         }
     }
 
-    fn give_up(&mut self, ctx: &mut Context<'_>, deadline: Deadline) {
+    fn give_up(&mut self, ctx: &mut Context<'_>, deadline: Deadline, reason: Reason) {
         let Some(open) = self.open.get(&deadline.id) else {
             return;
         };
         let service = self.services.get(&open.submission.service);
-        let wait_ms = service.map_or(0, Service::expected_wait_ms);
+        let team = &open.submission.team;
+        let quotas = &ctx.configuration.teams;
+        let wait_ms = service.map_or(0, |service| service.expected_wait_ms(team, quotas));
         let retry_after_ms = u32::try_from(wait_ms)
             .unwrap_or(u32::MAX)
             .max(RETRY_AFTER_LOSS_MS);
-        self.close(
-            ctx,
-            deadline.id,
-            Reason::DeadlinePassed,
-            Some(retry_after_ms),
-        );
+        self.close(ctx, deadline.id, reason, Some(retry_after_ms));
     }
 
     /// Sends the start again of each task that has been silent for too long;
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -105,10 +105,16 @@
     /// Number of waiting tasks of a team.
     #[must_use]
     pub fn len_of_team(&self, team: &Name) -> usize {
-        let turns = self.turns.get(team).into_iter().flatten();
-        turns
-            .filter_map(|turn| self.submissions.get(&turn.id))
-            .map(|w| w.tasks.len())
+        self.waiting_of(team)
+            .map(|waiting| waiting.tasks.len())
+            .sum()
+    }
+
+    /// Sum of the expected run times of a team's waiting tasks.
+    #[must_use]
+    pub fn work_ms_of_team(&self, team: &Name) -> u64 {
+        self.waiting_of(team)
+            .map(|waiting| work_ms(&waiting.tasks))
             .sum()
     }
 
@@ -146,6 +152,11 @@
         Some(task)
     }
 
+    fn waiting_of<'a>(&'a self, team: &Name) -> impl Iterator<Item = &'a Waiting> {
+        self.in_turn(team)
+            .filter_map(|id| self.submissions.get(&id))
+    }
+
     fn remove_turn(&mut self, waiting: &Waiting) {
         if let Some(turns) = self.turns.get_mut(&waiting.team) {
             turns.remove(&waiting.turn);
--- a/crates/core/src/service.rs
+++ b/crates/core/src/service.rs
@@ -1,12 +1,15 @@
 //! What a home keeps for one service: the queue, the credits and who may use
 //! them.
 
+use std::collections::BTreeMap;
+
 use gannetvane_wire::Credit;
 use gannetvane_wire::Name;
 use gannetvane_wire::Needs;
 use gannetvane_wire::NodeId;
 use gannetvane_wire::Preference;
 use gannetvane_wire::SubmissionId;
+use gannetvane_wire::TeamConfig;
 
 use crate::CreditPool;
 use crate::Estimates;
@@ -40,6 +43,8 @@
     pub(crate) running: usize,
     /// The homes of the service, as of the last tick.
     pub(crate) group: Vec<Peer>,
+    /// This home's share of all slots of the service, as of the last tick.
+    pub(crate) fair_slots: usize,
 }
 
 /// A task chosen for a slot.
@@ -61,13 +66,21 @@
 }
 
 impl Service {
-    /// Expected wait of a task that arrives now, in milliseconds.
-    pub(crate) fn expected_wait_ms(&self) -> u64 {
-        let slots = self.running + self.credits.len();
+    /// Expected wait of a task of `team` that arrives now, in milliseconds.
+    ///
+    /// The team gets its share by weight among the teams that wait, of the
+    /// slots that this home has or will get as its share among the homes.
+    pub(crate) fn expected_wait_ms(&self, team: &Name, quotas: &BTreeMap<Name, TeamConfig>) -> u64 {
         if self.credits.len() > self.queue.len() {
             return 0;
         }
-        self.queue.work_ms() / (slots.max(1) as u64)
+        let weight = |team: &Name| quotas.get(team).map_or(1, |quota| u64::from(quota.weight));
+        let others = self.queue.teams().into_iter().filter(|other| other != team);
+        let weights = weight(team) + others.map(|other| weight(&other)).sum::<u64>();
+        let slots = (self.running + self.credits.len())
+            .max(self.fair_slots)
+            .max(1) as u64;
+        self.queue.work_ms_of_team(team) * weights / (slots * weight(team).max(1))
     }
 
     /// Chooses the next task and a slot for it.
--- a/crates/core/src/submission.rs
+++ b/crates/core/src/submission.rs
@@ -41,6 +41,8 @@
     pub(crate) check_interval_ms: u64,
     /// Whether the start was sent more than once.
     pub(crate) is_resent: bool,
+    /// Times that the connection to the agent broke meanwhile.
+    pub(crate) reconnects: u32,
 }
 
 /// One task with the number of its present attempt.
--- /dev/null
+++ b/crates/core/tests/configuration.rs
@@ -0,0 +1,347 @@
+//! An accepted change is in force everywhere and never reverts; of several
+//! changes on one version exactly one wins.
+
+mod session;
+
+use gannetvane_core::ChangeOutcome;
+use gannetvane_core::ConfigurationStore;
+use gannetvane_core::LogPage;
+use gannetvane_core::LoggedRecord;
+use gannetvane_core::PlanError;
+use gannetvane_core::Reply;
+use gannetvane_wire::Change;
+use gannetvane_wire::LogRecord;
+use gannetvane_wire::Name;
+use gannetvane_wire::NodeId;
+use gannetvane_wire::Operation;
+use gannetvane_wire::Ran;
+use gannetvane_wire::Reason;
+use gannetvane_wire::ServiceConfig;
+use gannetvane_wire::TeamConfig;
+use proptest::prelude::ProptestConfig;
+use proptest::prelude::any;
+use proptest::proptest;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::RngSeed;
+use session::LogFault;
+use session::Session;
+use yare::parameterized;
+
+const ENTRY: NodeId = NodeId(1);
+const OTHER_ENTRY: NodeId = NodeId(2);
+
+fn reply(session: &Session, caller: gannetvane_core::CallerId) -> Reply {
+    session.calls[&caller].reply.clone().expect("a reply")
+}
+
+fn reason(session: &Session, caller: gannetvane_core::CallerId) -> Option<(Ran, Reason)> {
+    match reply(session, caller) {
+        Reply::Answer(answer) => Some((answer.ran, answer.reason)),
+        _ => None,
+    }
+}
+
+#[test]
+fn confirmed_change_is_in_force_everywhere_within_seconds() {
+    let mut session = Session::new(3, 9);
+    let caller = session.confirm(ENTRY, "weights", 1, 7);
+    let is_everywhere = session.run_until(5_000, |s| s.versions().iter().all(|v| *v == 2));
+    assert!(is_everywhere, "{:?}", session.versions());
+    assert_eq!(
+        reply(&session, caller),
+        Reply::ChangeAccepted { version: 2 }
+    );
+}
+
+#[test]
+fn of_two_racing_operators_one_wins_and_the_other_is_told() {
+    let mut session = Session::new(2, 6);
+    let first = session.confirm(ENTRY, "ours", 1, 7);
+    let second = session.confirm(OTHER_ENTRY, "theirs", 1, 9);
+    session.run_for(5_000);
+    let replies = [reply(&session, first), reply(&session, second)];
+    let accepted = replies
+        .iter()
+        .filter(|r| **r == Reply::ChangeAccepted { version: 2 })
+        .count();
+    assert_eq!(accepted, 1, "{replies:?}");
+    let loser = if replies[0] == (Reply::ChangeAccepted { version: 2 }) {
+        second
+    } else {
+        first
+    };
+    assert_eq!(
+        reason(&session, loser),
+        Some((Ran::NotRun, Reason::VersionConflict))
+    );
+    assert!(session.versions().iter().all(|v| *v == 2));
+}
+
+#[test]
+fn lost_answer_of_the_log_is_settled_by_reading() {
+    let mut session = Session::new(1, 6);
+    session.log.fault = LogFault::LoseAnswers;
+    let first = session.confirm(ENTRY, "weights", 1, 7);
+    session.run_for(6_000);
+    session.log.fault = LogFault::None;
+    let again = session.confirm(ENTRY, "weights", 1, 7);
+    session.run_for(6_000);
+    assert_eq!(reply(&session, again), Reply::ChangeAccepted { version: 2 });
+    let first = reason(&session, first);
+    assert!(matches!(first, None | Some((Ran::Unknown, _))), "{first:?}");
+    let appended = session
+        .log
+        .records
+        .iter()
+        .filter(|record| is_change(record, "weights"))
+        .count();
+    assert_eq!(appended, 1, "the change was written twice");
+    assert!(session.versions().iter().all(|v| *v == 2));
+}
+
+#[test]
+fn repeated_confirmation_changes_nothing() {
+    let mut session = Session::new(2, 6);
+    let first = session.confirm(ENTRY, "weights", 1, 7);
+    session.run_for(3_000);
+    let other = session.confirm(OTHER_ENTRY, "others", 2, 8);
+    session.run_for(3_000);
+    let again = session.confirm(OTHER_ENTRY, "weights", 1, 7);
+    session.run_for(3_000);
+    assert_eq!(reply(&session, first), Reply::ChangeAccepted { version: 2 });
+    assert_eq!(reply(&session, other), Reply::ChangeAccepted { version: 3 });
+    assert_eq!(reply(&session, again), Reply::ChangeAccepted { version: 3 });
+    assert!(session.versions().iter().all(|v| *v == 3));
+}
+
+#[test]
+fn confirmation_while_the_log_is_down_is_unknown_at_once() {
+    let mut session = Session::new(1, 6);
+    session.log.fault = LogFault::Down;
+    let caller = session.confirm(ENTRY, "weights", 1, 7);
+    session.run_for(100);
+    assert_eq!(
+        reason(&session, caller),
+        Some((Ran::Unknown, Reason::LogDown))
+    );
+    session.run_for(3_600_000);
+    assert!(
+        session.versions().iter().all(|v| *v == 1),
+        "reverted during the outage"
+    );
+    session.log.fault = LogFault::None;
+    let again = session.confirm(ENTRY, "weights", 1, 7);
+    session.run_for(5_000);
+    assert_eq!(reply(&session, again), Reply::ChangeAccepted { version: 2 });
+}
+
+#[test]
+fn slow_log_delays_but_does_not_mislead() {
+    let mut session = Session::new(2, 6);
+    session.log.fault = LogFault::Slow(1_500);
+    let first = session.confirm(ENTRY, "ours", 1, 7);
+    let second = session.confirm(OTHER_ENTRY, "theirs", 1, 9);
+    session.run_for(20_000);
+    let accepted = [first, second]
+        .iter()
+        .filter(|caller| matches!(reply(&session, **caller), Reply::ChangeAccepted { .. }))
+        .count();
+    assert!(accepted <= 1);
+    assert!(
+        session.versions().iter().all(|v| *v == 2),
+        "{:?}",
+        session.versions()
+    );
+}
+
+#[test]
+fn snapshot_is_written_before_the_log_forgets() {
+    let mut session = Session::new(1, 6);
+    session.run_for(3_600_000);
+    let snapshots = session
+        .log
+        .records
+        .iter()
+        .filter(|r| matches!(r, LogRecord::Snapshot(_)));
+    assert!(snapshots.count() >= 3, "the retention is an hour");
+    // Only the newest snapshot is left, and all processes are new.
+    session.log.forget(1);
+    for node in session.agents() {
+        session.kill(node);
+    }
+    session.kill(ENTRY);
+    for number in 201..204 {
+        session.add_agent(number);
+    }
+    let entry = session.add_entry(20);
+    session.run_for(5_000);
+    assert_eq!(session.entry(entry).configuration().current().version, 1);
+}
+
+#[test]
+fn process_started_during_an_outage_takes_the_configuration_from_others() {
+    let mut session = Session::new(1, 6);
+    session.confirm(ENTRY, "weights", 1, 7);
+    session.run_for(3_000);
+    session.log.fault = LogFault::Down;
+    let entry = session.add_entry(20);
+    session.run_for(3_000);
+    assert_eq!(session.entry(entry).configuration().current().version, 2);
+}
+
+#[test]
+fn frozen_process_that_missed_a_forgotten_change_catches_up() {
+    let mut session = Session::new(2, 6);
+    let frozen = NodeId(103);
+    session.freeze(frozen);
+    session.confirm(ENTRY, "weights", 1, 7);
+    session.run_for(3_000);
+    session.log.forget(0);
+    session.confirm(ENTRY, "others", 2, 8);
+    session.run_for(3_000);
+    session.resume(frozen);
+    let is_current = session.run_until(60_000, |s| s.versions().iter().all(|v| *v == 3));
+    assert!(is_current, "{:?}", session.versions());
+}
+
+fn is_change(record: &LogRecord, id: &str) -> bool {
+    matches!(record, LogRecord::Change(change) if &*change.change_id == id)
+}
+
+fn put_team(name: &str, weight: u16) -> Operation {
+    let team = TeamConfig {
+        weight,
+        max_queued_tasks: 10,
+        max_running_tasks: 10,
+    };
+    Operation::PutTeam {
+        name: Name::from(name),
+        team,
+    }
+}
+
+fn put_service(max_tasks_per_job: u16) -> Operation {
+    let service = ServiceConfig {
+        preference: gannetvane_wire::Preference::Messages,
+        max_tasks_per_job,
+        max_queued_tasks: 10,
+        max_homes: 1,
+    };
+    Operation::PutService {
+        name: Name::from("ledger-svc"),
+        service,
+    }
+}
+
+#[parameterized(
+    nothing = { vec![], "operations: 0 given, from 1 to 256 allowed" },
+    weight = { vec![put_team("desk", 0)], "desk.weight: 0 given, from 1 to 1000 allowed" },
+    tasks = {
+        vec![put_service(2_000)],
+        "ledger-svc.max_tasks_per_job: 2000 given, from 1 to 1024 allowed"
+    },
+    name = {
+        vec![put_team("Desk 1", 1)],
+        "name \"Desk 1\": from 1 to 64 of the characters a-z, 0-9, '-', '_' and '.' allowed"
+    },
+    missing = {
+        vec![Operation::RemoveTeam { name: "desk".into() }],
+        "team \"desk\": does not exist, so it cannot be removed"
+    },
+)]
+fn intent_that_cannot_be_planned_is_explained(operations: Vec<Operation>, expected: &str) {
+    let store = ConfigurationStore::default();
+    let error: PlanError = store.plan("change-1".into(), operations).unwrap_err();
+    assert_eq!(error.to_string(), expected);
+}
+
+#[test]
+fn plan_tells_each_effect_in_order() {
+    let store = ConfigurationStore::default();
+    let operations = vec![
+        put_team("desk", 1),
+        put_team("desk", 2),
+        Operation::RemoveTeam {
+            name: "desk".into(),
+        },
+    ];
+    let plan = store.plan("change-1".into(), operations).unwrap();
+    insta::assert_snapshot!(plan.effects.join("\n"));
+}
+
+/// The log as a reader with no gap understands it.
+fn reference(changes: &[Change]) -> u64 {
+    let mut store = ConfigurationStore::default();
+    store.read(0, page(changes, 0, changes.len()));
+    store.current().version
+}
+
+fn page(changes: &[Change], from: usize, to: usize) -> LogPage {
+    let records = (from..to).map(|offset| LoggedRecord {
+        offset: offset as u64,
+        record: Some(LogRecord::Change(changes[offset].clone())),
+    });
+    LogPage {
+        oldest_offset: from as u64,
+        next_offset: to as u64,
+        at_end: to == changes.len(),
+        records: records.collect(),
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 256,
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(20_261_202),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Readers that read different parts in different steps, skip what the log
+    /// forgot and take snapshots from each other never disagree at a version,
+    /// and never go back.
+    #[test]
+    fn readers_never_disagree(bases in proptest::collection::vec(0u64..12, 1..40), steps in any::<[u8; 24]>()) {
+        let changes: Vec<Change> = (0..)
+            .zip(&bases)
+            .map(|(index, base)| Change {
+                change_id: Name::from(format!("change-{index}")),
+                base_version: *base,
+                operations: vec![put_team("desk", index + 1)],
+            })
+            .collect();
+        let newest = reference(&changes);
+        let mut readers = [ConfigurationStore::default(), ConfigurationStore::default()];
+        let mut seen: std::collections::BTreeMap<u64, gannetvane_wire::Configuration> =
+            std::collections::BTreeMap::new();
+        for step in steps {
+            let reader = usize::from(step & 1);
+            let amount = usize::from(step >> 3 & 7);
+            let before = readers[reader].current().version;
+            match step >> 6 {
+                0 => {
+                    let other = readers[1 - reader].snapshot();
+                    readers[reader].adopt(&other);
+                }
+                1 => {
+                    // The log forgot a part that this reader had not read.
+                    let from = (readers[reader].next_offset() as usize + amount).min(changes.len());
+                    readers[reader].read(0, page(&changes, from, changes.len().min(from + amount)));
+                }
+                _ => {
+                    let from = (readers[reader].next_offset() as usize).min(changes.len());
+                    readers[reader].read(0, page(&changes, from, changes.len().min(from + amount)));
+                }
+            }
+            let current = readers[reader].current();
+            assert!(current.version >= before, "went back");
+            assert!(current.version <= newest, "took a change that lost");
+            let known = seen.entry(current.version).or_insert_with(|| current.clone());
+            assert_eq!(known, current, "two contents of one version");
+        }
+        let last = changes.last().map(|change| change.change_id.clone()).unwrap();
+        let outcome = readers[0].outcome(&last);
+        assert!(matches!(outcome, ChangeOutcome::Accepted | ChangeOutcome::Conflict | ChangeOutcome::Unseen));
+    }
+}
--- /dev/null
+++ b/crates/core/tests/limits.rs
@@ -0,0 +1,532 @@
+//! Queues are bounded, what cannot be served is refused early and for a true
+//! reason, and what fails is retried within bounds.
+
+mod session;
+
+use gannetvane_core::Command;
+use gannetvane_wire::Needs;
+use gannetvane_wire::NodeId;
+use gannetvane_wire::Operation;
+use gannetvane_wire::Outcome;
+use gannetvane_wire::Ran;
+use gannetvane_wire::Reason;
+use gannetvane_wire::Submission;
+use gannetvane_wire::TaskStatus;
+use gannetvane_wire::TeamConfig;
+use session::SERVICE;
+use session::Session;
+use session::TEAM;
+use session::job;
+use session::request;
+use session::task;
+use yare::parameterized;
+
+const ENTRY: NodeId = NodeId(1);
+
+fn with_service(name: &str) -> Submission {
+    Submission {
+        service: name.into(),
+        ..request(50, false)
+    }
+}
+
+fn with_team(name: &str) -> Submission {
+    Submission {
+        team: name.into(),
+        ..request(50, false)
+    }
+}
+
+fn with_needs(needs: Needs) -> Submission {
+    let mut submission = request(50, false);
+    submission.tasks[0].needs = needs;
+    submission
+}
+
+#[parameterized(
+    unknown_service = { with_service("no-such"), Reason::UnknownService, false },
+    unknown_team = { with_team("no-such"), Reason::UnknownTeam, false },
+    too_many_tasks = { job(&[10; 261]), Reason::TooManyTasks, false },
+    too_much_memory = {
+        with_needs(Needs { memory_mb: 1_000_000, accelerators: 0 }), Reason::FitsNoWorker, false
+    },
+    no_such_accelerator = {
+        with_needs(Needs { memory_mb: 0, accelerators: 1 }), Reason::FitsNoWorker, false
+    },
+    longer_than_its_deadline = { request(20_000, false), Reason::DeadlineUnreachable, true },
+)]
+fn what_can_never_run_is_refused_at_once(submission: Submission, reason: Reason, may_wait: bool) {
+    let mut session = Session::new(1, 3);
+    let id = session.take_id(ENTRY);
+    let caller = session.submit(ENTRY, id, &submission);
+    session.run_for(10);
+    let answer = session
+        .answer(caller)
+        .expect("the refusal is not held back");
+    assert_eq!((answer.ran, answer.reason), (Ran::NotRun, reason));
+    assert_eq!(answer.retry_after_ms.is_some(), may_wait);
+    session.run_for(5_000);
+    assert_eq!(session.starts_of(id), 0);
+}
+
+#[test]
+fn full_queue_refuses_with_when_to_come_back() {
+    let mut session = Session::new(1, 3);
+    let mut refused = Vec::new();
+    for _ in 0..1_500 {
+        let id = session.take_id(ENTRY);
+        let caller = session.submit_within(ENTRY, id, &request(500, false), 100_000);
+        refused.push((id, caller));
+        session.run_for(1);
+    }
+    session.run_for(10);
+    let refusals: Vec<_> = refused
+        .iter()
+        .filter_map(|(id, caller)| Some((*id, session.answer(*caller)?)))
+        .filter(|(_, answer)| answer.ran == Ran::NotRun)
+        .collect();
+    assert!(!refusals.is_empty());
+    for (id, answer) in refusals {
+        assert!(
+            matches!(answer.reason, Reason::QueueFull | Reason::TeamQuota),
+            "{answer:?}"
+        );
+        assert!(answer.retry_after_ms.is_some());
+        assert_eq!(session.starts_of(id), 0);
+    }
+}
+
+#[test]
+fn refuses_early_what_would_miss_its_deadline() {
+    let mut session = Session::new(1, 3);
+    let home = session.homes(ENTRY)[0];
+    for _ in 0..4 {
+        let id = session.take_id_of(ENTRY, home);
+        session.submit_within(ENTRY, id, &job(&[1_000; 60]), 100_000);
+        session.run_for(20);
+    }
+    let id = session.take_id_of(ENTRY, home);
+    let caller = session.submit_within(ENTRY, id, &request(100, false), 1_500);
+    session.run_for(10);
+    let answer = session.answer(caller).expect("refused before the deadline");
+    assert_eq!(
+        (answer.ran, answer.reason),
+        (Ran::NotRun, Reason::DeadlineUnreachable)
+    );
+    assert!(answer.retry_after_ms.expect("the queue gets shorter") > 1_000);
+}
+
+#[test]
+fn passed_deadline_is_answered_at_once_and_truly() {
+    let mut session = Session::new(1, 3);
+    let mut slow = request(4_000, false);
+    slow.tasks[0].declared_ms = Some(100);
+    let id = session.take_id(ENTRY);
+    let caller = session.submit_within(ENTRY, id, &slow, 1_000);
+    session.run_for(1_020);
+    let answer = session.answer(caller).expect("not later than the deadline");
+    assert_eq!(
+        (answer.ran, answer.reason),
+        (Ran::Unknown, Reason::DeadlinePassed)
+    );
+    assert_eq!(answer.tasks[0].status, TaskStatus::Started);
+    assert!(answer.retry_after_ms.is_some());
+}
+
+#[test]
+fn waiting_task_past_its_deadline_has_not_run() {
+    let mut session = Session::new(1, 3);
+    // Declared far too short, so that the wait is not foreseen.
+    for _ in 0..3 {
+        let mut hog = job(&[5_000; 12]);
+        hog.tasks
+            .iter_mut()
+            .for_each(|task| task.declared_ms = Some(10));
+        let id = session.take_id(ENTRY);
+        session.submit_within(ENTRY, id, &hog, 60_000);
+        session.run_for(20);
+    }
+    let id = session.take_id(ENTRY);
+    let caller = session.submit_within(ENTRY, id, &request(100, false), 1_000);
+    let answer = session.await_answer(caller);
+    assert_eq!(
+        (answer.ran, answer.reason),
+        (Ran::NotRun, Reason::DeadlinePassed)
+    );
+    session.run_for(30_000);
+    assert_eq!(session.starts_of(id), 0);
+}
+
+#[test]
+fn team_at_its_quota_leaves_slots_to_others() {
+    let mut session = Session::new(1, 3);
+    let quota = TeamConfig {
+        weight: 1,
+        max_queued_tasks: 300,
+        max_running_tasks: 3,
+    };
+    let operations = vec![
+        Operation::PutTeam {
+            name: "greedy".into(),
+            team: quota.clone(),
+        },
+        Operation::PutTeam {
+            name: "modest".into(),
+            team: TeamConfig {
+                max_running_tasks: 100,
+                ..quota
+            },
+        },
+    ];
+    let change = gannetvane_wire::Change {
+        change_id: "teams".into(),
+        base_version: 1,
+        operations,
+    };
+    session.command(ENTRY, Command::Confirm { change });
+    session.run_for(3_000);
+    let greedy = Submission {
+        team: "greedy".into(),
+        ..job(&[1_000; 60])
+    };
+    for home in session.homes(ENTRY) {
+        let id = session.take_id_of(ENTRY, home);
+        session.submit_within(ENTRY, id, &greedy, 100_000);
+    }
+    session.run_for(300);
+    let busy: usize = session
+        .agents()
+        .iter()
+        .map(|n| session.agent(*n).busy_slots())
+        .sum();
+    assert_eq!(busy, 3, "the quota is shared by the homes");
+    let modest = Submission {
+        team: "modest".into(),
+        ..job(&[100; 4])
+    };
+    let id = session.take_id(ENTRY);
+    let caller = session.submit(ENTRY, id, &modest);
+    let began_ms = session.now_ms;
+    assert_eq!(session.await_answer(caller).outcome, Outcome::Complete);
+    assert!(session.now_ms - began_ms < 300, "the other team waited");
+}
+
+#[test]
+fn slots_are_shared_by_weight() {
+    let mut session = Session::new(1, 1);
+    let quota = TeamConfig {
+        weight: 3,
+        max_queued_tasks: 300,
+        max_running_tasks: 100,
+    };
+    let operations = vec![
+        Operation::PutTeam {
+            name: "heavy".into(),
+            team: quota.clone(),
+        },
+        Operation::PutTeam {
+            name: "light".into(),
+            team: TeamConfig { weight: 1, ..quota },
+        },
+    ];
+    let change = gannetvane_wire::Change {
+        change_id: "teams".into(),
+        base_version: 1,
+        operations,
+    };
+    session.command(ENTRY, Command::Confirm { change });
+    session.run_for(3_000);
+    let mut ids = Vec::new();
+    for team in ["light", "heavy"] {
+        for _ in 0..60 {
+            let id = session.take_id(ENTRY);
+            let submission = Submission {
+                team: team.into(),
+                ..request(100, false)
+            };
+            session.submit_within(ENTRY, id, &submission, 100_000);
+            ids.push((team, id));
+        }
+    }
+    session.run_for(1_000);
+    let started = |team| {
+        ids.iter()
+            .filter(|(t, id)| *t == team && session.starts_of(*id) > 0)
+            .count()
+    };
+    let (heavy, light) = (started("heavy"), started("light"));
+    assert!(
+        heavy >= 2 * light && light > 0,
+        "heavy {heavy}, light {light}"
+    );
+}
+
+#[test]
+fn minion_that_fails_all_is_ejected_and_comes_back() {
+    let mut session = Session::new(1, 4);
+    let victim = NodeId(102);
+    session.minion_mut(victim).fails_all = true;
+    let run = |session: &mut Session| {
+        let mut calls = Vec::new();
+        for _ in 0..200 {
+            let id = session.take_id(ENTRY);
+            calls.push(session.submit(ENTRY, id, &request(40, false)));
+            session.run_for(20);
+        }
+        session.run_for(2_000);
+        let failed = |caller: &&gannetvane_core::CallerId| {
+            session
+                .answer(**caller)
+                .is_some_and(|answer| answer.outcome == Outcome::Failed)
+        };
+        calls.iter().filter(failed).count()
+    };
+    let failed_at_first = run(&mut session);
+    assert!(session.counted("MinionEjected") > 0);
+    assert!(
+        failed_at_first < 40,
+        "{failed_at_first} of 200 failed: it looked idle"
+    );
+    session.minion_mut(victim).fails_all = false;
+    session.run_for(31_000);
+    assert_eq!(run(&mut session), 0);
+    let began = session.starts.len();
+    let work = job(&[300; 16]);
+    let id = session.take_id(ENTRY);
+    session.submit(ENTRY, id, &work);
+    session.run_for(100);
+    assert!(session.starts.len() > began);
+    assert!(
+        session.agent(victim).busy_slots() > 0,
+        "the minion did not come back"
+    );
+}
+
+#[test]
+fn not_all_minions_are_ejected() {
+    let mut session = Session::new(1, 6);
+    for node in session.agents() {
+        session.minion_mut(node).fails_all = true;
+    }
+    for _ in 0..300 {
+        let id = session.take_id(ENTRY);
+        session.submit(ENTRY, id, &request(40, false));
+        session.run_for(20);
+    }
+    for node in session.agents() {
+        session.minion_mut(node).fails_all = false;
+    }
+    session.run_for(2_500);
+    let id = session.take_id(ENTRY);
+    let caller = session.submit(ENTRY, id, &request(40, false));
+    let began_ms = session.now_ms;
+    assert_eq!(session.await_answer(caller).outcome, Outcome::Complete);
+    assert!(session.now_ms - began_ms < 300);
+}
+
+#[test]
+fn unreachable_minion_leaves_tasks_to_others() {
+    let mut session = Session::new(1, 4);
+    session.minion_mut(NodeId(103)).is_unreachable = true;
+    for _ in 0..50 {
+        let id = session.take_id(ENTRY);
+        let caller = session.submit(ENTRY, id, &job(&[30; 6]));
+        assert_eq!(session.await_answer(caller).outcome, Outcome::Complete);
+    }
+    assert!(session.counted("Retried(MinionUnreachable)") > 0);
+}
+
+#[test]
+fn retries_stay_within_the_budget() {
+    let mut session = Session::new(1, 4);
+    for node in session.agents() {
+        session.minion_mut(node).fails_all = true;
+    }
+    for _ in 0..200 {
+        let id = session.take_id(ENTRY);
+        session.submit(ENTRY, id, &request(20, true));
+        session.run_for(50);
+    }
+    session.run_for(5_000);
+    let retries = session.counted("Retried(TaskFailed)");
+    // Each home begins with 20.
+    assert!(retries <= 60, "{retries} retries without a success");
+    assert!(session.counted("Failed(RetryBudget)") > 0);
+}
+
+#[test]
+fn failed_task_of_a_job_is_not_run_again() {
+    let mut session = Session::new(1, 3);
+    let mut work = job(&[50, 50, 50]);
+    work.tasks[1].payload = "run_ms=50 fail".into();
+    let id = session.take_id(ENTRY);
+    let caller = session.submit(ENTRY, id, &work);
+    let answer = session.await_answer(caller);
+    assert_eq!(
+        (answer.outcome, answer.reason),
+        (Outcome::Failed, Reason::TaskFailed)
+    );
+    assert_eq!(answer.tasks[1].status, TaskStatus::Failed);
+    assert!(
+        answer
+            .tasks
+            .iter()
+            .all(|task| !task.output.starts_with("done")),
+        "a partial answer"
+    );
+    session.run_for(1_000);
+    session.check(id, &work, &answer);
+}
+
+#[test]
+fn wave_of_cancellations_costs_one_message_an_agent_each() {
+    let mut session = Session::new(1, 3);
+    let home = session.homes(ENTRY)[0];
+    let mut ids = Vec::new();
+    for _ in 0..10 {
+        let id = session.take_id_of(ENTRY, home);
+        session.submit_within(ENTRY, id, &job(&[2_000; 20]), 100_000);
+        session.run_for(10);
+        ids.push(id);
+    }
+    session.run_for(200);
+    session.sent.clear();
+    let calls: Vec<_> = ids
+        .iter()
+        .map(|id| session.command(ENTRY, Command::Cancel { id: *id }))
+        .collect();
+    session.run_for(50);
+    for caller in calls {
+        assert_eq!(
+            session.answer(caller).expect("at once").reason,
+            Reason::Cancelled
+        );
+    }
+    // At most 3 agents for each submission, and none for those that wait.
+    assert!(
+        session.sent("revoke") <= 9,
+        "{} revokes",
+        session.sent("revoke")
+    );
+    session.run_for(100);
+    let busy: usize = session
+        .agents()
+        .iter()
+        .map(|n| session.agent(*n).busy_slots())
+        .sum();
+    assert_eq!(busy, 0, "cancelled tasks hold their slots");
+    let id = session.take_id(ENTRY);
+    let caller = session.submit(ENTRY, id, &request(50, false));
+    let began_ms = session.now_ms;
+    session.await_answer(caller);
+    assert!(session.now_ms - began_ms < 200);
+}
+
+#[test]
+fn recovers_from_a_burst_of_ten_times_the_load() {
+    let mut session = Session::new(1, 3);
+    let mut calls = Vec::new();
+    // 12 slots serve 240 tasks of 50 ms a second; 2,400 arrive for 3 seconds.
+    for _ in 0..3_000 {
+        for _ in 0..2 {
+            let id = session.take_id(ENTRY);
+            calls.push((
+                id,
+                session.submit_within(ENTRY, id, &request(50, false), 2_000),
+            ));
+        }
+        session.run_for(1);
+    }
+    let end_ms = session.now_ms;
+    session.run_until(10_000, |s| {
+        calls.iter().all(|(_, caller)| s.answer(*caller).is_some())
+    });
+    assert!(
+        session.now_ms - end_ms <= 2_300,
+        "answers took {} ms",
+        session.now_ms - end_ms
+    );
+    let complete = calls
+        .iter()
+        .filter(|(_, caller)| session.answer(*caller).unwrap().outcome == Outcome::Complete)
+        .count();
+    assert!(complete > 600, "only {complete} were served meanwhile");
+    for (id, caller) in &calls {
+        session.check(*id, &request(50, false), &session.answer(*caller).unwrap());
+    }
+    let id = session.take_id(ENTRY);
+    let caller = session.submit(ENTRY, id, &request(50, false));
+    let began_ms = session.now_ms;
+    assert_eq!(session.await_answer(caller).outcome, Outcome::Complete);
+    assert!(session.now_ms - began_ms < 100, "no recovery");
+}
+
+#[test]
+fn overloaded_entry_does_not_claim_that_nothing_ran() {
+    let mut session = Session::new(1, 3);
+    let id = session.take_id(ENTRY);
+    for _ in 0..1_000 {
+        session.command(ENTRY, Command::Lookup { id, wait_ms: 5_000 });
+    }
+    let caller = session.submit(ENTRY, id, &request(50, false));
+    let answer = session.answer(caller).expect("refused at once");
+    assert_eq!(
+        (answer.ran, answer.reason),
+        (Ran::Unknown, Reason::EntryOverloaded)
+    );
+}
+
+#[test]
+fn service_without_minions_is_refused() {
+    let mut session = Session::new(1, 3);
+    let change = gannetvane_wire::Change {
+        change_id: "empty".into(),
+        base_version: 1,
+        operations: vec![Operation::PutService {
+            name: "ledger-svc".into(),
+            service: session.entry(ENTRY).configuration().current().services[SERVICE].clone(),
+        }],
+    };
+    session.command(ENTRY, Command::Confirm { change });
+    session.run_for(3_000);
+    let caller = session.command(
+        ENTRY,
+        Command::TakeIds {
+            service: "ledger-svc".into(),
+            count: 1,
+        },
+    );
+    let answer = session.answer(caller).expect("refused at once");
+    assert_eq!(
+        (answer.ran, answer.reason),
+        (Ran::NotRun, Reason::NoCapacity)
+    );
+    // With an id of another service's home.
+    let id = session.take_id(ENTRY);
+    let caller = session.submit(ENTRY, id, &with_service("ledger-svc"));
+    assert_eq!(session.await_answer(caller).reason, Reason::NoCapacity);
+}
+
+#[test]
+fn task_waits_for_a_worker_that_fits() {
+    let mut session = Session::new(1, 2);
+    session.add_agent_with(150, |settings| {
+        settings.member.capacity = Needs {
+            memory_mb: 4_096,
+            accelerators: 2,
+        };
+    });
+    session.run_for(3_000);
+    let mut learning = job(&[100; 8]);
+    learning.team = TEAM.into();
+    for task in &mut learning.tasks {
+        task.needs = Needs {
+            memory_mb: 0,
+            accelerators: 1,
+        };
+    }
+    learning.tasks.push(task(10));
+    let id = session.take_id(ENTRY);
+    let caller = session.submit(ENTRY, id, &learning);
+    assert_eq!(session.await_answer(caller).outcome, Outcome::Complete);
+}
--- /dev/null
+++ b/crates/core/tests/membership.rs
@@ -0,0 +1,289 @@
+//! Who is there, who is not, and how soon all know.
+
+mod session;
+
+use gannetvane_core::View;
+use gannetvane_wire::MemberState;
+use gannetvane_wire::NodeId;
+use gannetvane_wire::Outcome;
+use session::LogFault;
+use session::Session;
+use session::address;
+use session::job;
+use session::request;
+use yare::parameterized;
+
+const ENTRY: NodeId = NodeId(1);
+
+fn all_see(session: &Session, node: NodeId, state: MemberState) -> bool {
+    let others = session.agents().into_iter().filter(|other| *other != node);
+    let mut observers = others.chain([ENTRY]);
+    observers.all(|observer| session.state_of(observer, node) == Some(state))
+}
+
+#[test]
+fn new_agent_is_known_to_all_within_seconds() {
+    let mut session = Session::new(1, 9);
+    let node = session.add_agent(150);
+    let is_known = session.run_until(5_000, |s| all_see(s, node, MemberState::Alive));
+    assert!(is_known);
+}
+
+#[test]
+fn killed_agent_is_dead_to_all_within_seconds() {
+    let mut session = Session::new(1, 9);
+    let node = NodeId(104);
+    session.kill(node);
+    let is_dead = session.run_until(4_000, |s| all_see(s, node, MemberState::Dead));
+    assert!(is_dead);
+}
+
+#[test]
+fn frozen_agent_is_dead_to_all_and_alive_again_after_it_resumes() {
+    let mut session = Session::new(1, 9);
+    let node = NodeId(104);
+    session.freeze(node);
+    let is_dead = session.run_until(10_000, |s| all_see(s, node, MemberState::Dead));
+    assert!(is_dead);
+    session.resume(node);
+    let is_alive = session.run_until(20_000, |s| all_see(s, node, MemberState::Alive));
+    assert!(is_alive);
+}
+
+#[test]
+fn short_freeze_is_no_death() {
+    let mut session = Session::new(1, 9);
+    let node = NodeId(104);
+    session.freeze(node);
+    session.run_for(700);
+    session.resume(node);
+    session.run_for(5_000);
+    assert!(all_see(&session, node, MemberState::Alive));
+}
+
+#[test]
+fn resumed_agent_does_not_take_the_others_for_dead() {
+    let mut session = Session::new(1, 9);
+    let node = NodeId(104);
+    session.freeze(node);
+    session.run_for(20_000);
+    session.resume(node);
+    session.run_for(300);
+    for other in session.agents() {
+        assert_ne!(
+            session.state_of(node, other),
+            Some(MemberState::Dead),
+            "{other}"
+        );
+    }
+}
+
+#[test]
+fn cut_between_two_agents_is_no_death() {
+    let mut session = Session::new(1, 9);
+    session.cut_both(NodeId(103), NodeId(104));
+    session.run_for(20_000);
+    assert!(all_see(&session, NodeId(103), MemberState::Alive));
+    assert!(all_see(&session, NodeId(104), MemberState::Alive));
+}
+
+#[parameterized(
+    both_ways = { true },
+    one_way = { false },
+)]
+fn cut_between_zones_heals(both_ways: bool) {
+    let mut session = Session::new(1, 9);
+    let (inside, outside): (Vec<NodeId>, Vec<NodeId>) = session
+        .agents()
+        .into_iter()
+        .partition(|node| node.0 % 3 == 0);
+    for a in &inside {
+        for b in &outside {
+            session.cut(*a, *b);
+            if both_ways {
+                session.cut(*b, *a);
+            }
+        }
+        session.cut(*a, ENTRY);
+    }
+    session.run_for(60_000);
+    session.heal();
+    let all = session.agents();
+    let is_whole = session.run_until(60_000, |s| {
+        all.iter().all(|node| all_see(s, *node, MemberState::Alive))
+    });
+    assert!(is_whole, "the two sides do not find each other again");
+    let id = session.take_id(ENTRY);
+    let work = job(&[100; 30]);
+    let caller = session.submit(ENTRY, id, &work);
+    assert_eq!(session.await_answer(caller).outcome, Outcome::Complete);
+}
+
+#[test]
+fn leaving_agent_gets_no_new_work_whatever_the_views() {
+    let mut session = Session::new(1, 6);
+    let node = session
+        .agents()
+        .into_iter()
+        .find(|n| !session.homes(ENTRY).contains(n))
+        .unwrap();
+    // None of its news gets out, so all go on believing that it is alive.
+    for other in session.agents() {
+        session.cut(node, other);
+    }
+    session.leave(node);
+    session.run_for(5);
+    let before = session.agent(node).busy_slots();
+    let id = session.take_id(ENTRY);
+    session.submit(ENTRY, id, &job(&[300; 24]));
+    session.run_for(200);
+    assert!(
+        session.agent(node).busy_slots() <= before,
+        "work reached a leaving agent"
+    );
+}
+
+#[test]
+fn agent_that_leaves_finishes_what_runs() {
+    let mut session = Session::new(1, 6);
+    let work = job(&[2_000; 24]);
+    let id = session.take_id(ENTRY);
+    let caller = session.submit(ENTRY, id, &work);
+    session.run_for(200);
+    let node = session
+        .agents()
+        .into_iter()
+        .find(|n| !session.homes(ENTRY).contains(n))
+        .unwrap();
+    assert!(session.agent(node).busy_slots() > 0);
+    session.leave(node);
+    let answer = session.await_answer(caller);
+    assert_eq!(answer.outcome, Outcome::Complete, "{answer:?}");
+    assert!(session.run_until(10_000, |s| !s.agents().contains(&node)));
+}
+
+#[test]
+fn rolling_restart_cuts_no_request() {
+    let mut session = Session::new(2, 6);
+    let mut calls = Vec::new();
+    let agents = session.agents();
+    let mut leaving = agents.into_iter();
+    let mut gone: Option<NodeId> = None;
+    for round in 0..1_500u32 {
+        let id = session.take_id(NodeId(1 + u64::from(round % 2)));
+        let submission = if round % 3 == 0 {
+            job(&[120, 40, 300])
+        } else {
+            request(150, false)
+        };
+        let entry = NodeId(1 + u64::from((round + 1) % 2));
+        calls.push((
+            id,
+            submission.clone(),
+            session.submit(entry, id, &submission),
+        ));
+        session.run_for(40);
+        let is_stopped = gone.is_none_or(|node| !session.agents().contains(&node));
+        if round % 100 == 50 && is_stopped {
+            if let Some(node) = gone {
+                session.restart_agent(node);
+                session.run_for(1_500);
+            }
+            gone = leaving.next();
+            if let Some(node) = gone {
+                session.leave(node);
+            }
+        }
+    }
+    assert!(gone.is_none(), "not all agents were restarted");
+    session.run_for(15_000);
+    for (id, submission, caller) in calls {
+        let answer = session.answer(caller).expect("every caller is answered");
+        assert_eq!(answer.outcome, Outcome::Complete, "{answer:?}");
+        session.check(id, &submission, &answer);
+    }
+}
+
+#[test]
+fn entries_are_replaced_all_the_time() {
+    let mut session = Session::new(1, 6);
+    let work = job(&[100; 3]);
+    for number in 10..40 {
+        let entry = session.add_entry(number);
+        let is_ready = session.run_until(3_000, |s| s.entry(entry).is_ready());
+        if !is_ready {
+            eprintln!(
+                "{number} {:?} {:?} {}",
+                session.sent,
+                session.entry(entry).view().len(),
+                session.transcript()
+            );
+        }
+        assert!(is_ready, "a new entry does not find the agents");
+        session.run_for(50);
+        let id = session.take_id(entry);
+        let caller = session.submit(entry, id, &work);
+        let answer = session.await_answer(caller);
+        assert_eq!(answer.outcome, Outcome::Complete);
+        session.kill(entry);
+    }
+}
+
+#[test]
+fn agent_that_starts_while_the_log_is_down_joins() {
+    let mut session = Session::new(1, 6);
+    session.log.fault = LogFault::Down;
+    let node = session.add_agent(150);
+    session.run_for(5_000);
+    assert!(all_see(&session, node, MemberState::Alive));
+    assert_eq!(session.agent(node).configuration().current().version, 1);
+    let id = session.take_id(ENTRY);
+    session.submit(ENTRY, id, &job(&[500; 28]));
+    session.run_for(200);
+    assert!(session.agent(node).busy_slots() > 0);
+}
+
+#[test]
+fn restarted_agent_replaces_its_earlier_run() {
+    let mut session = Session::new(1, 6);
+    let old = NodeId(104);
+    session.kill(old);
+    let new = session.restart_agent(old);
+    session.run_for(4_000);
+    assert!(all_see(&session, new, MemberState::Alive));
+    assert!(all_see(&session, old, MemberState::Dead));
+}
+
+#[test]
+fn homes_lie_in_different_zones_and_agree() {
+    let session = Session::new(2, 9);
+    let homes = session.homes(ENTRY);
+    assert_eq!(homes, session.homes(NodeId(2)));
+    let zones: std::collections::BTreeSet<u64> = homes.iter().map(|node| node.0 % 3).collect();
+    assert_eq!(zones.len(), 3);
+}
+
+#[test]
+fn older_news_does_not_replace_newer() {
+    let session = Session::new(1, 3);
+    let member = session
+        .entry(ENTRY)
+        .view()
+        .get(session.now_ms, NodeId(101))
+        .unwrap();
+    let mut view = View::default();
+    let dead = gannetvane_wire::Member {
+        state: MemberState::Dead,
+        ..member.clone()
+    };
+    let again = gannetvane_wire::Member {
+        version: member.version + 1,
+        ..member.clone()
+    };
+    assert!(view.merge(0, &dead));
+    assert!(!view.merge(0, &member));
+    assert!(view.merge(0, &again));
+    assert!(!view.merge(0, &dead));
+    assert_eq!(view.state(NodeId(101)), Some(MemberState::Alive));
+    assert_eq!(view.at(address(101)), Some(NodeId(101)));
+}
--- /dev/null
+++ b/crates/core/tests/placement.rs
@@ -0,0 +1,255 @@
+//! Which task starts where and when, and what it costs in messages.
+
+mod session;
+
+use std::collections::BTreeSet;
+
+use gannetvane_core::CreditPool;
+use gannetvane_core::Estimates;
+use gannetvane_core::Health;
+use gannetvane_wire::Credit;
+use gannetvane_wire::NodeId;
+use gannetvane_wire::Outcome;
+use gannetvane_wire::Preference;
+use session::Session;
+use session::job;
+use session::request;
+use yare::parameterized;
+
+const ENTRY: NodeId = NodeId(1);
+
+/// Sends single tasks that keep about `percent` of 24 slots busy; returns the
+/// messages beyond start and finish, for each task.
+fn further_messages_per_task(preference: Preference, percent: u64) -> f64 {
+    let mut session = Session::with_preference(1, 6, preference);
+    let mut calls = Vec::new();
+    let gap_ms = 100 * 100 / (24 * percent);
+    for index in 0..1_000u32 {
+        let id = session.take_id(ENTRY);
+        let run_ms = 50 + (index * 37) % 101;
+        calls.push(session.submit(ENTRY, id, &request(run_ms, false)));
+        session.run_for(gap_ms);
+    }
+    for caller in &calls {
+        assert_eq!(session.await_answer(*caller).outcome, Outcome::Complete);
+    }
+    let further = session.sent("credit-request") + session.sent("credit-grant");
+    further as f64 / calls.len() as f64
+}
+
+#[test]
+fn preference_for_messages_sends_next_to_none_beyond_the_needful() {
+    let spared = further_messages_per_task(Preference::Messages, 80);
+    assert!(spared <= 0.02, "{spared} further messages a task");
+}
+
+#[test]
+fn preference_for_response_time_uses_a_home_in_each_zone() {
+    let session = Session::new(1, 6);
+    assert_eq!(session.homes(ENTRY).len(), 3);
+    let session = Session::with_preference(1, 6, Preference::Messages);
+    assert_eq!(session.homes(ENTRY).len(), 1);
+}
+
+#[test]
+fn preference_for_messages_packs_a_job_on_few_agents() {
+    let agents_used = |preference| {
+        let mut session = Session::with_preference(1, 6, preference);
+        let home = session.homes(ENTRY)[0];
+        let id = session.take_id_of(ENTRY, home);
+        session.submit(ENTRY, id, &job(&[500; 4]));
+        session.run_for(50);
+        session
+            .agents()
+            .iter()
+            .filter(|node| session.agent(**node).busy_slots() > 0)
+            .count()
+    };
+    assert_eq!(agents_used(Preference::Messages), 1);
+    assert!(agents_used(Preference::ResponseTime) > 1);
+}
+
+#[test]
+fn home_short_of_credits_gets_those_of_others() {
+    let mut session = Session::new(1, 6);
+    let home = session.homes(ENTRY)[0];
+    let work = job(&[500; 24]);
+    let id = session.take_id_of(ENTRY, home);
+    let caller = session.submit(ENTRY, id, &work);
+    let began_ms = session.now_ms;
+    let answer = session.await_answer(caller);
+    session.check(id, &work, &answer);
+    let took_ms = session.now_ms - began_ms;
+    assert!(took_ms < 700, "took {took_ms} ms with all 24 slots idle");
+}
+
+#[test]
+fn longest_task_of_a_job_is_started_first() {
+    let mut session = Session::new(1, 1);
+    let id = session.take_id(ENTRY);
+    let caller = session.submit(ENTRY, id, &job(&[100, 100, 100, 100, 100, 100, 100, 700]));
+    let began_ms = session.now_ms;
+    session.await_answer(caller);
+    let took_ms = session.now_ms - began_ms;
+    assert!(took_ms < 760, "the longest task waited: {took_ms} ms");
+}
+
+#[test]
+fn long_submission_is_not_passed_over_for_ever() {
+    let mut session = Session::new(1, 1);
+    let blocker = session.take_id(ENTRY);
+    session.submit_within(ENTRY, blocker, &job(&[300; 4]), 60_000);
+    let mut long = job(&[9_000]);
+    long.tasks[0].declared_ms = Some(9_000);
+    let id = session.take_id(ENTRY);
+    session.submit_within(ENTRY, id, &long, 100_000);
+    // More short tasks than the slots can run, all the time.
+    for _ in 0..1_200 {
+        let short = session.take_id(ENTRY);
+        session.submit_within(ENTRY, short, &request(50, false), 1_000);
+        session.run_for(10);
+    }
+    assert_eq!(session.starts_of(id), 1, "passed over for 12 s");
+}
+
+#[test]
+fn credits_of_a_killed_home_come_back() {
+    let mut session = Session::new(1, 6);
+    let home = session.homes(ENTRY)[0];
+    session.kill(home);
+    session.run_for(4_000);
+    let id = session.take_id(ENTRY);
+    let caller = session.submit(ENTRY, id, &job(&[500; 20]));
+    let began_ms = session.now_ms;
+    assert_eq!(session.await_answer(caller).outcome, Outcome::Complete);
+    assert!(
+        session.now_ms - began_ms < 700,
+        "20 slots of 5 agents were not free"
+    );
+}
+
+#[test]
+fn credits_survive_a_long_idle_time() {
+    let mut session = Session::new(1, 6);
+    for idle_ms in [
+        5_000, 6_000, 7_000, 8_000, 9_000, 10_000, 11_000, 12_000, 60_000,
+    ] {
+        session.run_for(idle_ms);
+        let id = session.take_id(ENTRY);
+        let caller = session.submit(ENTRY, id, &job(&[20; 24]));
+        let began_ms = session.now_ms;
+        assert_eq!(session.await_answer(caller).outcome, Outcome::Complete);
+        let took_ms = session.now_ms - began_ms;
+        assert!(took_ms < 100, "{took_ms} ms after {idle_ms} ms of idling");
+    }
+}
+
+#[test]
+fn lost_grant_is_made_up_for() {
+    let mut session = Session::new(1, 3);
+    session.set_fate(|envelope, _| match envelope.message {
+        gannetvane_wire::Message::CreditGrant { .. } => session::Fate::Lose,
+        _ => session::Fate::Deliver,
+    });
+    session.run_for(7_000);
+    session.set_fate(|_, _| session::Fate::Deliver);
+    session.run_for(11_000);
+    let id = session.take_id(ENTRY);
+    let caller = session.submit(ENTRY, id, &job(&[200; 12]));
+    let began_ms = session.now_ms;
+    session.await_answer(caller);
+    assert!(session.now_ms - began_ms < 300);
+}
+
+#[parameterized(
+    declared_half = { 100, 200 },
+    declared_tenfold = { 2_000, 200 },
+    declared_right = { 200, 200 },
+)]
+fn estimates_learn_from_wrong_declarations(declared_ms: u32, run_ms: u32) {
+    let mut estimates = Estimates::default();
+    let kind = "chain".into();
+    for _ in 0..64 {
+        estimates.observe(&kind, Some(declared_ms), run_ms);
+    }
+    let estimate_ms = estimates.estimate_ms(&kind, Some(declared_ms));
+    assert!(estimate_ms.abs_diff(run_ms) <= run_ms / 50, "{estimate_ms}");
+    let undeclared_ms = estimates.estimate_ms(&kind, None);
+    assert!(
+        undeclared_ms.abs_diff(run_ms) <= run_ms / 50,
+        "{undeclared_ms}"
+    );
+}
+
+#[test]
+fn estimates_follow_a_change_of_run_time() {
+    let mut estimates = Estimates::default();
+    let kind = "label".into();
+    for run_ms in [100, 900] {
+        for _ in 0..1_100 {
+            estimates.observe(&kind, Some(100), run_ms);
+        }
+        let estimate_ms = estimates.estimate_ms(&kind, Some(100));
+        assert!(estimate_ms.abs_diff(run_ms) <= run_ms / 20, "{estimate_ms}");
+    }
+}
+
+#[test]
+fn pool_holds_one_credit_for_each_slot() {
+    let mut pool = CreditPool::default();
+    let credit = |sequence| Credit {
+        agent: NodeId(7),
+        slot: 0,
+        sequence,
+    };
+    pool.add(credit(4), 0, 0);
+    pool.add(credit(5), 0, 0);
+    pool.add(credit(3), 0, 0);
+    assert_eq!(pool.len(), 1);
+    assert_eq!(pool.take(0, |_| Some(0)), Some(credit(5)));
+    assert!(pool.is_empty());
+}
+
+#[test]
+fn pool_spreads_tasks_over_agents() {
+    let mut pool = CreditPool::default();
+    for agent in 1..=3 {
+        for slot in 0..2 {
+            pool.add(
+                Credit {
+                    agent: NodeId(agent),
+                    slot,
+                    sequence: 0,
+                },
+                0,
+                0,
+            );
+        }
+    }
+    let taken: BTreeSet<NodeId> = (0..3)
+        .filter_map(|_| pool.take(0, |_| Some(0)))
+        .map(|credit| credit.agent)
+        .collect();
+    assert_eq!(taken.len(), 3);
+}
+
+#[test]
+fn ejected_minion_gets_one_trial_at_a_time() {
+    let mut health = Health::default();
+    let agent = NodeId(1);
+    let ejected = (0..5).any(|_| health.failed(0, agent, 9));
+    assert!(ejected);
+    assert!(!health.allows(500, agent));
+    assert!(health.allows(1_000, agent));
+    health.started(agent);
+    assert!(!health.allows(1_000, agent));
+    assert!(
+        health.failed(1_000, agent, 9),
+        "a failed trial ejects again"
+    );
+    assert!(!health.allows(2_500, agent), "for longer than before");
+    assert!(health.allows(3_000, agent));
+    health.started(agent);
+    health.succeeded(agent);
+    assert!(health.allows(3_000, agent));
+}
