Homes pass slots to a home whose first task is far more overdue

Change: a request for credits tells how overdue the sender's first task is; a home that is short itself passes one slot on when the other's is overdue by 50 ms more. Turns are now arrival plus the longest task (factor 1, was 2). Found by the burst test, failing first: two homes passed a credit back and forth because each remembered the other's old request. A grant now clears it.

--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -314,14 +314,18 @@
             Message::Finished(batch) => {
                 self.with_home(now_ms, actions, |home, ctx| home.finished(ctx, batch));
             }
-            Message::CreditRequest { service, wanted } => {
+            Message::CreditRequest {
+                service,
+                wanted,
+                overdue_ms,
+            } => {
                 self.with_home(now_ms, actions, |home, ctx| {
-                    home.credits_requested(ctx, &service, from, wanted);
+                    home.credits_requested(ctx, &service, from, wanted, overdue_ms);
                 });
             }
             Message::CreditGrant { service, credits } => {
                 self.with_home(now_ms, actions, |home, ctx| {
-                    home.granted(ctx, &service, &credits);
+                    home.granted(ctx, from, &service, &credits);
                 });
             }
             Message::Handover {
--- a/crates/core/src/home.rs
+++ b/crates/core/src/home.rs
@@ -269,6 +269,9 @@
             .services
             .entry(open.submission.service.clone())
             .or_default();
+        if service.queue.is_empty() {
+            service.lending.satisfied();
+        }
         let queued = (0u16..)
             .zip(&open.submission.tasks)
             .map(|(index, task)| QueuedTask {
--- a/crates/core/src/lending.rs
+++ b/crates/core/src/lending.rs
@@ -5,9 +5,12 @@
 use crate::Peer;
 
 /// Pause before a home that is still short asks again, in milliseconds.
-const ASK_AGAIN_MS: u64 = 1_000;
+const ASK_AGAIN_MS: u64 = 200;
 /// Time for which another home is remembered as short, in milliseconds.
-const REMEMBER_ASKER_MS: u64 = 1_500;
+const REMEMBER_ASKER_MS: u64 = 300;
+/// A home that is short itself passes a slot on to one whose first task is
+/// overdue by so much more, in milliseconds.
+const MIN_ADVANTAGE_MS: i64 = 50;
 
 /// Who is short of credits: this home, and others that asked it.
 #[derive(Clone, Debug, Default)]
@@ -20,6 +23,7 @@
 struct Asker {
     peer: Peer,
     wanted: usize,
+    overdue_ms: i64,
     asked_at_ms: u64,
 }
 
@@ -48,21 +52,45 @@
     }
 
     /// Notes that another home is short.
-    pub(crate) fn remember(&mut self, now_ms: u64, peer: Peer, wanted: usize) {
+    pub(crate) fn remember(&mut self, now_ms: u64, peer: Peer, wanted: usize, overdue_ms: i64) {
         self.askers.retain(|asker| asker.peer != peer);
         if wanted > 0 {
             self.askers.push_back(Asker {
                 peer,
                 wanted,
+                overdue_ms,
                 asked_at_ms: now_ms,
             });
         }
     }
 
+    /// Notes that a home has credits to give, so that it is not short.
+    pub(crate) fn forget(&mut self, peer: Peer) {
+        self.askers.retain(|asker| asker.peer != peer);
+    }
+
+    /// The home whose first task is overdue by far more than `own_overdue_ms`.
+    /// It is passed one slot, and must ask again for another.
+    pub(crate) fn next_urgent_loan(&mut self, now_ms: u64, own_overdue_ms: i64) -> Option<Loan> {
+        self.forget_old(now_ms);
+        let least_ms = own_overdue_ms + MIN_ADVANTAGE_MS;
+        let (index, asker) = self
+            .askers
+            .iter()
+            .enumerate()
+            .max_by_key(|(_, asker)| asker.overdue_ms)
+            .filter(|(_, asker)| asker.overdue_ms > least_ms)?;
+        let loan = Loan {
+            to: asker.peer,
+            wanted: 1,
+        };
+        self.askers.remove(index);
+        Some(loan)
+    }
+
     /// The home that asked first, if its request is fresh.
     pub(crate) fn next_loan(&mut self, now_ms: u64) -> Option<Loan> {
-        let is_fresh = |asker: &Asker| now_ms.saturating_sub(asker.asked_at_ms) < REMEMBER_ASKER_MS;
-        self.askers.retain(is_fresh);
+        self.forget_old(now_ms);
         self.askers.front().map(|asker| Loan {
             to: asker.peer,
             wanted: asker.wanted,
@@ -79,4 +107,9 @@
             self.askers.push_back(asker);
         }
     }
+
+    fn forget_old(&mut self, now_ms: u64) {
+        let is_fresh = |asker: &Asker| now_ms.saturating_sub(asker.asked_at_ms) < REMEMBER_ASKER_MS;
+        self.askers.retain(is_fresh);
+    }
 }
--- a/crates/core/src/progress.rs
+++ b/crates/core/src/progress.rs
@@ -63,6 +63,7 @@
             self.lend(ctx, name);
             return;
         }
+        self.lend_to_more_urgent(ctx, name);
         let mut starts: BTreeMap<Peer, Vec<TaskStart>> = BTreeMap::new();
         let mut last = None;
         while let Some(placement) = self.place_next(ctx, name, last) {
@@ -98,8 +99,15 @@
     }
 
     /// Takes in credits from an agent or another home.
-    pub(crate) fn granted(&mut self, ctx: &mut Context<'_>, name: &Name, credits: &[SlotCredit]) {
+    pub(crate) fn granted(
+        &mut self,
+        ctx: &mut Context<'_>,
+        from: Peer,
+        name: &Name,
+        credits: &[SlotCredit],
+    ) {
         let service = self.services.entry(name.clone()).or_default();
+        service.lending.forget(from);
         for granted in credits {
             let idle_since_ms = ctx.now_ms.saturating_sub(granted.idle_ms);
             service
@@ -116,9 +124,12 @@
         name: &Name,
         asker: Peer,
         wanted: u32,
+        overdue_ms: i64,
     ) {
         let service = self.services.entry(name.clone()).or_default();
-        service.lending.remember(ctx.now_ms, asker, wanted as usize);
+        service
+            .lending
+            .remember(ctx.now_ms, asker, wanted as usize, overdue_ms);
         self.dispatch(ctx, name);
     }
 
@@ -579,6 +590,26 @@
         }
     }
 
+    /// Passes a slot on although tasks wait here, when another home's first
+    /// task should have had its turn much earlier.
+    fn lend_to_more_urgent(&mut self, ctx: &mut Context<'_>, name: &Name) {
+        let Some(service) = self.services.get_mut(name) else {
+            return;
+        };
+        let Some(overdue_ms) = service.queue.overdue_ms(ctx.now_ms) else {
+            return;
+        };
+        while !service.credits.is_empty() {
+            let Some(loan) = service.lending.next_urgent_loan(ctx.now_ms, overdue_ms) else {
+                return;
+            };
+            let spare = service.credits.take_spare(ctx.now_ms, loan.wanted);
+            if !spare.is_empty() {
+                ctx.actions.push(grant(loan.to, name, spare));
+            }
+        }
+    }
+
     fn ask_for_credits(&mut self, ctx: &mut Context<'_>, name: &Name) {
         let me = self.table.home();
         let Some(service) = self.services.get_mut(name) else {
@@ -595,11 +626,13 @@
             return;
         }
         let wanted = u32::try_from(service.queue.len().min(MAX_ASKED_CREDITS)).unwrap_or(u32::MAX);
+        let overdue_ms = service.queue.overdue_ms(ctx.now_ms).unwrap_or(0);
         let others = service.group.iter().filter(|peer| peer.node != Some(me));
         for peer in others.take(MAX_ASKED_HOMES) {
             let message = Message::CreditRequest {
                 service: name.clone(),
                 wanted,
+                overdue_ms,
             };
             ctx.actions.push(Action::Send { to: *peer, message });
         }
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -10,7 +10,7 @@
 ///
 /// A submission's turn comes at its arrival plus this factor times the time it
 /// needs at least, so that all are stretched by about the same ratio.
-const STRETCH: f64 = 2.0;
+const STRETCH: f64 = 1.0;
 /// Most that a submission can be put back behind later ones, in milliseconds.
 const MAX_DELAY_MS: u64 = 5_000;
 
@@ -102,6 +102,14 @@
         self.work_ms
     }
 
+    /// Milliseconds by which the earliest turn is overdue, negative when it
+    /// is still to come; `None` when nothing waits.
+    #[must_use]
+    pub fn overdue_ms(&self, now_ms: u64) -> Option<i64> {
+        let first = self.turns.values().filter_map(BTreeSet::first).min()?;
+        Some(now_ms.cast_signed() - first.at_ms.cast_signed())
+    }
+
     /// Number of waiting tasks of a team.
     #[must_use]
     pub fn len_of_team(&self, team: &Name) -> usize {
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -148,6 +148,9 @@
         service: Name,
         /// Number of credits.
         wanted: u32,
+        /// Milliseconds by which the turn of the sender's first waiting task
+        /// is overdue; negative when it is still to come.
+        overdue_ms: i64,
     },
     /// Agent or home to home: these credits are yours.
     CreditGrant {
