Processes killed, frozen and stopped: a stale credit is no lost task

A credit was passed from one home to another, stayed idle, and was renewed by its agent with the first; when the second used it, the slot had been used more than 8 times since, and the agent could not tell any more whether this task had used it. Ruled out: deaths (none logged), the minion (logged now, none), the stop. Change: an agent remembers for 30 s, three leases, which task each use was for, and the results of the last 8; the lease of a credit counts at its use. The news that an agent left does not overtake its results any more: they are awaited for 2 s. Both have a test that failed first.

--- a/crates/core/src/credits.rs
+++ b/crates/core/src/credits.rs
@@ -6,6 +6,10 @@
 use gannetvane_wire::NodeId;
 use gannetvane_wire::SlotCredit;
 
+/// Time for which a home may hold an idle credit, in milliseconds. The agent
+/// renews it earlier.
+pub(crate) const CREDIT_LEASE_MS: u64 = 10_000;
+
 /// Credits of one service at one home, at most one for each slot.
 #[derive(Clone, Debug, Default)]
 pub struct CreditPool {
@@ -55,7 +59,7 @@
     /// for which it gives `None` are passed over. Among equals the agent with
     /// the most idle slots is taken.
     pub fn take(&mut self, now_ms: u64, rank: impl Fn(NodeId) -> Option<u32>) -> Option<Credit> {
-        let usable = |idle: &Idle| idle.usable_at_ms <= now_ms;
+        let usable = |idle: &Idle| idle.is_usable(now_ms);
         let (_, _, agent) = self
             .idle
             .iter()
@@ -72,8 +76,7 @@
         let mut spare = Vec::new();
         for of_agent in self.idle.values_mut() {
             while spare.len() < count {
-                let Some(position) = of_agent.iter().position(|idle| idle.usable_at_ms <= now_ms)
-                else {
+                let Some(position) = of_agent.iter().position(|idle| idle.is_usable(now_ms)) else {
                     break;
                 };
                 let idle = of_agent.swap_remove(position);
@@ -92,11 +95,23 @@
         self.idle.remove(&agent);
     }
 
-    /// Drops credits that have been idle for longer than `lease_ms`.
-    pub fn expire(&mut self, now_ms: u64, lease_ms: u64) {
+    /// Drops credits whose lease has run out.
+    pub fn expire(&mut self, now_ms: u64) {
         for of_agent in self.idle.values_mut() {
-            of_agent.retain(|idle| now_ms.saturating_sub(idle.idle_since_ms) < lease_ms);
+            of_agent.retain(|idle| idle.is_held(now_ms));
         }
         self.idle.retain(|_, of_agent| !of_agent.is_empty());
     }
 }
+
+impl Idle {
+    fn is_held(&self, now_ms: u64) -> bool {
+        now_ms.saturating_sub(self.idle_since_ms) < CREDIT_LEASE_MS
+    }
+
+    /// The lease counts at the time of use: a home that was paused may come
+    /// here before it has dropped what ran out.
+    fn is_usable(&self, now_ms: u64) -> bool {
+        self.usable_at_ms <= now_ms && self.is_held(now_ms)
+    }
+}
--- a/crates/core/src/home.rs
+++ b/crates/core/src/home.rs
@@ -77,6 +77,8 @@
     pub(crate) open: BTreeMap<SubmissionId, OpenSubmission>,
     pub(crate) services: BTreeMap<Name, Service>,
     pub(crate) deadlines: BTreeSet<Deadline>,
+    /// Agents that left as planned, and when their results are given up.
+    pub(crate) departed: BTreeMap<NodeId, u64>,
 }
 
 /// When a submission is given up.
@@ -102,6 +104,7 @@
             open: BTreeMap::new(),
             services: BTreeMap::new(),
             deadlines: BTreeSet::new(),
+            departed: BTreeMap::new(),
         }
     }
 
--- a/crates/core/src/progress.rs
+++ b/crates/core/src/progress.rs
@@ -4,6 +4,7 @@
 
 use gannetvane_wire::Credit;
 use gannetvane_wire::Finished;
+use gannetvane_wire::MemberState;
 use gannetvane_wire::Message;
 use gannetvane_wire::Name;
 use gannetvane_wire::Needs;
@@ -31,9 +32,6 @@
 use crate::submission::TaskState;
 use crate::table::GENERATION_MS;
 
-/// Time for which a home may hold an idle credit, in milliseconds. The agent
-/// renews it earlier.
-pub(crate) const CREDIT_LEASE_MS: u64 = 10_000;
 /// Least time after which a started task without a result is asked for.
 const MIN_CHECK_MS: u64 = 2_000;
 /// Factor on the time of the slowest usual run before a task is asked for.
@@ -44,6 +42,8 @@
 const RECONNECT_MS: u64 = 100;
 /// Times that this pause is doubled at most.
 const MAX_RECONNECT_DOUBLINGS: u32 = 5;
+/// Time to wait for results of an agent that left as planned, in milliseconds.
+const RESULTS_OF_LEFT_MS: u64 = 2_000;
 /// Attempts at a task, all but the last not started, before it is given up.
 const MAX_ATTEMPTS: u16 = 8;
 /// Most credits asked for in one message.
@@ -133,11 +133,36 @@
         self.dispatch(ctx, name);
     }
 
-    /// An agent will never answer again: what ran there has no known end.
+    /// An agent will never take work again.
     pub(crate) fn agent_gone(&mut self, ctx: &mut Context<'_>, agent: NodeId) {
         for service in self.services.values_mut() {
             service.forget_agent(agent);
         }
+        match ctx.view.state(agent) {
+            // It finished what it had; the news may overtake the results.
+            Some(MemberState::Left { .. }) => {
+                self.departed.insert(agent, ctx.now_ms + RESULTS_OF_LEFT_MS);
+            }
+            _ => self.lose_tasks_of(ctx, agent),
+        }
+    }
+
+    fn lose_tasks_of_departed(&mut self, ctx: &mut Context<'_>) {
+        let is_due = |due_ms: &u64| *due_ms <= ctx.now_ms;
+        let due: Vec<NodeId> = self
+            .departed
+            .iter()
+            .filter(|(_, due_ms)| is_due(due_ms))
+            .map(|(node, _)| *node)
+            .collect();
+        for agent in due {
+            self.departed.remove(&agent);
+            self.lose_tasks_of(ctx, agent);
+        }
+    }
+
+    /// What ran on an agent that will not answer has no known end.
+    fn lose_tasks_of(&mut self, ctx: &mut Context<'_>, agent: NodeId) {
         let affected: Vec<SubmissionId> = self
             .open
             .iter()
@@ -212,6 +237,7 @@
         let retention_ms = self.settings.retention_ms() + 2 * GENERATION_MS;
         self.adopted
             .retain(|_, table| !table.is_past(ctx.now_ms, retention_ms));
+        self.lose_tasks_of_departed(ctx);
         self.check_started(ctx);
         let names: Vec<Name> = ctx.configuration.services.keys().cloned().collect();
         for name in names {
@@ -240,7 +266,7 @@
             .map(|member| usize::from(member.slots))
             .sum();
         service.fair_slots = slots / service.group.len().max(1);
-        service.credits.expire(ctx.now_ms, CREDIT_LEASE_MS);
+        service.credits.expire(ctx.now_ms);
     }
 
     /// The next task and its slot. What can no longer end before its deadline
@@ -405,6 +431,7 @@
                 self.requeue_unstarted(ctx, id, task_id.index, reason);
             }
             TaskResult::Unknown => {
+                ctx.actions.push(Action::log("task-forgotten", task_id));
                 self.set_state(id, task_id.index, TaskState::Unknown);
                 self.retry_or_close(ctx, id, task_id.index, Reason::AgentLost);
             }
@@ -415,6 +442,8 @@
         if !self.open.contains_key(&id) {
             return;
         }
+        ctx.actions
+            .push(Action::log("task-lost", format_args!("{id}/{index}")));
         self.free_slot_of(id);
         self.set_state(id, index, TaskState::Unknown);
         self.retry_or_close(ctx, id, index, Reason::AgentLost);
--- a/crates/core/src/runner.rs
+++ b/crates/core/src/runner.rs
@@ -15,9 +15,15 @@
 use crate::Action;
 use crate::Counter;
 use crate::Peer;
+use crate::credits::CREDIT_LEASE_MS;
 
-/// Uses of each slot that are remembered, to answer repeated starts.
-const REMEMBERED_USES: usize = 8;
+/// Uses of each slot whose results are remembered, to answer repeated starts.
+const REMEMBERED_RESULTS: usize = 8;
+/// Time for which it is remembered which task each use was for: well beyond
+/// the lease of a credit, so that a late first start gets a true answer.
+const REMEMBERED_MS: u64 = 3 * CREDIT_LEASE_MS;
+/// Most uses of one slot that are remembered.
+const MAX_REMEMBERED_USES: usize = 4_096;
 
 /// Slot accounting of one agent.
 ///
@@ -53,6 +59,7 @@
 #[derive(Clone, Debug)]
 struct Use {
     sequence: u64,
+    at_ms: u64,
     kind: UseKind,
 }
 
@@ -61,6 +68,8 @@
     Revoked,
     Running(TaskId),
     Ended(Finished),
+    /// Ended; the result is no longer held.
+    Forgotten(TaskId),
 }
 
 /// A task that just ended, and the home that waits for it.
@@ -130,7 +139,7 @@
             let result = TaskResult::NotStarted(Reason::AgentLeaving);
             return Some(ended_without_run(task_id, result));
         }
-        slot.use_up(UseKind::Running(task_id));
+        slot.use_up(now_ms, UseKind::Running(task_id));
         slot.state = SlotState::Busy {
             home,
             started_at_ms: now_ms,
@@ -273,19 +282,34 @@
 }
 
 impl Slot {
-    fn use_up(&mut self, kind: UseKind) {
-        if self.uses.len() == REMEMBERED_USES {
+    fn use_up(&mut self, now_ms: u64, kind: UseKind) {
+        while self.uses.front().is_some_and(|first| {
+            now_ms.saturating_sub(first.at_ms) > REMEMBERED_MS
+                || self.uses.len() >= MAX_REMEMBERED_USES
+        }) {
             self.uses.pop_front();
         }
         self.uses.push_back(Use {
             sequence: self.sequence,
+            at_ms: now_ms,
             kind,
         });
         self.sequence += 1;
+        self.forget_result();
+    }
+
+    /// Drops the result of the use that is just too old.
+    fn forget_result(&mut self) {
+        let Some(index) = self.uses.len().checked_sub(REMEMBERED_RESULTS + 1) else {
+            return;
+        };
+        if let UseKind::Ended(finished) = &self.uses[index].kind {
+            self.uses[index].kind = UseKind::Forgotten(finished.task_id);
+        }
     }
 
     fn revoke(&mut self, now_ms: u64) {
-        self.use_up(UseKind::Revoked);
+        self.use_up(now_ms, UseKind::Revoked);
         self.state = SlotState::Idle {
             since_ms: now_ms,
             holder: None,
@@ -305,6 +329,9 @@
         match &used.kind {
             UseKind::Running(running) if *running == task_id => None,
             UseKind::Ended(finished) if finished.task_id == task_id => Some(self.repeat(finished)),
+            UseKind::Forgotten(ended) if *ended == task_id => {
+                Some(ended_without_run(task_id, TaskResult::Unknown))
+            }
             _ => Some(ended_without_run(task_id, stale)),
         }
     }
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -6,6 +6,7 @@
 use gannetvane_wire::MemberState;
 use gannetvane_wire::NodeId;
 use gannetvane_wire::Outcome;
+use session::Fate;
 use session::LogFault;
 use session::Session;
 use session::address;
@@ -162,6 +163,29 @@
     assert!(session.run_until(10_000, |s| !s.agents().contains(&node)));
 }
 
+#[test]
+fn results_of_an_agent_that_left_may_arrive_after_the_news() {
+    let mut session = Session::new(1, 6);
+    let work = job(&[400; 24]);
+    let id = session.take_id(ENTRY);
+    let caller = session.submit(ENTRY, id, &work);
+    session.run_for(100);
+    let node = session
+        .agents()
+        .into_iter()
+        .find(|n| !session.homes(ENTRY).contains(n))
+        .unwrap();
+    assert!(session.agent(node).busy_slots() > 0);
+    session.set_fate(move |envelope, _| match envelope.message {
+        gannetvane_wire::Message::Finished(_) if envelope.from == node => Fate::Late(900),
+        _ => Fate::Deliver,
+    });
+    session.leave(node);
+    let answer = session.await_answer(caller);
+    assert_eq!(answer.outcome, Outcome::Complete, "{answer:?}");
+    session.check(id, &work, &answer);
+}
+
 #[test]
 fn rolling_restart_cuts_no_request() {
     let mut session = Session::new(2, 6);
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -253,3 +253,32 @@
     health.succeeded(agent);
     assert!(health.allows(3_000, agent));
 }
+
+#[test]
+fn credit_passed_on_and_then_renewed_loses_no_task() {
+    let mut session = Session::new(1, 6);
+    let homes = session.homes(ENTRY);
+    let mut calls = Vec::new();
+    let mut submit = |session: &mut Session, home, work: &[u32]| {
+        let id = session.take_id_of(ENTRY, home);
+        calls.push(session.submit(ENTRY, id, &job(work)));
+    };
+    // A home asks for one credit more than it has and gets one of each other;
+    // one stays unused, and its agent renews it with the home that lent it.
+    session.run_for(2_000);
+    submit(&mut session, homes[1], &[10; 9]);
+    // The slots are used many times meanwhile.
+    session.run_for(1_500);
+    for _ in 0..100 {
+        for home in [homes[0], homes[2]] {
+            submit(&mut session, home, &[10; 4]);
+        }
+        session.run_for(30);
+    }
+    submit(&mut session, homes[1], &[10; 24]);
+    session.run_for(5_000);
+    for caller in calls {
+        let answer = session.answer(caller).expect("every caller is answered");
+        assert_eq!(answer.outcome, Outcome::Complete, "{answer:?}");
+    }
+}
--- a/crates/daemon/src/minion.rs
+++ b/crates/daemon/src/minion.rs
@@ -21,6 +21,8 @@
 use oxhttp::model::Request;
 use oxhttp::model::Response;
 use oxhttp::model::StatusCode;
+use slog::Logger;
+use slog::warn;
 
 use crate::process::Input;
 
@@ -41,6 +43,7 @@
 /// A minion that takes tasks over HTTP.
 pub(crate) struct HttpMinion {
     url: String,
+    log: Logger,
     client: Client,
     stop_client: Client,
 }
@@ -57,9 +60,10 @@
     /// The minion at `url`; a task that takes longer than `timeout` counts as
     /// one whose end is not known.
     #[must_use]
-    pub fn new(url: &str, timeout: Duration) -> Self {
+    pub fn new(url: &str, timeout: Duration, log: Logger) -> Self {
         Self {
             url: url.trim_end_matches('/').to_owned(),
+            log,
             client: Client::new().with_global_timeout(timeout),
             stop_client: Client::new().with_global_timeout(STOP_TIMEOUT),
         }
@@ -77,6 +81,31 @@
             .body(Body::from(start.task.payload.to_string()))
             .ok()
     }
+
+    /// The connection broke, so the task may have run.
+    fn unknown(&self, task_id: TaskId, error: &std::io::Error) -> TaskResult {
+        warn!(self.log, "task-outcome-unknown"; "task" => %task_id, "error" => %error);
+        TaskResult::Unknown
+    }
+
+    fn result_of(&self, response: Response<Body>, task_id: TaskId) -> TaskResult {
+        let status = response.status();
+        let mut text = String::new();
+        let mut body = response.into_body().take(MAX_OUTPUT_BYTES + 1);
+        if let Err(error) = body.read_to_string(&mut text) {
+            return self.unknown(task_id, &error);
+        }
+        if text.len() as u64 > MAX_OUTPUT_BYTES {
+            return TaskResult::Failed(Name::from("output over the limit"));
+        }
+        if status == StatusCode::TOO_MANY_REQUESTS {
+            TaskResult::NotStarted(Reason::MinionUnreachable)
+        } else if status.is_success() {
+            TaskResult::Done(Name::from(text))
+        } else {
+            TaskResult::Failed(Name::from(format!("minion answered {status}: {text}")))
+        }
+    }
 }
 
 impl Minion for HttpMinion {
@@ -85,11 +114,11 @@
             return TaskResult::Failed(Name::from("kind of task is not a valid header value"));
         };
         match self.client.request(request) {
-            Ok(response) => result_of(response),
+            Ok(response) => self.result_of(response, start.task_id),
             Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
                 TaskResult::NotStarted(Reason::MinionUnreachable)
             }
-            Err(_) => TaskResult::Unknown,
+            Err(error) => self.unknown(start.task_id, &error),
         }
     }
 
@@ -106,25 +135,6 @@
     }
 }
 
-fn result_of(response: Response<Body>) -> TaskResult {
-    let status = response.status();
-    let mut text = String::new();
-    let mut body = response.into_body().take(MAX_OUTPUT_BYTES + 1);
-    if body.read_to_string(&mut text).is_err() {
-        return TaskResult::Unknown;
-    }
-    if text.len() as u64 > MAX_OUTPUT_BYTES {
-        return TaskResult::Failed(Name::from("output over the limit"));
-    }
-    if status == StatusCode::TOO_MANY_REQUESTS {
-        TaskResult::NotStarted(Reason::MinionUnreachable)
-    } else if status.is_success() {
-        TaskResult::Done(Name::from(text))
-    } else {
-        TaskResult::Failed(Name::from(format!("minion answered {status}: {text}")))
-    }
-}
-
 /// One thread for each slot, and one to stop tasks.
 #[derive(Debug)]
 pub(crate) struct MinionWorkers {
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -312,7 +312,11 @@
     let (inputs, queue) = unbounded();
     let mut parts = Parts::start(settings, node, inputs.clone())?;
     let task_timeout = Duration::from_millis(section.task_timeout_ms);
-    let minion = Arc::new(HttpMinion::new(&section.minion_url, task_timeout));
+    let minion = Arc::new(HttpMinion::new(
+        &section.minion_url,
+        task_timeout,
+        log.clone(),
+    ));
     let workers = MinionWorkers::start(minion, section.slots, &inputs);
     parts.minion = Some(workers.map_err(|source| start_error("slot threads", source))?);
     parts.announces = true;
