Order of work: half the longest task and a twentieth of the work put a turn back

Change: a turn is arrival, plus half the longest task, plus 5% of the work that still waits, and moves forward as tasks start. Homes that are short ask every 20 ms and are passed slots one by one while their first task is overdue by 10 ms more.

--- a/crates/core/src/lending.rs
+++ b/crates/core/src/lending.rs
@@ -5,12 +5,12 @@
 use crate::Peer;
 
 /// Pause before a home that is still short asks again, in milliseconds.
-const ASK_AGAIN_MS: u64 = 200;
+const ASK_AGAIN_MS: u64 = 20;
 /// Time for which another home is remembered as short, in milliseconds.
-const REMEMBER_ASKER_MS: u64 = 300;
+const REMEMBER_ASKER_MS: u64 = 40;
 /// A home that is short itself passes a slot on to one whose first task is
 /// overdue by so much more, in milliseconds.
-const MIN_ADVANTAGE_MS: i64 = 50;
+const MIN_ADVANTAGE_MS: i64 = 10;
 
 /// Who is short of credits: this home, and others that asked it.
 #[derive(Clone, Debug, Default)]
@@ -70,21 +70,21 @@
     }
 
     /// The home whose first task is overdue by far more than `own_overdue_ms`.
-    /// It is passed one slot, and must ask again for another.
+    /// It is passed one slot at a time, up to what it asked for.
     pub(crate) fn next_urgent_loan(&mut self, now_ms: u64, own_overdue_ms: i64) -> Option<Loan> {
         self.forget_old(now_ms);
         let least_ms = own_overdue_ms + MIN_ADVANTAGE_MS;
-        let (index, asker) = self
+        let asker = self
             .askers
-            .iter()
-            .enumerate()
-            .max_by_key(|(_, asker)| asker.overdue_ms)
-            .filter(|(_, asker)| asker.overdue_ms > least_ms)?;
+            .iter_mut()
+            .max_by_key(|asker| asker.overdue_ms)
+            .filter(|asker| asker.overdue_ms > least_ms)?;
+        asker.wanted -= 1;
         let loan = Loan {
             to: asker.peer,
             wanted: 1,
         };
-        self.askers.remove(index);
+        self.askers.retain(|asker| asker.wanted > 0);
         Some(loan)
     }
 
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -6,11 +6,14 @@
 use gannetvane_wire::Name;
 use gannetvane_wire::SubmissionId;
 
-/// How strongly the expected time of a submission delays its turn.
+/// Share of a submission's longest task by which its turn is put back.
 ///
-/// A submission's turn comes at its arrival plus this factor times the time it
-/// needs at least, so that all are stretched by about the same ratio.
-const STRETCH: f64 = 1.0;
+/// A submission's turn comes at its arrival, put back by a share of the time
+/// that it needs at least and of the work it still has, so that short ones
+/// pass long ones and jobs that are nearly done are finished first.
+const LONGEST_SHARE: f64 = 0.5;
+/// Share of the work that still waits by which the turn is put back.
+const WORK_SHARE: f64 = 0.05;
 /// Most that a submission can be put back behind later ones, in milliseconds.
 const MAX_DELAY_MS: u64 = 5_000;
 
@@ -41,6 +44,9 @@
 #[derive(Clone, Debug)]
 struct Waiting {
     team: Name,
+    arrived_ms: u64,
+    longest_ms: u32,
+    work_ms: u64,
     turn: Turn,
     /// In ascending order of the estimate: the longest is started first.
     tasks: Vec<QueuedTask>,
@@ -55,22 +61,11 @@
             return;
         }
         all.sort_unstable();
-        let longest_ms = all.last().map_or(0, |task| task.estimate_ms);
-        let turn = Turn {
-            at_ms: arrived_ms + delay_ms(longest_ms),
-            id,
-        };
-        self.tasks += all.len();
-        self.work_ms += work_ms(&all);
-        self.turns.entry(team.clone()).or_default().insert(turn);
-        self.submissions.insert(
-            id,
-            Waiting {
-                team: team.clone(),
-                turn,
-                tasks: all,
-            },
-        );
+        let waiting = Waiting::new(id, team, arrived_ms, all);
+        self.tasks += waiting.tasks.len();
+        self.work_ms += waiting.work_ms;
+        self.insert_turn(&waiting);
+        self.submissions.insert(id, waiting);
     }
 
     /// Takes all waiting tasks of a submission out.
@@ -79,7 +74,7 @@
             return Vec::new();
         };
         self.tasks -= waiting.tasks.len();
-        self.work_ms -= work_ms(&waiting.tasks);
+        self.work_ms -= waiting.work_ms;
         self.remove_turn(&waiting);
         waiting.tasks
     }
@@ -121,9 +116,7 @@
     /// Sum of the expected run times of a team's waiting tasks.
     #[must_use]
     pub fn work_ms_of_team(&self, team: &Name) -> u64 {
-        self.waiting_of(team)
-            .map(|waiting| work_ms(&waiting.tasks))
-            .sum()
+        self.waiting_of(team).map(|waiting| waiting.work_ms).sum()
     }
 
     /// Teams with waiting tasks.
@@ -147,15 +140,18 @@
         self.submissions.get(&id)?.tasks.last().copied()
     }
 
-    /// Takes the next task of a submission out.
+    /// Takes the next task of a submission out; its turn moves forward.
     pub fn pop_of(&mut self, id: SubmissionId) -> Option<QueuedTask> {
-        let waiting = self.submissions.get_mut(&id)?;
+        let mut waiting = self.submissions.remove(&id)?;
+        self.remove_turn(&waiting);
         let task = waiting.tasks.pop()?;
         self.tasks -= 1;
         self.work_ms -= u64::from(task.estimate_ms);
-        if waiting.tasks.is_empty() {
-            let waiting = self.submissions.remove(&id)?;
-            self.remove_turn(&waiting);
+        waiting.work_ms -= u64::from(task.estimate_ms);
+        if !waiting.tasks.is_empty() {
+            waiting.turn.at_ms = waiting.turn_ms();
+            self.insert_turn(&waiting);
+            self.submissions.insert(id, waiting);
         }
         Some(task)
     }
@@ -165,6 +161,11 @@
             .filter_map(|id| self.submissions.get(&id))
     }
 
+    fn insert_turn(&mut self, waiting: &Waiting) {
+        let turns = self.turns.entry(waiting.team.clone()).or_default();
+        turns.insert(waiting.turn);
+    }
+
     fn remove_turn(&mut self, waiting: &Waiting) {
         if let Some(turns) = self.turns.get_mut(&waiting.team) {
             turns.remove(&waiting.turn);
@@ -175,11 +176,24 @@
     }
 }
 
-fn delay_ms(longest_ms: u32) -> u64 {
-    let delay_ms = (f64::from(longest_ms) * STRETCH).round() as u64;
-    delay_ms.min(MAX_DELAY_MS)
-}
+impl Waiting {
+    /// `tasks` are in ascending order of their estimates.
+    fn new(id: SubmissionId, team: &Name, arrived_ms: u64, tasks: Vec<QueuedTask>) -> Self {
+        let mut waiting = Self {
+            team: team.clone(),
+            arrived_ms,
+            longest_ms: tasks.last().map_or(0, |task| task.estimate_ms),
+            work_ms: tasks.iter().map(|task| u64::from(task.estimate_ms)).sum(),
+            turn: Turn { at_ms: 0, id },
+            tasks,
+        };
+        waiting.turn.at_ms = waiting.turn_ms();
+        waiting
+    }
 
-fn work_ms(tasks: &[QueuedTask]) -> u64 {
-    tasks.iter().map(|task| u64::from(task.estimate_ms)).sum()
+    fn turn_ms(&self) -> u64 {
+        let delay_ms =
+            f64::from(self.longest_ms) * LONGEST_SHARE + self.work_ms as f64 * WORK_SHARE;
+        self.arrived_ms + (delay_ms.round() as u64).min(MAX_DELAY_MS)
+    }
 }
--- a/crates/core/tests/session/mod.rs
+++ b/crates/core/tests/session/mod.rs
@@ -140,6 +140,8 @@
     cuts: Vec<(NodeId, NodeId)>,
     next_node: u64,
     preference: Preference,
+    /// Bounds of the service and team that are configured.
+    pub max_queued_tasks: u32,
 }
 
 impl Session {
@@ -184,9 +186,14 @@
             cuts: Vec::new(),
             next_node: 1_000,
             preference: Preference::ResponseTime,
+            max_queued_tasks: 400,
         }
     }
 
+    pub fn set_preference(&mut self, preference: Preference) {
+        self.preference = preference;
+    }
+
     /// Decides the fate of each message from now on; the second argument
     /// counts the messages.
     pub fn set_fate(&mut self, fate_of: impl FnMut(&Envelope, u64) -> Fate + 'static) {
@@ -590,12 +597,12 @@
         let service = ServiceConfig {
             preference: self.preference,
             max_tasks_per_job: 260,
-            max_queued_tasks: 400,
+            max_queued_tasks: self.max_queued_tasks,
             max_homes: 3,
         };
         let team = TeamConfig {
             weight: 1,
-            max_queued_tasks: 300,
+            max_queued_tasks: self.max_queued_tasks * 3 / 4,
             max_running_tasks: 1_000,
         };
         let operations = vec![
