--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -23,5 +23,7 @@
 pub use report::Outcomes;
 pub use report::Quantiles;
 pub use report::Report;
+pub use report::Violations;
+pub use report::Window;
 pub use workload::Arrival;
 pub use workload::Workload;
--- a/crates/cli/src/load.rs
+++ b/crates/cli/src/load.rs
@@ -1,5 +1,6 @@
 //! Open-loop load: arrivals do not wait for answers.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -29,8 +30,10 @@
 use crate::report::Comparison;
 use crate::report::Outcomes;
 use crate::report::Quantiles;
+use crate::report::RATIO_SCALE;
 use crate::report::Report;
 use crate::report::Violations;
+use crate::report::Window;
 use crate::scrape::Counters;
 use crate::scrape::Starts;
 use crate::workload::Arrival;
@@ -237,6 +240,7 @@
             round_trip_ms: round_trip_us as f64 / 1e3,
             outcomes: outcomes(&samples),
             response_over_ideal: self.compare(&arrivals, &samples, round_trip_us),
+            windows: windows(&arrivals, &samples, round_trip_us),
             slowest_refusal_ms: slowest_refusal_ms(&samples),
             messages: after.messages_since(&before, tasks),
             violations: violations(&samples, &starts),
@@ -358,15 +362,12 @@
 
     fn compare(&self, arrivals: &[Arrival], samples: &[Sample], round_trip_us: u64) -> Comparison {
         let is_counted = |arrival: &Arrival| arrival.at_us >= self.warm_up_ms * 1_000;
-        let ratio = |arrival: &Arrival, response_us: u64| {
-            response_us as f64 / (longest_us(arrival) + round_trip_us) as f64
-        };
         let measured = samples
             .iter()
             .filter(|sample| matches!(sample.end, End::Complete { .. }))
             .map(|sample| (&arrivals[sample.arrival], sample.response_us))
             .filter(|(arrival, _)| is_counted(arrival))
-            .map(|(arrival, response_us)| ratio(arrival, response_us));
+            .map(|(arrival, response_us)| ratio(arrival, response_us, round_trip_us));
         let model = |discipline| {
             let minions = self.minions.len().max(1);
             let slots_each = self.workload.slots / minions;
@@ -375,7 +376,9 @@
                 .iter()
                 .zip(responses)
                 .filter(|(arrival, _)| is_counted(arrival));
-            Quantiles::of(pairs.map(|(arrival, us)| ratio(arrival, us + round_trip_us)))
+            Quantiles::of(
+                pairs.map(|(arrival, us)| ratio(arrival, us + round_trip_us, round_trip_us)),
+            )
         };
         Comparison {
             measured: Quantiles::of(measured),
@@ -436,6 +439,35 @@
     outcomes
 }
 
+fn windows(arrivals: &[Arrival], samples: &[Sample], round_trip_us: u64) -> Vec<Window> {
+    let mut by_second: BTreeMap<u64, Vec<&Sample>> = BTreeMap::new();
+    for sample in samples {
+        let second = arrivals[sample.arrival].at_us / 1_000_000;
+        by_second.entry(second).or_default().push(sample);
+    }
+    let window = |(at_s, samples): (u64, Vec<&Sample>)| {
+        let complete = samples
+            .iter()
+            .filter(|sample| matches!(sample.end, End::Complete { .. }));
+        let ratios = Quantiles::ratios(
+            complete
+                .map(|sample| ratio(&arrivals[sample.arrival], sample.response_us, round_trip_us)),
+        );
+        Window {
+            at_s,
+            sent: samples.len() as u64,
+            complete: ratios.len(),
+            p90: ratios.value_at_quantile(0.9) as f64 / RATIO_SCALE,
+        }
+    };
+    by_second.into_iter().map(window).collect()
+}
+
+/// Response over ideal of one submission.
+fn ratio(arrival: &Arrival, response_us: u64, round_trip_us: u64) -> f64 {
+    response_us as f64 / (longest_us(arrival) + round_trip_us) as f64
+}
+
 fn slowest_refusal_ms(samples: &[Sample]) -> f64 {
     let refusals = samples.iter().filter(|sample| {
         matches!(&sample.end, End::Problem { ran: Ran::NotRun, reason } if reason != "deadline-passed")
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -22,10 +22,14 @@
 use gannetvaned::Settings;
 use gannetvaned::SettingsError;
 use gumdrop::Options;
+use mimalloc::MiMalloc;
 use oxhttp::model::Method;
 use serde::Deserialize;
 use thiserror::Error;
 
+#[global_allocator]
+static ALLOCATOR: MiMalloc = MiMalloc;
+
 /// Exit code when the system refused, or a submission failed.
 const EXIT_REFUSED: u8 = 1;
 /// Exit code for a command line, file or setting that cannot be used.
--- a/crates/cli/src/report.rs
+++ b/crates/cli/src/report.rs
@@ -7,7 +7,7 @@
 use serde::Serialize;
 
 /// Ratios are kept in thousandths.
-const SCALE: f64 = 1_000.0;
+pub(crate) const RATIO_SCALE: f64 = 1_000.0;
 /// Largest ratio that is told apart from larger ones.
 const MAX_RATIO: u64 = 10_000;
 
@@ -32,13 +32,8 @@
     /// Never: the bounds of the histogram are constant.
     #[must_use]
     pub fn of(ratios: impl IntoIterator<Item = f64>) -> Self {
-        let most = MAX_RATIO * SCALE as u64;
-        let mut histogram =
-            Histogram::<u64>::new_with_bounds(1, most, 3).expect("constant bounds are valid");
-        for ratio in ratios {
-            histogram.saturating_record((ratio * SCALE).round().max(1.0) as u64);
-        }
-        let at = |quantile| histogram.value_at_quantile(quantile) as f64 / SCALE;
+        let histogram = Self::ratios(ratios);
+        let at = |quantile| histogram.value_at_quantile(quantile) as f64 / RATIO_SCALE;
         Self {
             p50: at(0.5),
             p99: at(0.99),
@@ -46,6 +41,17 @@
             count: histogram.len(),
         }
     }
+
+    /// A histogram of ratios in thousandths.
+    pub(crate) fn ratios(ratios: impl IntoIterator<Item = f64>) -> Histogram<u64> {
+        let most = MAX_RATIO * RATIO_SCALE as u64;
+        let mut histogram =
+            Histogram::<u64>::new_with_bounds(1, most, 3).expect("constant bounds are valid");
+        for ratio in ratios {
+            histogram.saturating_record((ratio * RATIO_SCALE).round().max(1.0) as u64);
+        }
+        histogram
+    }
 }
 
 /// How the submissions ended. Each is counted once.
@@ -113,6 +119,19 @@
     pub control_bytes: u64,
 }
 
+/// What became of the submissions that were sent in one second.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Window {
+    /// The second, from the start of the load.
+    pub at_s: u64,
+    /// Submissions sent.
+    pub sent: u64,
+    /// Answered as a whole.
+    pub complete: u64,
+    /// 90th percentile of response over ideal of those.
+    pub p90: f64,
+}
+
 /// All figures of one run.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Report {
@@ -131,6 +150,9 @@
     pub outcomes: Outcomes,
     /// Response over ideal.
     pub response_over_ideal: Comparison,
+    /// The run second by second, where failures show.
+    #[serde(default)]
+    pub windows: Vec<Window>,
     /// Longest time to a refusal, in milliseconds.
     pub slowest_refusal_ms: f64,
     /// Messages between the processes.
--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -1,58 +1,35 @@
 //! The core of an agent: its minion's slots, the submissions it is home of,
 //! and its part in membership and configuration.
 
-use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
 use gannetvane_wire::Credit;
 use gannetvane_wire::Envelope;
-use gannetvane_wire::HandoverEntry;
-use gannetvane_wire::LogRecord;
 use gannetvane_wire::Member;
-use gannetvane_wire::MemberState;
 use gannetvane_wire::Message;
 use gannetvane_wire::NodeId;
-use gannetvane_wire::SlotCredit;
-use gannetvane_wire::Snapshot;
 use gannetvane_wire::TaskResult;
 use gannetvane_wire::TaskStart;
 
 use crate::Action;
 use crate::ConfigurationStore;
-use crate::Counter;
-use crate::LogPage;
 use crate::Membership;
 use crate::MembershipSettings;
 use crate::Peer;
 use crate::Runner;
-use crate::SubmissionTable;
 use crate::TableSettings;
 use crate::View;
+use crate::agent_configuration::Held;
 use crate::drain::Drain;
-use crate::drain::Handover;
 use crate::drain::PartKey;
-use crate::drain::choose_successor;
 use crate::home::Arrival;
 use crate::home::Context;
 use crate::home::Home;
-use crate::home::Intake;
 use crate::membership::Step;
 
 /// Interval of periodic work in milliseconds.
 const MAINTAIN_MS: u64 = 100;
-/// Longest time for which a submission waits for the configuration.
-const MAX_HOLD_MS: u64 = 1_000;
-/// Idle time after which an agent renews a credit.
-const CREDIT_RENEWAL_MS: u64 = 6_000;
-/// Interval between reads of the log by the readers, in milliseconds.
-const READER_POLL_MS: u64 = 1_000;
-/// Interval between reads of the log by all other agents.
-const OTHER_POLL_MS: u64 = 15_000;
-/// A snapshot is written again after this share of the log's retention.
-const SNAPSHOTS_PER_RETENTION: u64 = 4;
-/// Least interval between attempts to write a snapshot, in milliseconds.
-const SNAPSHOT_RETRY_MS: u64 = 10_000;
 
 /// Settings of an agent's core.
 #[derive(Clone, Debug)]
@@ -70,30 +47,21 @@
     pub leave_notice_ms: u64,
 }
 
-/// A submission that waits for a newer configuration.
-#[derive(Debug)]
-struct Held {
-    entry: Peer,
-    arrival: Arrival,
-    since_ms: u64,
-    configuration_version: u64,
-}
-
 /// The core of an agent.
 #[derive(Debug)]
 pub struct Agent {
-    me: Peer,
-    node: NodeId,
-    settings: AgentSettings,
-    membership: Membership,
-    configuration: ConfigurationStore,
-    home: Home,
-    held: Vec<Held>,
-    runner: Runner,
-    drain: Drain,
-    next_maintain_ms: u64,
-    next_read_ms: u64,
-    snapshot_tried_at_ms: Option<u64>,
+    pub(crate) me: Peer,
+    pub(crate) node: NodeId,
+    pub(crate) settings: AgentSettings,
+    pub(crate) membership: Membership,
+    pub(crate) configuration: ConfigurationStore,
+    pub(crate) home: Home,
+    pub(crate) held: Vec<Held>,
+    pub(crate) runner: Runner,
+    pub(crate) drain: Drain,
+    pub(crate) next_maintain_ms: u64,
+    pub(crate) next_read_ms: u64,
+    pub(crate) snapshot_tried_at_ms: Option<u64>,
 }
 
 impl Agent {
@@ -203,38 +171,6 @@
         })
     }
 
-    /// Takes in a part of the configuration stream.
-    pub fn log_page(&mut self, now_ms: u64, page: LogPage) -> Vec<Action> {
-        let at_end = page.at_end;
-        let version = self.configuration.current().version;
-        self.configuration.read(now_ms, page);
-        self.settled(now_ms, |agent, actions| {
-            if agent.configuration.current().version > version {
-                agent.configuration_changed(now_ms, actions);
-            }
-            if !at_end {
-                let from_offset = agent.configuration.next_offset();
-                actions.push(Action::ReadLog { from_offset });
-            }
-        })
-    }
-
-    /// Begins a planned stop.
-    pub fn leave(&mut self, now_ms: u64) -> Vec<Action> {
-        if self.is_leaving() {
-            return Vec::new();
-        }
-        self.drain = Drain::Leaving { since_ms: now_ms };
-        self.runner.leave(now_ms);
-        let version = self.configuration.current().version;
-        let mut actions = vec![Action::log("leaving", self.node)];
-        actions.extend(
-            self.membership
-                .announce(now_ms, MemberState::Leaving, version),
-        );
-        actions
-    }
-
     /// Does what is due. To be called every few milliseconds.
     pub fn tick(&mut self, now_ms: u64) -> Vec<Action> {
         self.settled(now_ms, |agent, actions| {
@@ -250,7 +186,7 @@
     }
 
     /// Runs a step, then all messages that it sends to this agent itself.
-    fn settled(
+    pub(crate) fn settled(
         &mut self,
         now_ms: u64,
         step: impl FnOnce(&mut Self, &mut Vec<Action>),
@@ -272,7 +208,7 @@
         actions
     }
 
-    fn one_message(
+    pub(crate) fn one_message(
         &mut self,
         now_ms: u64,
         from: Peer,
@@ -357,40 +293,7 @@
         }
     }
 
-    /// A submission from an entry that knows a newer configuration waits until
-    /// this agent has it too, or for [`MAX_HOLD_MS`].
-    fn submit_or_hold(&mut self, now_ms: u64, held: Held, actions: &mut Vec<Action>) {
-        let is_behind = held.configuration_version > self.configuration.current().version;
-        if is_behind && now_ms.saturating_sub(held.since_ms) < MAX_HOLD_MS {
-            if self.held.is_empty() {
-                let message = Message::ConfigurationPull;
-                actions.push(Action::Send {
-                    to: held.entry,
-                    message,
-                });
-            }
-            self.held.push(held);
-            return;
-        }
-        let Held {
-            entry,
-            mut arrival,
-            since_ms,
-            ..
-        } = held;
-        arrival.remaining_ms = arrival.remaining_ms.saturating_sub(now_ms - since_ms);
-        self.with_home(now_ms, actions, |home, ctx| {
-            home.submit(ctx, entry, arrival);
-        });
-    }
-
-    fn submit_held(&mut self, now_ms: u64, actions: &mut Vec<Action>) {
-        for held in std::mem::take(&mut self.held) {
-            self.submit_or_hold(now_ms, held, actions);
-        }
-    }
-
-    fn membership_message(
+    pub(crate) fn membership_message(
         &mut self,
         now_ms: u64,
         from: Peer,
@@ -463,7 +366,7 @@
         self.take_step(now_ms, step, actions);
     }
 
-    fn take_step(&mut self, now_ms: u64, step: Step, actions: &mut Vec<Action>) {
+    pub(crate) fn take_step(&mut self, now_ms: u64, step: Step, actions: &mut Vec<Action>) {
         actions.extend(step.actions);
         for node in step.gone {
             self.with_home(now_ms, actions, |home, ctx| home.agent_gone(ctx, node));
@@ -476,7 +379,7 @@
         }
     }
 
-    fn start(
+    pub(crate) fn start(
         &mut self,
         now_ms: u64,
         from: Peer,
@@ -495,205 +398,7 @@
         }
     }
 
-    fn adopt(
-        &mut self,
-        now_ms: u64,
-        home: NodeId,
-        uptime_ms: u64,
-        oldest_generation: u32,
-        entries: Vec<HandoverEntry>,
-    ) {
-        let settings = self.settings.table;
-        let table = self
-            .home
-            .adopted
-            .entry(home)
-            .or_insert_with(|| SubmissionTable::new(home, settings, now_ms, uptime_ms));
-        table.raise_oldest(oldest_generation);
-        for entry in entries {
-            table.adopt(entry);
-        }
-    }
-
-    fn adopt_configuration(&mut self, now_ms: u64, snapshot: &Snapshot, actions: &mut Vec<Action>) {
-        if self.configuration.adopt(snapshot) {
-            self.configuration_changed(now_ms, actions);
-        }
-    }
-
-    fn configuration_changed(&mut self, now_ms: u64, actions: &mut Vec<Action>) {
-        let version = self.configuration.current().version;
-        actions.push(Action::log("configuration-changed", version));
-        actions.extend(self.membership.spread(now_ms, version));
-        self.submit_held(now_ms, actions);
-        self.grant_credits(now_ms, actions);
-    }
-
-    fn maintain(&mut self, now_ms: u64, actions: &mut Vec<Action>) {
-        self.submit_held(now_ms, actions);
-        self.read_log(now_ms, actions);
-        self.write_snapshot(now_ms, actions);
-        self.grant_credits(now_ms, actions);
-        self.with_home(now_ms, actions, Home::maintain);
-        self.continue_leaving(now_ms, actions);
-    }
-
-    fn read_log(&mut self, now_ms: u64, actions: &mut Vec<Action>) {
-        if now_ms < self.next_read_ms {
-            return;
-        }
-        let is_reader = self.view().log_readers().contains(&self.node);
-        self.next_read_ms = now_ms
-            + if is_reader {
-                READER_POLL_MS
-            } else {
-                OTHER_POLL_MS
-            };
-        actions.push(Action::ReadLog {
-            from_offset: self.configuration.next_offset(),
-        });
-    }
-
-    /// Writes the configuration again before the log forgets it.
-    fn write_snapshot(&mut self, now_ms: u64, actions: &mut Vec<Action>) {
-        let interval_ms = self.settings.log_retention_ms / SNAPSHOTS_PER_RETENTION;
-        let is_recent = |at_ms: Option<u64>, within_ms: u64| {
-            at_ms.is_some_and(|at_ms| now_ms.saturating_sub(at_ms) < within_ms)
-        };
-        if self.configuration.current().version == 0
-            || self.configuration.has_gap()
-            || is_recent(self.configuration.snapshot_seen_at_ms(), interval_ms)
-            || is_recent(
-                self.snapshot_tried_at_ms,
-                SNAPSHOT_RETRY_MS.min(interval_ms),
-            )
-            || self.view().log_readers().first() != Some(&self.node)
-        {
-            return;
-        }
-        self.snapshot_tried_at_ms = Some(now_ms);
-        actions.push(Action::Append(LogRecord::Snapshot(
-            self.configuration.snapshot(),
-        )));
-    }
-
-    /// Gives the credits of free slots to the homes of the service.
-    fn grant_credits(&mut self, now_ms: u64, actions: &mut Vec<Action>) {
-        let service = &self.settings.member.service;
-        let Some(config) = self.configuration.current().services.get(service) else {
-            return;
-        };
-        if self.is_leaving() {
-            return;
-        }
-        let homes = self.membership.view().homes(service, config.homes());
-        if homes.is_empty() {
-            return;
-        }
-        let view = self.membership.view();
-        let is_lost = |node| {
-            !matches!(
-                view.state(node),
-                Some(MemberState::Alive | MemberState::Leaving)
-            )
-        };
-        let free = self.runner.reclaim(now_ms, CREDIT_RENEWAL_MS, is_lost);
-        let mut grants: BTreeMap<NodeId, Vec<SlotCredit>> = BTreeMap::new();
-        for slot in free {
-            let first = usize::try_from(self.node.0 % homes.len() as u64).unwrap_or(0);
-            let by_turn = homes[(usize::from(slot.index) + first) % homes.len()];
-            let home = slot
-                .last_holder
-                .filter(|node| homes.contains(node))
-                .unwrap_or(by_turn);
-            let credit = self.runner.grant(now_ms, slot.index, home);
-            grants.entry(home).or_default().extend(credit);
-            if slot.last_holder.is_some_and(|node| node != home) {
-                actions.push(Action::Count(Counter::CreditsReclaimed));
-            }
-        }
-        for (home, credits) in grants {
-            if let Some(to) = self.membership.view().peer(home) {
-                let message = Message::CreditGrant {
-                    service: service.clone(),
-                    credits,
-                };
-                actions.push(Action::Send { to, message });
-            }
-        }
-    }
-
-    fn continue_leaving(&mut self, now_ms: u64, actions: &mut Vec<Action>) {
-        match &mut self.drain {
-            Drain::Working => {}
-            Drain::Leaving { since_ms } => {
-                if now_ms.saturating_sub(*since_ms) >= self.settings.leave_notice_ms {
-                    self.home.intake = Intake::Refusing;
-                }
-                if self.home.open.is_empty() && self.runner.busy() == 0 {
-                    self.begin_handover(now_ms, actions);
-                }
-            }
-            Drain::HandingOver(handover) => {
-                let to = handover.successor();
-                let is_lost = self
-                    .membership
-                    .view()
-                    .state(to.node.unwrap_or(self.node))
-                    .is_none_or(MemberState::is_gone);
-                if handover.is_done() {
-                    self.left(now_ms, to.node, actions);
-                } else if handover.is_overdue(now_ms) {
-                    actions.push(Action::log("handover-failed", to.addr));
-                    self.left(now_ms, None, actions);
-                } else if is_lost {
-                    self.begin_handover(now_ms, actions);
-                } else {
-                    let due = handover.due(now_ms).into_iter();
-                    actions.extend(due.map(|message| Action::Send { to, message }));
-                }
-            }
-            Drain::Left { successor, .. } => {
-                let successor = *successor;
-                if self.drain.should_announce(now_ms) {
-                    self.announce_left(now_ms, successor, actions);
-                }
-                if self.drain.is_over(now_ms) {
-                    actions.push(Action::Stop);
-                }
-            }
-        }
-    }
-
-    fn begin_handover(&mut self, now_ms: u64, actions: &mut Vec<Action>) {
-        self.home.intake = Intake::Closed;
-        let service = &self.settings.member.service;
-        let Some(successor) = choose_successor(self.membership.view(), self.node, service) else {
-            actions.push(Action::log("no-successor", self.node));
-            self.left(now_ms, None, actions);
-            return;
-        };
-        let tables = std::iter::once(&self.home.table).chain(self.home.adopted.values());
-        self.drain = Drain::HandingOver(Handover::new(now_ms, successor, tables));
-        self.continue_leaving(now_ms, actions);
-    }
-
-    fn left(&mut self, now_ms: u64, successor: Option<NodeId>, actions: &mut Vec<Action>) {
-        self.drain = Drain::Left {
-            since_ms: now_ms,
-            next_announce_ms: now_ms,
-            successor,
-        };
-        self.continue_leaving(now_ms, actions);
-    }
-
-    fn announce_left(&mut self, now_ms: u64, successor: Option<NodeId>, actions: &mut Vec<Action>) {
-        let version = self.configuration.current().version;
-        let state = MemberState::Left { successor };
-        actions.extend(self.membership.announce(now_ms, state, version));
-    }
-
-    fn with_home(
+    pub(crate) fn with_home(
         &mut self,
         now_ms: u64,
         actions: &mut Vec<Action>,
--- /dev/null
+++ b/crates/core/src/borrowing.rs
@@ -0,0 +1,136 @@
+//! How homes of one service pass credits to each other.
+
+use gannetvane_wire::Message;
+use gannetvane_wire::Name;
+use gannetvane_wire::SlotCredit;
+
+use crate::Action;
+use crate::Peer;
+use crate::home::Context;
+use crate::home::Home;
+
+/// Most other homes that are asked.
+const MAX_ASKED_HOMES: usize = 3;
+/// Most credits asked for in one message.
+const MAX_ASKED_CREDITS: usize = 64;
+
+impl Home {
+    /// Takes in credits from an agent or another home.
+    pub(crate) fn granted(
+        &mut self,
+        ctx: &mut Context<'_>,
+        from: Peer,
+        name: &Name,
+        credits: &[SlotCredit],
+    ) {
+        let service = self.services.entry(name.clone()).or_default();
+        service.lending.forget(from);
+        for granted in credits {
+            let idle_since_ms = ctx.now_ms.saturating_sub(granted.idle_ms);
+            service
+                .credits
+                .add(granted.credit, idle_since_ms, ctx.now_ms);
+        }
+        self.dispatch(ctx, name);
+    }
+
+    /// Another home is short of credits.
+    pub(crate) fn credits_requested(
+        &mut self,
+        ctx: &mut Context<'_>,
+        name: &Name,
+        asker: Peer,
+        wanted: u32,
+        overdue_ms: i64,
+    ) {
+        let service = self.services.entry(name.clone()).or_default();
+        service
+            .lending
+            .remember(ctx.now_ms, asker, wanted as usize, overdue_ms);
+        self.dispatch(ctx, name);
+    }
+
+    /// Passes spare credits to homes that are short, and all of them when this
+    /// agent is no longer a home of the service.
+    pub(crate) fn lend(&mut self, ctx: &mut Context<'_>, name: &Name) {
+        let me = self.table.home();
+        let Some(service) = self.services.get_mut(name) else {
+            return;
+        };
+        service.lending.satisfied();
+        while let Some(loan) = service.lending.next_loan(ctx.now_ms) {
+            let spare = service.credits.take_spare(ctx.now_ms, loan.wanted);
+            if spare.is_empty() {
+                return;
+            }
+            service.lending.lent(spare.len());
+            ctx.actions.push(grant(loan.to, name, spare));
+        }
+        let is_home = service.group.iter().any(|peer| peer.node == Some(me));
+        let Some(heir) = service.group.first().copied().filter(|_| !is_home) else {
+            return;
+        };
+        let spare = service.credits.take_spare(ctx.now_ms, usize::MAX);
+        if !spare.is_empty() {
+            ctx.actions.push(grant(heir, name, spare));
+        }
+    }
+
+    /// Passes a slot on although tasks wait here, when another home's first
+    /// task should have had its turn much earlier.
+    pub(crate) fn lend_to_more_urgent(&mut self, ctx: &mut Context<'_>, name: &Name) {
+        let Some(service) = self.services.get_mut(name) else {
+            return;
+        };
+        let Some(overdue_ms) = service.queue.overdue_ms(ctx.now_ms) else {
+            return;
+        };
+        while !service.credits.is_empty() {
+            let Some(loan) = service.lending.next_urgent_loan(ctx.now_ms, overdue_ms) else {
+                return;
+            };
+            let spare = service.credits.take_spare(ctx.now_ms, loan.wanted);
+            if !spare.is_empty() {
+                ctx.actions.push(grant(loan.to, name, spare));
+            }
+        }
+    }
+
+    pub(crate) fn ask_for_credits(&mut self, ctx: &mut Context<'_>, name: &Name) {
+        let me = self.table.home();
+        let Some(service) = self.services.get_mut(name) else {
+            return;
+        };
+        if service.queue.is_empty() {
+            service.lending.satisfied();
+            return;
+        }
+        if service.group.iter().all(|peer| peer.node == Some(me)) {
+            return;
+        }
+        if !service.lending.should_ask(ctx.now_ms) {
+            return;
+        }
+        let wanted = u32::try_from(service.queue.len().min(MAX_ASKED_CREDITS)).unwrap_or(u32::MAX);
+        let overdue_ms = service.queue.overdue_ms(ctx.now_ms).unwrap_or(0);
+        let others = service.group.iter().filter(|peer| peer.node != Some(me));
+        for peer in others.take(MAX_ASKED_HOMES) {
+            let message = Message::CreditRequest {
+                service: name.clone(),
+                wanted,
+                overdue_ms,
+            };
+            ctx.actions.push(Action::Send { to: *peer, message });
+        }
+    }
+}
+
+fn grant(to: Peer, name: &Name, credits: Vec<SlotCredit>) -> Action {
+    Action::Send {
+        to,
+        message: Message::CreditGrant {
+            service: name.clone(),
+            credits,
+        },
+    }
+}
--- /dev/null
+++ b/crates/core/src/dispatch.rs
@@ -0,0 +1,142 @@
+//! Which waiting task a home starts next, and on which slot.
+
+use std::collections::BTreeMap;
+
+use gannetvane_wire::Message;
+use gannetvane_wire::Name;
+use gannetvane_wire::Needs;
+use gannetvane_wire::Preference;
+use gannetvane_wire::Reason;
+use gannetvane_wire::TaskStart;
+
+use crate::Action;
+use crate::Peer;
+use crate::home::Context;
+use crate::home::Deadline;
+use crate::home::Home;
+use crate::service::Placement;
+use crate::service::Placing;
+use crate::submission::OpenSubmission;
+use crate::submission::StartedTask;
+use crate::submission::TaskState;
+
+/// Factor on the time of the slowest usual run before a task is asked for.
+const CHECK_FACTOR: u64 = 2;
+/// Least time after which a started task without a result is asked for.
+const MIN_CHECK_MS: u64 = 2_000;
+
+impl Home {
+    /// Starts waiting tasks while there are credits.
+    pub(crate) fn dispatch(&mut self, ctx: &mut Context<'_>, name: &Name) {
+        let Some(service) = self.services.get(name) else {
+            return;
+        };
+        if service.queue.is_empty() {
+            self.lend(ctx, name);
+            return;
+        }
+        self.lend_to_more_urgent(ctx, name);
+        let mut starts: BTreeMap<Peer, Vec<TaskStart>> = BTreeMap::new();
+        let mut last = None;
+        while let Some(placement) = self.place_next(ctx, name, last) {
+            last = Some(placement);
+            if let Some((agent, start)) = self.start(ctx, placement) {
+                starts.entry(agent).or_default().push(start);
+            }
+        }
+        for (to, batch) in starts {
+            ctx.actions.push(Action::Send {
+                to,
+                message: Message::Start(batch),
+            });
+        }
+        self.ask_for_credits(ctx, name);
+    }
+
+    /// The next task and its slot. What can no longer end before its deadline
+    /// is given up instead, so that it takes no slot from others.
+    pub(crate) fn place_next(
+        &mut self,
+        ctx: &mut Context<'_>,
+        name: &Name,
+        last: Option<Placement>,
+    ) -> Option<Placement> {
+        loop {
+            let placement = self.choose_next(ctx, name, last)?;
+            let open = self.open.get(&placement.id)?;
+            let end_ms = ctx.now_ms + u64::from(placement.task.estimate_ms);
+            if end_ms <= open.deadline_at_ms {
+                return Some(placement);
+            }
+            let at_ms = open.deadline_at_ms;
+            let service = self.services.get_mut(name)?;
+            service
+                .credits
+                .add(placement.credit, ctx.now_ms, ctx.now_ms);
+            let deadline = Deadline {
+                at_ms,
+                id: placement.id,
+            };
+            self.give_up(ctx, deadline, Reason::DeadlineUnreachable);
+        }
+    }
+
+    pub(crate) fn choose_next(
+        &mut self,
+        ctx: &Context<'_>,
+        name: &Name,
+        last: Option<Placement>,
+    ) -> Option<Placement> {
+        let open = &self.open;
+        let service = self.services.get_mut(name)?;
+        let homes = u32::try_from(service.group.len()).unwrap_or(1);
+        let teams = service
+            .teams
+            .order(service.queue.teams(), &ctx.configuration.teams, homes);
+        let config = ctx.configuration.services.get(name);
+        let placing = Placing {
+            now_ms: ctx.now_ms,
+            view: ctx.view,
+            teams: &teams,
+            preference: config.map_or(Preference::ResponseTime, |config| config.preference),
+            last,
+        };
+        service.place(&placing, |id, index| needs_of(open.get(&id), index))
+    }
+
+    pub(crate) fn start(
+        &mut self,
+        ctx: &Context<'_>,
+        placement: Placement,
+    ) -> Option<(Peer, TaskStart)> {
+        let Placement { id, task, credit } = placement;
+        let open = self.open.get_mut(&id)?;
+        let agent = ctx.view.peer(credit.agent)?;
+        let service = self.services.get_mut(&open.submission.service)?;
+        let wire_task = open.submission.tasks.get(usize::from(task.index))?;
+        let usual_ms = service
+            .estimates
+            .straggler_ms(&wire_task.kind, wire_task.declared_ms);
+        let check_interval_ms = (u64::from(usual_ms) * CHECK_FACTOR).max(MIN_CHECK_MS);
+        let check_at_ms = ctx.now_ms + check_interval_ms;
+        let started = StartedTask {
+            credit,
+            agent,
+            check_at_ms,
+            check_interval_ms,
+            is_resent: false,
+            reconnects: 0,
+        };
+        service.running += 1;
+        service.teams.started(&open.submission.team);
+        service.health.started(credit.agent);
+        open.tasks[usize::from(task.index)].state = TaskState::Started(started);
+        Some((agent, open.task_start(ctx.now_ms, id, task.index, credit)))
+    }
+}
+
+fn needs_of(open: Option<&OpenSubmission>, index: u16) -> Needs {
+    open.and_then(|open| open.submission.tasks.get(usize::from(index)))
+        .map(|task| task.needs)
+        .unwrap_or_default()
+}
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -6,18 +6,12 @@
 use std::sync::Arc;
 
 use gannetvane_wire::Answer;
-use gannetvane_wire::Change;
 use gannetvane_wire::Envelope;
-use gannetvane_wire::Member;
-use gannetvane_wire::MemberState;
 use gannetvane_wire::Message;
 use gannetvane_wire::Name;
 use gannetvane_wire::NodeId;
-use gannetvane_wire::Operation;
 use gannetvane_wire::Ran;
 use gannetvane_wire::Reason;
-use gannetvane_wire::Snapshot;
-use gannetvane_wire::Submission;
 use gannetvane_wire::SubmissionId;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -26,17 +20,21 @@
 
 use crate::Action;
 use crate::CallerId;
+use crate::Command;
 use crate::ConfigurationStore;
 use crate::Counter;
 use crate::HomeTarget;
 use crate::LogPage;
 use crate::Peer;
-use crate::Plan;
-use crate::PlanError;
+use crate::Reply;
 use crate::View;
 use crate::confirm::Confirmations;
 use crate::home::fingerprint;
 use crate::table::generation_at;
+use crate::waiting::Caller;
+use crate::waiting::Request;
+use crate::waiting::WaitKey;
+use crate::waiting::Waiting;
 
 /// Interval between pulls of an agent's view in milliseconds.
 const PULL_MS: u64 = 500;
@@ -44,8 +42,6 @@
 const SCAN_MS: u64 = 20;
 /// Time after which a submission without an answer is sent again, at first.
 const FIRST_RESEND_MS: u64 = 5_000;
-/// Longest such time.
-const MAX_RESEND_MS: u64 = 20_000;
 /// Pause before a submission is sent again after its connection broke.
 const RECONNECT_MS: u64 = 200;
 /// Time past the caller's deadline for which a home's own answer is awaited.
@@ -70,124 +66,21 @@
     pub retention_ms: u64,
 }
 
-/// What a caller or operator asks of an entry.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Command {
-    /// Ids for new submissions to a service.
-    TakeIds {
-        /// The service.
-        service: Name,
-        /// Number of ids.
-        count: usize,
-    },
-    /// Run a submission and wait for its answer.
-    Submit {
-        /// Its id.
-        id: SubmissionId,
-        /// What to run.
-        submission: Arc<Submission>,
-        /// Time that the caller waits, in milliseconds.
-        deadline_ms: u64,
-    },
-    /// Wait for the answer to a submission.
-    Lookup {
-        /// Its id.
-        id: SubmissionId,
-        /// Time that the caller waits, in milliseconds.
-        wait_ms: u64,
-    },
-    /// Stop a submission.
-    Cancel {
-        /// Its id.
-        id: SubmissionId,
-    },
-    /// Work out what an intent would change.
-    Plan {
-        /// Id for the change.
-        change_id: Name,
-        /// The intent.
-        operations: Vec<Operation>,
-    },
-    /// Put a plan into force.
-    Confirm {
-        /// The planned change.
-        change: Change,
-    },
-    /// What became of a change.
-    ChangeStatus {
-        /// Its id.
-        change_id: Name,
-    },
-    /// The configuration in force.
-    Configuration,
-    /// The members known.
-    Members,
-}
-
-/// Reply to a [`Command`].
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Reply {
-    /// Ids for new submissions.
-    Ids(Vec<SubmissionId>),
-    /// The final answer, or the refusal of the command.
-    Answer(Arc<Answer>),
-    /// A plan, or why there is none.
-    Plan(Result<Plan, PlanError>),
-    /// The change is in force since this version or an earlier one.
-    ChangeAccepted {
-        /// Version of the configuration now.
-        version: u64,
-    },
-    /// The configuration in force.
-    Configuration(Snapshot),
-    /// The members known.
-    Members(Vec<Member>),
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct WaitKey {
-    id: SubmissionId,
-    fingerprint: u64,
-}
-
-/// What the callers of one submission wait for.
-#[derive(Clone, Debug)]
-enum Request {
-    Submit(Arc<Submission>),
-    Lookup,
-}
-
-#[derive(Clone, Debug)]
-struct Waiting {
-    request: Request,
-    callers: Vec<Caller>,
-    sent_to: Option<Peer>,
-    next_send_ms: u64,
-    interval_ms: u64,
-    is_cancel: bool,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Caller {
-    id: CallerId,
-    deadline_at_ms: u64,
-}
-
 /// The core of an entry.
 #[derive(Debug)]
 pub struct Entry {
-    settings: EntrySettings,
-    view: View,
-    configuration: ConfigurationStore,
-    rng: ChaCha8Rng,
-    waiting: BTreeMap<WaitKey, Waiting>,
-    waiting_callers: usize,
-    confirmations: Confirmations,
-    pulled: BTreeMap<NodeId, u64>,
-    pulls: usize,
-    next_pull_ms: u64,
-    next_scan_ms: u64,
-    whole_view_since_ms: Option<u64>,
+    pub(crate) settings: EntrySettings,
+    pub(crate) view: View,
+    pub(crate) configuration: ConfigurationStore,
+    pub(crate) rng: ChaCha8Rng,
+    pub(crate) waiting: BTreeMap<WaitKey, Waiting>,
+    pub(crate) waiting_callers: usize,
+    pub(crate) confirmations: Confirmations,
+    pub(crate) pulled: BTreeMap<NodeId, u64>,
+    pub(crate) pulls: usize,
+    pub(crate) next_pull_ms: u64,
+    pub(crate) next_scan_ms: u64,
+    pub(crate) whole_view_since_ms: Option<u64>,
 }
 
 impl Entry {
@@ -419,7 +312,7 @@
         actions
     }
 
-    fn take_ids(&mut self, now_ms: u64, service: &Name, count: usize) -> Reply {
+    pub(crate) fn take_ids(&mut self, now_ms: u64, service: &Name, count: usize) -> Reply {
         let refused = |reason, retry_after_ms| {
             Reply::Answer(Arc::new(Answer::refusal(
                 Ran::NotRun,
@@ -441,7 +334,7 @@
     }
 
     /// A home's generation follows from its age; no message is needed.
-    fn draw_id(&mut self, now_ms: u64, homes: &[NodeId]) -> Option<SubmissionId> {
+    pub(crate) fn draw_id(&mut self, now_ms: u64, homes: &[NodeId]) -> Option<SubmissionId> {
         let home = *homes.choose(&mut self.rng)?;
         let generation = generation_at(self.view.uptime_ms(now_ms, home)?);
         Some(SubmissionId {
@@ -451,7 +344,7 @@
         })
     }
 
-    fn wait(
+    pub(crate) fn wait(
         &mut self,
         now_ms: u64,
         key: WaitKey,
@@ -476,7 +369,7 @@
         self.send_due(now_ms, key, actions);
     }
 
-    fn cancel(
+    pub(crate) fn cancel(
         &mut self,
         now_ms: u64,
         id: SubmissionId,
@@ -499,7 +392,12 @@
         self.send_due(now_ms, key, actions);
     }
 
-    fn answered(&mut self, key: WaitKey, answer: &Arc<Answer>, actions: &mut Vec<Action>) {
+    pub(crate) fn answered(
+        &mut self,
+        key: WaitKey,
+        answer: &Arc<Answer>,
+        actions: &mut Vec<Action>,
+    ) {
         let Some(waiting) = self.waiting.remove(&key) else {
             return;
         };
@@ -510,7 +408,7 @@
     }
 
     /// Sends again what is due, and gives up what can no longer be answered.
-    fn scan(&mut self, now_ms: u64, actions: &mut Vec<Action>) {
+    pub(crate) fn scan(&mut self, now_ms: u64, actions: &mut Vec<Action>) {
         let keys: Vec<WaitKey> = self.waiting.keys().copied().collect();
         for key in keys {
             self.expire_callers(now_ms, key, actions);
@@ -518,7 +416,7 @@
         }
     }
 
-    fn expire_callers(&mut self, now_ms: u64, key: WaitKey, actions: &mut Vec<Action>) {
+    pub(crate) fn expire_callers(&mut self, now_ms: u64, key: WaitKey, actions: &mut Vec<Action>) {
         let Some(waiting) = self.waiting.get_mut(&key) else {
             return;
         };
@@ -541,7 +439,7 @@
         }
     }
 
-    fn send_due(&mut self, now_ms: u64, key: WaitKey, actions: &mut Vec<Action>) {
+    pub(crate) fn send_due(&mut self, now_ms: u64, key: WaitKey, actions: &mut Vec<Action>) {
         let target = self.view.resolve(key.id.home);
         let version = self.configuration.current().version;
         let Some(waiting) = self.waiting.get_mut(&key) else {
@@ -569,115 +467,11 @@
         }
     }
 
-    fn home_lost(&mut self, key: WaitKey, actions: &mut Vec<Action>) {
+    pub(crate) fn home_lost(&mut self, key: WaitKey, actions: &mut Vec<Action>) {
         let answer = Answer::refusal(Ran::Unknown, Reason::HomeLost, None);
         actions.push(Action::Count(Counter::Failed(Reason::HomeLost)));
         self.answered(key, &Arc::new(answer), actions);
     }
-
-    fn adopt_configuration(&mut self, now_ms: u64, snapshot: &Snapshot, actions: &mut Vec<Action>) {
-        if self.configuration.adopt(snapshot) {
-            let version = self.configuration.current().version;
-            actions.push(Action::log("configuration-adopted", version));
-            self.confirmations
-                .progress(now_ms, false, &self.configuration, actions);
-        }
-    }
-
-    /// Tells one agent of each zone of a change that was read from the log.
-    fn spread_configuration(&mut self, actions: &mut Vec<Action>) {
-        for to in self.one_agent_of_each_zone() {
-            let message = Message::ConfigurationState(self.configuration.snapshot());
-            actions.push(Action::Send { to, message });
-        }
-    }
-
-    /// Pulls the view of one agent; the zones take turns.
-    fn pull_views(&mut self, actions: &mut Vec<Action>) {
-        self.pulls += 1;
-        let known = self.one_agent_of_each_zone();
-        let first = |addr: &SocketAddr| Peer {
-            node: None,
-            addr: *addr,
-        };
-        let peers: Vec<Peer> = match known.get(self.pulls % known.len().max(1)) {
-            Some(peer) => vec![*peer],
-            None => self.settings.contacts.iter().map(first).collect(),
-        };
-        actions.extend(peers.into_iter().map(|peer| self.pull(peer)));
-    }
-
-    fn one_agent_of_each_zone(&mut self) -> Vec<Peer> {
-        let mut zones: BTreeMap<&Name, Vec<Peer>> = BTreeMap::new();
-        for member in self
-            .view
-            .iter()
-            .filter(|member| member.state == MemberState::Alive)
-        {
-            let peer = Peer::known(member.node, member.addr);
-            zones.entry(&member.zone).or_default().push(peer);
-        }
-        zones
-            .values()
-            .filter_map(|peers| peers.choose(&mut self.rng).copied())
-            .collect()
-    }
-
-    fn pull(&self, to: Peer) -> Action {
-        let since = to
-            .node
-            .and_then(|node| self.pulled.get(&node).copied())
-            .unwrap_or(0);
-        let configuration_version = self.configuration.current().version;
-        Action::Send {
-            to,
-            message: Message::ViewPull {
-                since,
-                configuration_version,
-            },
-        }
-    }
-}
-
-impl Waiting {
-    fn new(request: Request, now_ms: u64) -> Self {
-        Self {
-            request,
-            callers: Vec::new(),
-            sent_to: None,
-            next_send_ms: now_ms,
-            interval_ms: FIRST_RESEND_MS,
-            is_cancel: false,
-        }
-    }
-
-    fn send(&mut self, now_ms: u64, key: WaitKey, to: Peer, configuration_version: u64) -> Action {
-        self.sent_to = Some(to);
-        self.next_send_ms = now_ms + self.interval_ms;
-        self.interval_ms = (self.interval_ms * 2).min(MAX_RESEND_MS);
-        let latest = self
-            .callers
-            .iter()
-            .map(|caller| caller.deadline_at_ms)
-            .max()
-            .unwrap_or(now_ms);
-        let submission = match &self.request {
-            Request::Submit(submission) => Some(Arc::clone(submission)),
-            Request::Lookup => None,
-        };
-        let message = if self.is_cancel {
-            Message::Cancel { id: key.id }
-        } else {
-            Message::Submit {
-                id: key.id,
-                submission,
-                fingerprint: key.fingerprint,
-                remaining_ms: latest.saturating_sub(now_ms),
-                configuration_version,
-            }
-        };
-        Action::Send { to, message }
-    }
 }
 
 fn reply(caller: CallerId, answer: Arc<Answer>, actions: &mut Vec<Action>) {
--- /dev/null
+++ b/crates/core/src/entry_view.rs
@@ -0,0 +1,84 @@
+//! How an entry learns of the agents and the configuration.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use gannetvane_wire::MemberState;
+use gannetvane_wire::Message;
+use gannetvane_wire::Name;
+use gannetvane_wire::Snapshot;
+use rand::seq::IndexedRandom;
+
+use crate::Action;
+use crate::Entry;
+use crate::Peer;
+
+impl Entry {
+    pub(crate) fn adopt_configuration(
+        &mut self,
+        now_ms: u64,
+        snapshot: &Snapshot,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.configuration.adopt(snapshot) {
+            let version = self.configuration.current().version;
+            actions.push(Action::log("configuration-adopted", version));
+            self.confirmations
+                .progress(now_ms, false, &self.configuration, actions);
+        }
+    }
+
+    /// Tells one agent of each zone of a change that was read from the log.
+    pub(crate) fn spread_configuration(&mut self, actions: &mut Vec<Action>) {
+        for to in self.one_agent_of_each_zone() {
+            let message = Message::ConfigurationState(self.configuration.snapshot());
+            actions.push(Action::Send { to, message });
+        }
+    }
+
+    /// Pulls the view of one agent; the zones take turns.
+    pub(crate) fn pull_views(&mut self, actions: &mut Vec<Action>) {
+        self.pulls += 1;
+        let known = self.one_agent_of_each_zone();
+        let first = |addr: &SocketAddr| Peer {
+            node: None,
+            addr: *addr,
+        };
+        let peers: Vec<Peer> = match known.get(self.pulls % known.len().max(1)) {
+            Some(peer) => vec![*peer],
+            None => self.settings.contacts.iter().map(first).collect(),
+        };
+        actions.extend(peers.into_iter().map(|peer| self.pull(peer)));
+    }
+
+    pub(crate) fn one_agent_of_each_zone(&mut self) -> Vec<Peer> {
+        let mut zones: BTreeMap<&Name, Vec<Peer>> = BTreeMap::new();
+        for member in self
+            .view
+            .iter()
+            .filter(|member| member.state == MemberState::Alive)
+        {
+            let peer = Peer::known(member.node, member.addr);
+            zones.entry(&member.zone).or_default().push(peer);
+        }
+        zones
+            .values()
+            .filter_map(|peers| peers.choose(&mut self.rng).copied())
+            .collect()
+    }
+
+    pub(crate) fn pull(&self, to: Peer) -> Action {
+        let since = to
+            .node
+            .and_then(|node| self.pulled.get(&node).copied())
+            .unwrap_or(0);
+        let configuration_version = self.configuration.current().version;
+        Action::Send {
+            to,
+            message: Message::ViewPull {
+                since,
+                configuration_version,
+            },
+        }
+    }
+}
--- a/crates/core/src/progress.rs
+++ b/crates/core/src/progress.rs
@@ -1,86 +1,30 @@
 //! How a home starts tasks, takes in their results and gives up.
 
-use std::collections::BTreeMap;
-
-use gannetvane_wire::Credit;
 use gannetvane_wire::Finished;
-use gannetvane_wire::MemberState;
-use gannetvane_wire::Message;
 use gannetvane_wire::Name;
-use gannetvane_wire::Needs;
 use gannetvane_wire::NodeId;
-use gannetvane_wire::Preference;
 use gannetvane_wire::Reason;
 use gannetvane_wire::ServiceConfig;
-use gannetvane_wire::SlotCredit;
 use gannetvane_wire::SubmissionId;
 use gannetvane_wire::TaskId;
 use gannetvane_wire::TaskResult;
-use gannetvane_wire::TaskStart;
 
 use crate::Action;
 use crate::Counter;
-use crate::Peer;
 use crate::home::Context;
 use crate::home::Deadline;
 use crate::home::Home;
 use crate::queue::QueuedTask;
-use crate::service::Placement;
-use crate::service::Placing;
 use crate::submission::OpenSubmission;
-use crate::submission::StartedTask;
 use crate::submission::TaskState;
 use crate::table::GENERATION_MS;
 
-/// Least time after which a started task without a result is asked for.
-const MIN_CHECK_MS: u64 = 2_000;
-/// Factor on the time of the slowest usual run before a task is asked for.
-const CHECK_FACTOR: u64 = 2;
-/// Longest interval between two such questions, in milliseconds.
-const MAX_CHECK_MS: u64 = 15_000;
-/// Pause before an agent is asked again after its connection broke first.
-const RECONNECT_MS: u64 = 100;
-/// Times that this pause is doubled at most.
-const MAX_RECONNECT_DOUBLINGS: u32 = 5;
-/// Time to wait for results of an agent that left as planned, in milliseconds.
-const RESULTS_OF_LEFT_MS: u64 = 2_000;
 /// Attempts at a task, all but the last not started, before it is given up.
 const MAX_ATTEMPTS: u16 = 8;
-/// Most credits asked for in one message.
-const MAX_ASKED_CREDITS: usize = 64;
-/// Most other homes that are asked.
-const MAX_ASKED_HOMES: usize = 3;
 /// When to come back after work was lost, in milliseconds.
 const RETRY_AFTER_LOSS_MS: u32 = 1_000;
 
 impl Home {
-    /// Starts waiting tasks while there are credits.
-    pub(crate) fn dispatch(&mut self, ctx: &mut Context<'_>, name: &Name) {
-        let Some(service) = self.services.get(name) else {
-            return;
-        };
-        if service.queue.is_empty() {
-            self.lend(ctx, name);
-            return;
-        }
-        self.lend_to_more_urgent(ctx, name);
-        let mut starts: BTreeMap<Peer, Vec<TaskStart>> = BTreeMap::new();
-        let mut last = None;
-        while let Some(placement) = self.place_next(ctx, name, last) {
-            last = Some(placement);
-            if let Some((agent, start)) = self.start(ctx, placement) {
-                starts.entry(agent).or_default().push(start);
-            }
-        }
-        for (to, batch) in starts {
-            ctx.actions.push(Action::Send {
-                to,
-                message: Message::Start(batch),
-            });
-        }
-        self.ask_for_credits(ctx, name);
-    }
-
     /// Takes in the ends of tasks from an agent.
     pub(crate) fn finished(&mut self, ctx: &mut Context<'_>, batch: Vec<Finished>) {
         let mut touched: Vec<Name> = Vec::new();
@@ -98,125 +42,6 @@
         }
     }
 
-    /// Takes in credits from an agent or another home.
-    pub(crate) fn granted(
-        &mut self,
-        ctx: &mut Context<'_>,
-        from: Peer,
-        name: &Name,
-        credits: &[SlotCredit],
-    ) {
-        let service = self.services.entry(name.clone()).or_default();
-        service.lending.forget(from);
-        for granted in credits {
-            let idle_since_ms = ctx.now_ms.saturating_sub(granted.idle_ms);
-            service
-                .credits
-                .add(granted.credit, idle_since_ms, ctx.now_ms);
-        }
-        self.dispatch(ctx, name);
-    }
-
-    /// Another home is short of credits.
-    pub(crate) fn credits_requested(
-        &mut self,
-        ctx: &mut Context<'_>,
-        name: &Name,
-        asker: Peer,
-        wanted: u32,
-        overdue_ms: i64,
-    ) {
-        let service = self.services.entry(name.clone()).or_default();
-        service
-            .lending
-            .remember(ctx.now_ms, asker, wanted as usize, overdue_ms);
-        self.dispatch(ctx, name);
-    }
-
-    /// An agent will never take work again.
-    pub(crate) fn agent_gone(&mut self, ctx: &mut Context<'_>, agent: NodeId) {
-        for service in self.services.values_mut() {
-            service.forget_agent(agent);
-        }
-        match ctx.view.state(agent) {
-            // It finished what it had; the news may overtake the results.
-            Some(MemberState::Left { .. }) => {
-                self.departed.insert(agent, ctx.now_ms + RESULTS_OF_LEFT_MS);
-            }
-            _ => self.lose_tasks_of(ctx, agent),
-        }
-    }
-
-    fn lose_tasks_of_departed(&mut self, ctx: &mut Context<'_>) {
-        let is_due = |due_ms: &u64| *due_ms <= ctx.now_ms;
-        let due: Vec<NodeId> = self
-            .departed
-            .iter()
-            .filter(|(_, due_ms)| is_due(due_ms))
-            .map(|(node, _)| *node)
-            .collect();
-        for agent in due {
-            self.departed.remove(&agent);
-            self.lose_tasks_of(ctx, agent);
-        }
-    }
-
-    /// What ran on an agent that will not answer has no known end.
-    fn lose_tasks_of(&mut self, ctx: &mut Context<'_>, agent: NodeId) {
-        let affected: Vec<SubmissionId> = self
-            .open
-            .iter()
-            .filter(|(_, open)| !open.running_on(agent).is_empty())
-            .map(|(id, _)| *id)
-            .collect();
-        for id in affected {
-            let lost = self
-                .open
-                .get(&id)
-                .map(|open| open.running_on(agent))
-                .unwrap_or_default();
-            for index in lost {
-                self.lost_task(ctx, id, index);
-            }
-        }
-        let names: Vec<Name> = self.services.keys().cloned().collect();
-        for name in names {
-            self.dispatch(ctx, &name);
-        }
-    }
-
-    /// The connection to an address broke: messages may be lost, so ask soon.
-    pub(crate) fn peer_down(&mut self, now_ms: u64, addr: std::net::SocketAddr) {
-        for task in self.open.values_mut().flat_map(|open| &mut open.tasks) {
-            if let TaskState::Started(started) = &mut task.state
-                && started.agent.addr == addr
-            {
-                let pause_ms = RECONNECT_MS << started.reconnects.min(MAX_RECONNECT_DOUBLINGS);
-                started.check_at_ms = started.check_at_ms.min(now_ms + pause_ms);
-                started.reconnects += 1;
-            }
-        }
-    }
-
-    /// Starts that never left this process: their tasks can go elsewhere.
-    pub(crate) fn undelivered(&mut self, ctx: &mut Context<'_>, starts: &[TaskStart]) {
-        let unstarted = starts.iter().filter(|start| self.was_sent_once(start));
-        let batch = unstarted.map(|start| Finished {
-            task_id: start.task_id,
-            result: TaskResult::NotStarted(Reason::AgentUnreachable),
-            run_ms: 0,
-            next_credit: None,
-        });
-        let batch = batch.collect();
-        self.finished(ctx, batch);
-    }
-
-    fn was_sent_once(&self, start: &TaskStart) -> bool {
-        let open = self.open.get(&start.task_id.submission);
-        open.and_then(|open| open.started(start.task_id.index, start.task_id.attempt))
-            .is_some_and(|started| !started.is_resent)
-    }
-
     /// Gives up what is past its deadline.
     pub(crate) fn expire_deadlines(&mut self, ctx: &mut Context<'_>) {
         while let Some(first) = self.deadlines.first().copied() {
@@ -246,7 +71,7 @@
         }
     }
 
-    fn refresh_group(&mut self, ctx: &Context<'_>, name: &Name) {
+    pub(crate) fn refresh_group(&mut self, ctx: &Context<'_>, name: &Name) {
         let Some(service) = self.services.get_mut(name) else {
             return;
         };
@@ -269,84 +94,7 @@
         service.credits.expire(ctx.now_ms);
     }
 
-    /// The next task and its slot. What can no longer end before its deadline
-    /// is given up instead, so that it takes no slot from others.
-    fn place_next(
-        &mut self,
-        ctx: &mut Context<'_>,
-        name: &Name,
-        last: Option<Placement>,
-    ) -> Option<Placement> {
-        loop {
-            let placement = self.choose_next(ctx, name, last)?;
-            let open = self.open.get(&placement.id)?;
-            let end_ms = ctx.now_ms + u64::from(placement.task.estimate_ms);
-            if end_ms <= open.deadline_at_ms {
-                return Some(placement);
-            }
-            let at_ms = open.deadline_at_ms;
-            let service = self.services.get_mut(name)?;
-            service
-                .credits
-                .add(placement.credit, ctx.now_ms, ctx.now_ms);
-            let deadline = Deadline {
-                at_ms,
-                id: placement.id,
-            };
-            self.give_up(ctx, deadline, Reason::DeadlineUnreachable);
-        }
-    }
-
-    fn choose_next(
-        &mut self,
-        ctx: &Context<'_>,
-        name: &Name,
-        last: Option<Placement>,
-    ) -> Option<Placement> {
-        let open = &self.open;
-        let service = self.services.get_mut(name)?;
-        let homes = u32::try_from(service.group.len()).unwrap_or(1);
-        let teams = service
-            .teams
-            .order(service.queue.teams(), &ctx.configuration.teams, homes);
-        let config = ctx.configuration.services.get(name);
-        let placing = Placing {
-            now_ms: ctx.now_ms,
-            view: ctx.view,
-            teams: &teams,
-            preference: config.map_or(Preference::ResponseTime, |config| config.preference),
-            last,
-        };
-        service.place(&placing, |id, index| needs_of(open.get(&id), index))
-    }
-
-    fn start(&mut self, ctx: &Context<'_>, placement: Placement) -> Option<(Peer, TaskStart)> {
-        let Placement { id, task, credit } = placement;
-        let open = self.open.get_mut(&id)?;
-        let agent = ctx.view.peer(credit.agent)?;
-        let service = self.services.get_mut(&open.submission.service)?;
-        let wire_task = open.submission.tasks.get(usize::from(task.index))?;
-        let usual_ms = service
-            .estimates
-            .straggler_ms(&wire_task.kind, wire_task.declared_ms);
-        let check_interval_ms = (u64::from(usual_ms) * CHECK_FACTOR).max(MIN_CHECK_MS);
-        let check_at_ms = ctx.now_ms + check_interval_ms;
-        let started = StartedTask {
-            credit,
-            agent,
-            check_at_ms,
-            check_interval_ms,
-            is_resent: false,
-            reconnects: 0,
-        };
-        service.running += 1;
-        service.teams.started(&open.submission.team);
-        service.health.started(credit.agent);
-        open.tasks[usize::from(task.index)].state = TaskState::Started(started);
-        Some((agent, open.task_start(ctx.now_ms, id, task.index, credit)))
-    }
-
-    fn service_of(&self, ctx: &Context<'_>, finished: &Finished) -> Option<Name> {
+    pub(crate) fn service_of(&self, ctx: &Context<'_>, finished: &Finished) -> Option<Name> {
         if let Some(open) = self.open.get(&finished.task_id.submission) {
             return Some(open.submission.service.clone());
         }
@@ -358,7 +106,7 @@
             .map(|member| member.service.clone())
     }
 
-    fn finished_one(&mut self, ctx: &mut Context<'_>, name: &Name, finished: Finished) {
+    pub(crate) fn finished_one(&mut self, ctx: &mut Context<'_>, name: &Name, finished: Finished) {
         let Finished {
             task_id,
             result,
@@ -382,7 +130,7 @@
         }
     }
 
-    fn note_health(
+    pub(crate) fn note_health(
         &mut self,
         ctx: &mut Context<'_>,
         name: &Name,
@@ -406,7 +154,7 @@
         }
     }
 
-    fn end_attempt(
+    pub(crate) fn end_attempt(
         &mut self,
         ctx: &mut Context<'_>,
         task_id: TaskId,
@@ -438,20 +186,9 @@
         }
     }
 
-    fn lost_task(&mut self, ctx: &mut Context<'_>, id: SubmissionId, index: u16) {
-        if !self.open.contains_key(&id) {
-            return;
-        }
-        ctx.actions
-            .push(Action::log("task-lost", format_args!("{id}/{index}")));
-        self.free_slot_of(id);
-        self.set_state(id, index, TaskState::Unknown);
-        self.retry_or_close(ctx, id, index, Reason::AgentLost);
-    }
-
     /// A task that may have run is tried again only if it is repeatable and
     /// the budget allows it.
-    fn retry_or_close(
+    pub(crate) fn retry_or_close(
         &mut self,
         ctx: &mut Context<'_>,
         id: SubmissionId,
@@ -480,12 +217,17 @@
         }
     }
 
-    fn close_after_loss(&mut self, ctx: &mut Context<'_>, id: SubmissionId, reason: Reason) {
+    pub(crate) fn close_after_loss(
+        &mut self,
+        ctx: &mut Context<'_>,
+        id: SubmissionId,
+        reason: Reason,
+    ) {
         let retry_after_ms = (reason != Reason::TaskFailed).then_some(RETRY_AFTER_LOSS_MS);
         self.close(ctx, id, reason, retry_after_ms);
     }
 
-    fn requeue_unstarted(
+    pub(crate) fn requeue_unstarted(
         &mut self,
         ctx: &mut Context<'_>,
         id: SubmissionId,
@@ -504,7 +246,7 @@
         }
     }
 
-    fn requeue(&mut self, id: SubmissionId, index: u16, may_have_run: bool) {
+    pub(crate) fn requeue(&mut self, id: SubmissionId, index: u16, may_have_run: bool) {
         let Some(open) = self.open.get_mut(&id) else {
             return;
         };
@@ -526,7 +268,7 @@
             .push(id, &open.submission.team, open.arrived_ms, queued);
     }
 
-    fn free_slot_of(&mut self, id: SubmissionId) {
+    pub(crate) fn free_slot_of(&mut self, id: SubmissionId) {
         if let Some(open) = self.open.get(&id)
             && let Some(service) = self.services.get_mut(&open.submission.service)
         {
@@ -535,7 +277,7 @@
         }
     }
 
-    fn observe(&mut self, id: SubmissionId, index: u16, run_ms: u32) {
+    pub(crate) fn observe(&mut self, id: SubmissionId, index: u16, run_ms: u32) {
         if let Some(open) = self.open.get(&id)
             && let Some(service) = self.services.get_mut(&open.submission.service)
         {
@@ -546,13 +288,13 @@
         }
     }
 
-    fn set_state(&mut self, id: SubmissionId, index: u16, state: TaskState) {
+    pub(crate) fn set_state(&mut self, id: SubmissionId, index: u16, state: TaskState) {
         if let Some(open) = self.open.get_mut(&id) {
             open.tasks[usize::from(index)].state = state;
         }
     }
 
-    fn give_up(&mut self, ctx: &mut Context<'_>, deadline: Deadline, reason: Reason) {
+    pub(crate) fn give_up(&mut self, ctx: &mut Context<'_>, deadline: Deadline, reason: Reason) {
         let Some(open) = self.open.get(&deadline.id) else {
             return;
         };
@@ -565,145 +307,4 @@
             .max(RETRY_AFTER_LOSS_MS);
         self.close(ctx, deadline.id, reason, Some(retry_after_ms));
     }
-
-    /// Sends the start again of each task that has been silent for too long;
-    /// the agent answers with what it knows of it.
-    fn check_started(&mut self, ctx: &mut Context<'_>) {
-        for (id, open) in &mut self.open {
-            let due: Vec<(u16, Credit)> = open
-                .running()
-                .filter(|(_, started)| started.check_at_ms <= ctx.now_ms)
-                .map(|(index, started)| (index, started.credit))
-                .collect();
-            for (index, credit) in due {
-                let start = open.task_start(ctx.now_ms, *id, index, credit);
-                if let TaskState::Started(started) = &mut open.tasks[usize::from(index)].state {
-                    started.is_resent = true;
-                    started.check_interval_ms = (started.check_interval_ms * 2).min(MAX_CHECK_MS);
-                    started.check_at_ms = ctx.now_ms + started.check_interval_ms;
-                    ctx.actions
-                        .push(Action::Count(Counter::Resent(Reason::HomeSilent)));
-                    let message = Message::Start(vec![start]);
-                    ctx.actions.push(Action::Send {
-                        to: started.agent,
-                        message,
-                    });
-                }
-            }
-        }
-    }
-
-    /// Passes spare credits to homes that are short, and all of them when this
-    /// agent is no longer a home of the service.
-    fn lend(&mut self, ctx: &mut Context<'_>, name: &Name) {
-        let me = self.table.home();
-        let Some(service) = self.services.get_mut(name) else {
-            return;
-        };
-        service.lending.satisfied();
-        while let Some(loan) = service.lending.next_loan(ctx.now_ms) {
-            let spare = service.credits.take_spare(ctx.now_ms, loan.wanted);
-            if spare.is_empty() {
-                return;
-            }
-            service.lending.lent(spare.len());
-            ctx.actions.push(grant(loan.to, name, spare));
-        }
-        let is_home = service.group.iter().any(|peer| peer.node == Some(me));
-        let Some(heir) = service.group.first().copied().filter(|_| !is_home) else {
-            return;
-        };
-        let spare = service.credits.take_spare(ctx.now_ms, usize::MAX);
-        if !spare.is_empty() {
-            ctx.actions.push(grant(heir, name, spare));
-        }
-    }
-
-    /// Passes a slot on although tasks wait here, when another home's first
-    /// task should have had its turn much earlier.
-    fn lend_to_more_urgent(&mut self, ctx: &mut Context<'_>, name: &Name) {
-        let Some(service) = self.services.get_mut(name) else {
-            return;
-        };
-        let Some(overdue_ms) = service.queue.overdue_ms(ctx.now_ms) else {
-            return;
-        };
-        while !service.credits.is_empty() {
-            let Some(loan) = service.lending.next_urgent_loan(ctx.now_ms, overdue_ms) else {
-                return;
-            };
-            let spare = service.credits.take_spare(ctx.now_ms, loan.wanted);
-            if !spare.is_empty() {
-                ctx.actions.push(grant(loan.to, name, spare));
-            }
-        }
-    }
-
-    fn ask_for_credits(&mut self, ctx: &mut Context<'_>, name: &Name) {
-        let me = self.table.home();
-        let Some(service) = self.services.get_mut(name) else {
-            return;
-        };
-        if service.queue.is_empty() {
-            service.lending.satisfied();
-            return;
-        }
-        if service.group.iter().all(|peer| peer.node == Some(me)) {
-            return;
-        }
-        if !service.lending.should_ask(ctx.now_ms) {
-            return;
-        }
-        let wanted = u32::try_from(service.queue.len().min(MAX_ASKED_CREDITS)).unwrap_or(u32::MAX);
-        let overdue_ms = service.queue.overdue_ms(ctx.now_ms).unwrap_or(0);
-        let others = service.group.iter().filter(|peer| peer.node != Some(me));
-        for peer in others.take(MAX_ASKED_HOMES) {
-            let message = Message::CreditRequest {
-                service: name.clone(),
-                wanted,
-                overdue_ms,
-            };
-            ctx.actions.push(Action::Send { to: *peer, message });
-        }
-    }
-}
-
-impl OpenSubmission {
-    /// The message that starts a task of this submission.
-    pub(crate) fn task_start(
-        &self,
-        now_ms: u64,
-        id: SubmissionId,
-        index: u16,
-        credit: Credit,
-    ) -> TaskStart {
-        let attempt = self.tasks[usize::from(index)].attempt;
-        TaskStart {
-            task_id: TaskId {
-                submission: id,
-                index,
-                attempt,
-            },
-            credit,
-            task: self.submission.tasks[usize::from(index)].clone(),
-            repeatable: self.submission.repeatable,
-            remaining_ms: self.deadline_at_ms.saturating_sub(now_ms),
-        }
-    }
-}
-
-fn grant(to: Peer, name: &Name, credits: Vec<SlotCredit>) -> Action {
-    Action::Send {
-        to,
-        message: Message::CreditGrant {
-            service: name.clone(),
-            credits,
-        },
-    }
-}
-
-fn needs_of(open: Option<&OpenSubmission>, index: u16) -> Needs {
-    open.and_then(|open| open.submission.tasks.get(usize::from(index)))
-        .map(|task| task.needs)
-        .unwrap_or_default()
 }
--- /dev/null
+++ b/crates/core/src/recovery.rs
@@ -0,0 +1,152 @@
+//! What a home does when agents die, leave or fall silent.
+
+use gannetvane_wire::Credit;
+use gannetvane_wire::Finished;
+use gannetvane_wire::MemberState;
+use gannetvane_wire::Message;
+use gannetvane_wire::Name;
+use gannetvane_wire::NodeId;
+use gannetvane_wire::Reason;
+use gannetvane_wire::SubmissionId;
+use gannetvane_wire::TaskResult;
+use gannetvane_wire::TaskStart;
+
+use crate::Action;
+use crate::Counter;
+use crate::home::Context;
+use crate::home::Home;
+use crate::submission::TaskState;
+
+/// Time to wait for results of an agent that left as planned, in milliseconds.
+const RESULTS_OF_LEFT_MS: u64 = 2_000;
+/// Times that this pause is doubled at most.
+const MAX_RECONNECT_DOUBLINGS: u32 = 5;
+
+/// Pause before an agent is asked again after its connection broke first.
+const RECONNECT_MS: u64 = 100;
+/// Longest interval between two such questions, in milliseconds.
+const MAX_CHECK_MS: u64 = 15_000;
+
+impl Home {
+    /// An agent will never take work again.
+    pub(crate) fn agent_gone(&mut self, ctx: &mut Context<'_>, agent: NodeId) {
+        for service in self.services.values_mut() {
+            service.forget_agent(agent);
+        }
+        match ctx.view.state(agent) {
+            // It finished what it had; the news may overtake the results.
+            Some(MemberState::Left { .. }) => {
+                self.departed.insert(agent, ctx.now_ms + RESULTS_OF_LEFT_MS);
+            }
+            _ => self.lose_tasks_of(ctx, agent),
+        }
+    }
+
+    pub(crate) fn lose_tasks_of_departed(&mut self, ctx: &mut Context<'_>) {
+        let is_due = |due_ms: &u64| *due_ms <= ctx.now_ms;
+        let due: Vec<NodeId> = self
+            .departed
+            .iter()
+            .filter(|(_, due_ms)| is_due(due_ms))
+            .map(|(node, _)| *node)
+            .collect();
+        for agent in due {
+            self.departed.remove(&agent);
+            self.lose_tasks_of(ctx, agent);
+        }
+    }
+
+    /// What ran on an agent that will not answer has no known end.
+    pub(crate) fn lose_tasks_of(&mut self, ctx: &mut Context<'_>, agent: NodeId) {
+        let affected: Vec<SubmissionId> = self
+            .open
+            .iter()
+            .filter(|(_, open)| !open.running_on(agent).is_empty())
+            .map(|(id, _)| *id)
+            .collect();
+        for id in affected {
+            let lost = self
+                .open
+                .get(&id)
+                .map(|open| open.running_on(agent))
+                .unwrap_or_default();
+            for index in lost {
+                self.lost_task(ctx, id, index);
+            }
+        }
+        let names: Vec<Name> = self.services.keys().cloned().collect();
+        for name in names {
+            self.dispatch(ctx, &name);
+        }
+    }
+
+    pub(crate) fn lost_task(&mut self, ctx: &mut Context<'_>, id: SubmissionId, index: u16) {
+        if !self.open.contains_key(&id) {
+            return;
+        }
+        ctx.actions
+            .push(Action::log("task-lost", format_args!("{id}/{index}")));
+        self.free_slot_of(id);
+        self.set_state(id, index, TaskState::Unknown);
+        self.retry_or_close(ctx, id, index, Reason::AgentLost);
+    }
+
+    /// The connection to an address broke: messages may be lost, so ask soon.
+    pub(crate) fn peer_down(&mut self, now_ms: u64, addr: std::net::SocketAddr) {
+        for task in self.open.values_mut().flat_map(|open| &mut open.tasks) {
+            if let TaskState::Started(started) = &mut task.state
+                && started.agent.addr == addr
+            {
+                let pause_ms = RECONNECT_MS << started.reconnects.min(MAX_RECONNECT_DOUBLINGS);
+                started.check_at_ms = started.check_at_ms.min(now_ms + pause_ms);
+                started.reconnects += 1;
+            }
+        }
+    }
+
+    /// Starts that never left this process: their tasks can go elsewhere.
+    pub(crate) fn undelivered(&mut self, ctx: &mut Context<'_>, starts: &[TaskStart]) {
+        let unstarted = starts.iter().filter(|start| self.was_sent_once(start));
+        let batch = unstarted.map(|start| Finished {
+            task_id: start.task_id,
+            result: TaskResult::NotStarted(Reason::AgentUnreachable),
+            run_ms: 0,
+            next_credit: None,
+        });
+        let batch = batch.collect();
+        self.finished(ctx, batch);
+    }
+
+    pub(crate) fn was_sent_once(&self, start: &TaskStart) -> bool {
+        let open = self.open.get(&start.task_id.submission);
+        open.and_then(|open| open.started(start.task_id.index, start.task_id.attempt))
+            .is_some_and(|started| !started.is_resent)
+    }
+
+    /// Sends the start again of each task that has been silent for too long;
+    /// the agent answers with what it knows of it.
+    pub(crate) fn check_started(&mut self, ctx: &mut Context<'_>) {
+        for (id, open) in &mut self.open {
+            let due: Vec<(u16, Credit)> = open
+                .running()
+                .filter(|(_, started)| started.check_at_ms <= ctx.now_ms)
+                .map(|(index, started)| (index, started.credit))
+                .collect();
+            for (index, credit) in due {
+                let start = open.task_start(ctx.now_ms, *id, index, credit);
+                if let TaskState::Started(started) = &mut open.tasks[usize::from(index)].state {
+                    started.is_resent = true;
+                    started.check_interval_ms = (started.check_interval_ms * 2).min(MAX_CHECK_MS);
+                    started.check_at_ms = ctx.now_ms + started.check_interval_ms;
+                    ctx.actions
+                        .push(Action::Count(Counter::Resent(Reason::HomeSilent)));
+                    let message = Message::Start(vec![start]);
+                    ctx.actions.push(Action::Send {
+                        to: started.agent,
+                        message,
+                    });
+                }
+            }
+        }
+    }
+}
--- a/crates/core/src/submission.rs
+++ b/crates/core/src/submission.rs
@@ -10,7 +10,10 @@
 use gannetvane_wire::Ran;
 use gannetvane_wire::Reason;
 use gannetvane_wire::Submission;
+use gannetvane_wire::SubmissionId;
+use gannetvane_wire::TaskId;
 use gannetvane_wire::TaskReport;
+use gannetvane_wire::TaskStart;
 use gannetvane_wire::TaskStatus;
 
 use crate::Peer;
@@ -208,3 +211,27 @@
     };
     TaskReport { output, ..report }
 }
+
+impl OpenSubmission {
+    /// The message that starts a task of this submission.
+    pub(crate) fn task_start(
+        &self,
+        now_ms: u64,
+        id: SubmissionId,
+        index: u16,
+        credit: Credit,
+    ) -> TaskStart {
+        let attempt = self.tasks[usize::from(index)].attempt;
+        TaskStart {
+            task_id: TaskId {
+                submission: id,
+                index,
+                attempt,
+            },
+            credit,
+            task: self.submission.tasks[usize::from(index)].clone(),
+            repeatable: self.submission.repeatable,
+            remaining_ms: self.deadline_at_ms.saturating_sub(now_ms),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/waiting.rs
@@ -0,0 +1,92 @@
+//! Callers that wait at an entry for the answer to one submission.
+
+use std::sync::Arc;
+
+use gannetvane_wire::Message;
+use gannetvane_wire::Submission;
+use gannetvane_wire::SubmissionId;
+
+use crate::Action;
+use crate::CallerId;
+use crate::Peer;
+
+/// Longest such time.
+const MAX_RESEND_MS: u64 = 20_000;
+/// Time after which a submission without an answer is sent again, at first.
+const FIRST_RESEND_MS: u64 = 5_000;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct WaitKey {
+    pub(crate) id: SubmissionId,
+    pub(crate) fingerprint: u64,
+}
+
+/// What the callers of one submission wait for.
+#[derive(Clone, Debug)]
+pub(crate) enum Request {
+    Submit(Arc<Submission>),
+    Lookup,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Waiting {
+    pub(crate) request: Request,
+    pub(crate) callers: Vec<Caller>,
+    pub(crate) sent_to: Option<Peer>,
+    pub(crate) next_send_ms: u64,
+    pub(crate) interval_ms: u64,
+    pub(crate) is_cancel: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Caller {
+    pub(crate) id: CallerId,
+    pub(crate) deadline_at_ms: u64,
+}
+
+impl Waiting {
+    pub(crate) fn new(request: Request, now_ms: u64) -> Self {
+        Self {
+            request,
+            callers: Vec::new(),
+            sent_to: None,
+            next_send_ms: now_ms,
+            interval_ms: FIRST_RESEND_MS,
+            is_cancel: false,
+        }
+    }
+
+    pub(crate) fn send(
+        &mut self,
+        now_ms: u64,
+        key: WaitKey,
+        to: Peer,
+        configuration_version: u64,
+    ) -> Action {
+        self.sent_to = Some(to);
+        self.next_send_ms = now_ms + self.interval_ms;
+        self.interval_ms = (self.interval_ms * 2).min(MAX_RESEND_MS);
+        let latest = self
+            .callers
+            .iter()
+            .map(|caller| caller.deadline_at_ms)
+            .max()
+            .unwrap_or(now_ms);
+        let submission = match &self.request {
+            Request::Submit(submission) => Some(Arc::clone(submission)),
+            Request::Lookup => None,
+        };
+        let message = if self.is_cancel {
+            Message::Cancel { id: key.id }
+        } else {
+            Message::Submit {
+                id: key.id,
+                submission,
+                fingerprint: key.fingerprint,
+                remaining_ms: latest.saturating_sub(now_ms),
+                configuration_version,
+            }
+        };
+        Action::Send { to, message }
+    }
+}
--- a/crates/daemon/src/connection.rs
+++ b/crates/daemon/src/connection.rs
@@ -13,7 +13,7 @@
 /// Bytes of the length before each frame.
 const LENGTH_BYTES: usize = 4;
 /// Bytes that one read takes at most.
-const READ_BYTES: usize = 64 * 1024;
+pub(crate) const READ_BYTES: usize = 64 * 1024;
 /// Bytes that may wait to be written before the connection is given up.
 const MAX_QUEUED_BYTES: usize = 64 * 1024 * 1024;
 
@@ -94,12 +94,11 @@
         Ok(())
     }
 
-    /// Reads all that is there.
-    pub(crate) fn receive(&mut self) -> Received {
+    /// Reads all that is there, through a buffer that the caller keeps.
+    pub(crate) fn receive(&mut self, chunk: &mut [u8]) -> Received {
         let mut result = Received::default();
-        let mut chunk = vec![0; READ_BYTES];
         loop {
-            match self.stream.read(&mut chunk) {
+            match self.stream.read(chunk) {
                 Ok(0) => {
                     result.is_broken = true;
                     break;
--- /dev/null
+++ b/crates/daemon/src/event_loop.rs
@@ -0,0 +1,268 @@
+//! The event loop of a process: one thread feeds the core and carries out
+//! what it decides.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use crossbeam::channel::Receiver;
+use crossbeam::channel::RecvTimeoutError;
+use crossbeam::channel::Sender;
+use gannetvane_core::Action;
+use gannetvane_core::CallerId;
+use gannetvane_core::Peer;
+use gannetvane_core::Reply;
+use gannetvane_wire::Message;
+use gannetvane_wire::NodeId;
+use gannetvane_wire::TaskId;
+use gannetvane_wire::TaskStart;
+use slog::Logger;
+use slog::debug;
+use slog::info;
+use slog::warn;
+
+use crate::clock::Clock;
+use crate::clock::SystemClock;
+use crate::http::HttpServer;
+use crate::input::Input;
+use crate::metrics::Metrics;
+use crate::minion::MinionWorkers;
+use crate::net::Identity;
+use crate::net::Network;
+use crate::net::Transport;
+use crate::platform::HttpLog;
+use crate::platform::LogCall;
+use crate::platform::LogReply;
+use crate::platform::LogWorker;
+use crate::process::ProcessError;
+use crate::process::start_error;
+use crate::role::Core;
+use crate::role::CoreInput;
+use crate::settings::Settings;
+
+/// Interval between announcements until one is known to be in the log.
+const ANNOUNCE_AGAIN_MS: u64 = 30_000;
+
+/// An agent announces itself again after this share of the log's retention.
+const ANNOUNCEMENTS_PER_RETENTION: u64 = 3;
+
+/// Interval between looks for first contacts while no agent is known.
+const CONTACTS_MS: u64 = 2_000;
+
+/// Interval between records of the sizes, in milliseconds.
+const SIZES_MS: u64 = 1_000;
+
+/// Interval between ticks of the core.
+const TICK: Duration = Duration::from_millis(10);
+
+/// The means of a process.
+pub(crate) struct Parts {
+    pub(crate) addr: SocketAddr,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) transport: Box<dyn Transport>,
+    pub(crate) log: LogWorker,
+    pub(crate) log_retention_ms: u64,
+    pub(crate) minion: Option<MinionWorkers>,
+    pub(crate) announces: bool,
+    pub(crate) is_ready: Arc<AtomicBool>,
+}
+
+impl Parts {
+    pub(crate) fn start(
+        settings: &Settings,
+        node: NodeId,
+        inputs: Sender<Input>,
+    ) -> Result<Self, ProcessError> {
+        let clock: Arc<dyn Clock> = Arc::new(SystemClock::default());
+        let metrics = Arc::new(Metrics::new());
+        let addr = settings.node.address;
+        let me = Identity { node, addr };
+        let network = Network::start(me, inputs.clone(), Arc::clone(&metrics), Arc::clone(&clock))
+            .map_err(|source| start_error(&format!("address {addr}"), source))?;
+        let timeout = Duration::from_millis(settings.log.timeout_ms);
+        let balancer_url = settings.contact.balancer_url.as_deref();
+        let client = HttpLog::new(&settings.log.url, balancer_url, timeout);
+        let log = LogWorker::start(Box::new(client), inputs)
+            .map_err(|source| start_error("log thread", source))?;
+        Ok(Self {
+            addr,
+            clock,
+            metrics,
+            transport: Box::new(network),
+            log,
+            log_retention_ms: settings.log.retention_ms,
+            minion: None,
+            announces: false,
+            is_ready: Arc::new(AtomicBool::new(false)),
+        })
+    }
+}
+
+pub(crate) struct Loop {
+    core: Box<dyn Core>,
+    parts: Parts,
+    http: HttpServer,
+    log: Logger,
+    stop: Arc<AtomicBool>,
+    is_stopping: bool,
+    is_over: bool,
+    callers: BTreeMap<CallerId, Sender<Reply>>,
+    next_caller: u64,
+    next_sizes_ms: u64,
+    next_contacts_ms: u64,
+    next_announcement_ms: u64,
+}
+
+impl Loop {
+    pub(crate) fn new(
+        core: Box<dyn Core>,
+        parts: Parts,
+        http: HttpServer,
+        log: Logger,
+        stop: Arc<AtomicBool>,
+    ) -> Self {
+        let now_ms = parts.clock.now_ms();
+        Self {
+            core,
+            parts,
+            http,
+            log,
+            stop,
+            is_stopping: false,
+            is_over: false,
+            callers: BTreeMap::new(),
+            next_caller: 0,
+            next_sizes_ms: now_ms,
+            next_contacts_ms: now_ms,
+            next_announcement_ms: now_ms,
+        }
+    }
+
+    pub(crate) fn run(mut self, queue: &Receiver<Input>) {
+        let mut next_tick = std::time::Instant::now();
+        while !self.is_over {
+            match queue.recv_deadline(next_tick) {
+                Ok(input) => self.handle(input),
+                Err(RecvTimeoutError::Timeout) => {
+                    next_tick = std::time::Instant::now() + TICK;
+                    self.tick();
+                }
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+        }
+    }
+
+    fn handle(&mut self, input: Input) {
+        let input = match input {
+            Input::Message(envelope) => CoreInput::Message(envelope),
+            Input::PeerDown(addr) => CoreInput::PeerDown(addr),
+            Input::Undelivered(message) => CoreInput::Undelivered(message),
+            Input::TaskEnded { credit, result } => CoreInput::TaskEnded(credit, result),
+            Input::Asked(asked) => {
+                let caller = CallerId(self.next_caller);
+                self.next_caller += 1;
+                self.callers.insert(caller, asked.reply_to);
+                CoreInput::Command(caller, asked.command)
+            }
+            Input::Log(LogReply::Page(page)) => CoreInput::LogPage(page),
+            Input::Log(LogReply::Announced) => return self.announced(),
+            Input::Log(LogReply::Contacts(contacts)) => return self.core.add_contacts(contacts),
+            Input::Log(LogReply::Failed(error)) => {
+                warn!(self.log, "log-call-failed"; "error" => %error);
+                CoreInput::LogFailed
+            }
+            Input::Failed(error) => {
+                warn!(self.log, "network-error"; "error" => error);
+                return;
+            }
+        };
+        let now_ms = self.parts.clock.now_ms();
+        let actions = self.core.input(now_ms, input);
+        self.carry_out(actions);
+    }
+
+    fn tick(&mut self) {
+        let now_ms = self.parts.clock.now_ms();
+        if self.stop.load(Ordering::SeqCst) && !self.is_stopping {
+            self.is_stopping = true;
+            info!(self.log, "stop-requested");
+            let actions = self.core.begin_stop(now_ms);
+            self.carry_out(actions);
+        }
+        let actions = self.core.tick(now_ms);
+        self.carry_out(actions);
+        self.parts
+            .is_ready
+            .store(self.core.is_ready(), Ordering::SeqCst);
+        self.is_over |= self.core.may_stop(now_ms, &self.http);
+        if now_ms >= self.next_sizes_ms {
+            self.next_sizes_ms = now_ms + SIZES_MS;
+            self.parts.metrics.sizes(self.core.sizes());
+        }
+        if self.core.is_alone() && now_ms >= self.next_contacts_ms {
+            self.next_contacts_ms = now_ms + CONTACTS_MS;
+            self.parts.log.call(LogCall::FindContacts);
+        }
+        if self.parts.announces && now_ms >= self.next_announcement_ms {
+            self.announce(now_ms);
+        }
+    }
+
+    fn announce(&mut self, now_ms: u64) {
+        self.next_announcement_ms = now_ms + ANNOUNCE_AGAIN_MS;
+        self.parts.log.call(LogCall::Announce(self.parts.addr));
+    }
+
+    fn announced(&mut self) {
+        let interval_ms = self.parts.log_retention_ms / ANNOUNCEMENTS_PER_RETENTION;
+        self.next_announcement_ms = self.parts.clock.now_ms() + interval_ms;
+    }
+
+    fn carry_out(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send { to, message } => self.send(to, message),
+                Action::Run(start) => self.run_task(start),
+                Action::StopTask(task_id) => self.stop_task(task_id),
+                Action::Reply { caller, reply } => self.reply(caller, reply),
+                Action::Append(record) => self.parts.log.call(LogCall::Append(record)),
+                Action::ReadLog { from_offset } => {
+                    self.parts.log.call(LogCall::Read { from_offset });
+                }
+                Action::Count(counter) => self.parts.metrics.count(counter),
+                Action::Log(notice) => {
+                    info!(self.log, "{}", notice.event; "subject" => notice.subject);
+                }
+                Action::Stop => self.is_over = true,
+            }
+        }
+    }
+
+    fn send(&self, to: Peer, message: Message) {
+        debug!(self.log, "send"; "to" => %to.addr, "message" => message.name());
+        self.parts.transport.send(to, message);
+    }
+
+    fn run_task(&self, start: TaskStart) {
+        if let Some(minion) = &self.parts.minion {
+            minion.run(start);
+        }
+    }
+
+    fn stop_task(&self, task_id: TaskId) {
+        if let Some(minion) = &self.parts.minion {
+            minion.stop(task_id);
+        }
+    }
+
+    fn reply(&mut self, caller: CallerId, reply: Reply) {
+        if let Some(reply_to) = self.callers.remove(&caller) {
+            // The caller may have gone away.
+            let _ = reply_to.send(reply);
+        }
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,7 +3,9 @@
 
 mod clock;
 mod connection;
+mod event_loop;
 mod http;
+mod input;
 mod logging;
 mod metrics;
 mod minion;
@@ -11,6 +13,7 @@
 mod platform;
 mod problem;
 mod process;
+mod role;
 mod routes;
 pub mod settings;
 
--- a/crates/daemon/src/minion.rs
+++ b/crates/daemon/src/minion.rs
@@ -24,7 +24,7 @@
 use slog::Logger;
 use slog::warn;
 
-use crate::process::Input;
+use crate::input::Input;
 
 /// Largest output of a task in bytes.
 const MAX_OUTPUT_BYTES: u64 = 256 * 1024;
--- a/crates/daemon/src/net.rs
+++ b/crates/daemon/src/net.rs
@@ -37,8 +37,9 @@
 
 use crate::clock::Clock;
 use crate::connection::Connection;
+use crate::connection::READ_BYTES;
+use crate::input::Input;
 use crate::metrics::Metrics;
-use crate::process::Input;
 
 const LISTENER: Token = Token(0);
 const DATAGRAMS: Token = Token(1);
@@ -112,6 +113,7 @@
             by_peer: BTreeMap::new(),
             next_token: FIRST_CONNECTION,
             next_sweep_ms: 0,
+            chunk: vec![0; READ_BYTES],
             inputs,
             to_send,
             metrics,
@@ -143,6 +145,8 @@
     by_peer: BTreeMap<SocketAddr, Token>,
     next_token: usize,
     next_sweep_ms: u64,
+    /// Buffer for reads, kept to spare its allocation.
+    chunk: Vec<u8>,
     inputs: Sender<Input>,
     to_send: Receiver<Outgoing>,
     metrics: Arc<Metrics>,
@@ -209,11 +213,10 @@
     }
 
     fn read_datagrams(&mut self) {
-        let mut buffer = vec![0; 64 * 1024];
         loop {
-            match self.datagrams.recv_from(&mut buffer) {
+            match self.datagrams.recv_from(&mut self.chunk) {
                 Ok((read, _)) => {
-                    self.received(&buffer[..read]);
+                    self.received(&self.chunk[..read]);
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
                 // An earlier datagram met a closed port.
@@ -258,7 +261,7 @@
             return;
         }
         connection.used_ms = now_ms;
-        let received = connection.receive();
+        let received = connection.receive(&mut self.chunk);
         for frame in &received.frames {
             if let Some(from) = self.received(frame) {
                 self.learn_peer(token, from);
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -20,7 +20,7 @@
 use serde::Serialize;
 use thiserror::Error;
 
-use crate::process::Input;
+use crate::input::Input;
 
 /// Stream of configuration records.
 const CONFIGURATION: &str = "configuration";
@@ -243,6 +243,8 @@
 pub(crate) enum LogReply {
     Page(LogPage),
     Contacts(Vec<SocketAddr>),
+    /// The announcement is in the log.
+    Announced,
     Failed(LogError),
 }
 
@@ -273,7 +275,7 @@
         let reply = match call {
             LogCall::Append(record) => log.append(&record).map(|()| None),
             LogCall::Read { from_offset } => log.read(from_offset).map(LogReply::Page).map(Some),
-            LogCall::Announce(addr) => log.announce(addr).map(|()| None),
+            LogCall::Announce(addr) => log.announce(addr).map(|()| Some(LogReply::Announced)),
             LogCall::FindContacts => log.contacts().map(LogReply::Contacts).map(Some),
         };
         let reply = reply.unwrap_or_else(|error| Some(LogReply::Failed(error)));
--- /dev/null
+++ b/crates/daemon/src/role.rs
@@ -0,0 +1,148 @@
+//! The cores of an entry and an agent, as the event loop sees them.
+
+use std::net::SocketAddr;
+
+use gannetvane_core::Action;
+use gannetvane_core::Agent;
+use gannetvane_core::CallerId;
+use gannetvane_core::Command;
+use gannetvane_core::Entry;
+use gannetvane_wire::Credit;
+use gannetvane_wire::Envelope;
+use gannetvane_wire::Message;
+use gannetvane_wire::TaskResult;
+
+use crate::http::HttpServer;
+use crate::metrics::Sizes;
+
+/// The core of a process, whatever its role.
+pub(crate) trait Core {
+    fn input(&mut self, now_ms: u64, input: CoreInput) -> Vec<Action>;
+    fn tick(&mut self, now_ms: u64) -> Vec<Action>;
+    fn add_contacts(&mut self, contacts: Vec<SocketAddr>);
+    fn begin_stop(&mut self, now_ms: u64) -> Vec<Action>;
+    fn is_ready(&self) -> bool;
+    /// Whether a stop that was asked for may end the process now.
+    fn may_stop(&self, now_ms: u64, http: &HttpServer) -> bool;
+    /// Whether no other agent is known.
+    fn is_alone(&self) -> bool;
+    fn sizes(&self) -> Sizes;
+}
+
+/// What a core handles, without the means of the process.
+pub(crate) enum CoreInput {
+    Message(Envelope),
+    PeerDown(SocketAddr),
+    Undelivered(Message),
+    Command(CallerId, Command),
+    TaskEnded(Credit, TaskResult),
+    LogPage(gannetvane_core::LogPage),
+    LogFailed,
+}
+
+pub(crate) struct AgentCore {
+    pub(crate) agent: Agent,
+}
+
+pub(crate) struct EntryCore {
+    pub(crate) entry: Entry,
+    pub(crate) stop_notice_ms: u64,
+    pub(crate) stopping_since_ms: Option<u64>,
+}
+
+impl Core for AgentCore {
+    fn input(&mut self, now_ms: u64, input: CoreInput) -> Vec<Action> {
+        match input {
+            CoreInput::Message(envelope) => self.agent.message(now_ms, envelope),
+            CoreInput::PeerDown(addr) => self.agent.peer_down(now_ms, addr),
+            CoreInput::Undelivered(message) => self.agent.undelivered(now_ms, message),
+            CoreInput::TaskEnded(credit, result) => self.agent.task_ended(now_ms, credit, result),
+            CoreInput::LogPage(page) => self.agent.log_page(now_ms, page),
+            CoreInput::Command(..) | CoreInput::LogFailed => Vec::new(),
+        }
+    }
+
+    fn tick(&mut self, now_ms: u64) -> Vec<Action> {
+        self.agent.tick(now_ms)
+    }
+
+    fn add_contacts(&mut self, contacts: Vec<SocketAddr>) {
+        self.agent.add_contacts(contacts);
+    }
+
+    fn begin_stop(&mut self, now_ms: u64) -> Vec<Action> {
+        self.agent.leave(now_ms)
+    }
+
+    fn is_ready(&self) -> bool {
+        !self.agent.is_leaving()
+    }
+
+    fn may_stop(&self, _now_ms: u64, _http: &HttpServer) -> bool {
+        // The core says when its table has moved.
+        false
+    }
+
+    fn is_alone(&self) -> bool {
+        self.agent.view().len() <= 1
+    }
+
+    fn sizes(&self) -> Sizes {
+        Sizes {
+            waiting: self.agent.open_submissions(),
+            retained: self.agent.retained_submissions(),
+            members: self.agent.view().len(),
+            configuration_version: self.agent.configuration().current().version,
+        }
+    }
+}
+
+impl Core for EntryCore {
+    fn input(&mut self, now_ms: u64, input: CoreInput) -> Vec<Action> {
+        match input {
+            CoreInput::Message(envelope) => self.entry.message(now_ms, envelope),
+            CoreInput::PeerDown(addr) => self.entry.peer_down(now_ms, addr),
+            CoreInput::Command(caller, command) => self.entry.command(now_ms, caller, command),
+            CoreInput::LogPage(page) => self.entry.log_page(now_ms, page),
+            CoreInput::LogFailed => self.entry.log_failed(),
+            CoreInput::Undelivered(_) | CoreInput::TaskEnded(..) => Vec::new(),
+        }
+    }
+
+    fn tick(&mut self, now_ms: u64) -> Vec<Action> {
+        self.entry.tick(now_ms)
+    }
+
+    fn add_contacts(&mut self, contacts: Vec<SocketAddr>) {
+        self.entry.add_contacts(contacts);
+    }
+
+    fn begin_stop(&mut self, now_ms: u64) -> Vec<Action> {
+        self.stopping_since_ms.get_or_insert(now_ms);
+        Vec::new()
+    }
+
+    fn is_ready(&self) -> bool {
+        self.entry.is_ready() && self.stopping_since_ms.is_none()
+    }
+
+    fn may_stop(&self, now_ms: u64, http: &HttpServer) -> bool {
+        let is_noticed = self
+            .stopping_since_ms
+            .is_some_and(|since_ms| now_ms.saturating_sub(since_ms) >= self.stop_notice_ms);
+        is_noticed && self.entry.waiting() == 0 && http.active() == 0
+    }
+
+    fn is_alone(&self) -> bool {
+        self.entry.view().is_empty()
+    }
+
+    fn sizes(&self) -> Sizes {
+        Sizes {
+            waiting: self.entry.waiting(),
+            retained: 0,
+            members: self.entry.view().len(),
+            configuration_version: self.entry.configuration().current().version,
+        }
+    }
+}
--- a/crates/daemon/src/routes.rs
+++ b/crates/daemon/src/routes.rs
@@ -28,14 +28,14 @@
 use serde::de::DeserializeOwned;
 
 use crate::http::HttpCall;
+use crate::input::Asked;
+use crate::input::Input;
 use crate::metrics::Metrics;
 use crate::problem::answer_response;
 use crate::problem::json_response;
 use crate::problem::refusal_response;
 use crate::problem::rejection;
 use crate::problem::text_response;
-use crate::process::Asked;
-use crate::process::Input;
 
 /// Most ids in one reply.
 const MAX_IDS: usize = 10_000;
