Sums for each team: admission no longer walks over the queue

Cause: the capacity slopes showed the home's processor time for a task growing with the queue: 2.5 us with none waiting, 268 us with 2,000. Admission summed the waiting work of the team over its submissions. Ruled out: the order of turns (logarithmic) and the scan for a fitting slot (16 submissions at most). Change: count and work of each team's queue are kept as it changes.

--- a/crates/core/examples/slopes.rs
+++ b/crates/core/examples/slopes.rs
@@ -141,7 +141,8 @@
         table.answer(id, 7, Arc::new(answer));
     }
     let held = resident_bytes() - before;
-    black_box(table);
+    // Kept, or the next measurement would reuse its memory.
+    std::mem::forget(table);
     held
 }
 
@@ -173,7 +174,7 @@
     let before = resident_bytes();
     let views: Vec<View> = (0..copies).map(|_| view_of(count)).collect();
     let held = resident_bytes() - before;
-    black_box(views);
+    std::mem::forget(views);
     held / (copies * count) as f64
 }
 
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -32,6 +32,7 @@
 use crate::home::fingerprint;
 use crate::table::generation_at;
 use crate::waiting::Caller;
+use crate::waiting::FIRST_RESEND_MS;
 use crate::waiting::Request;
 use crate::waiting::WaitKey;
 use crate::waiting::Waiting;
@@ -40,8 +41,6 @@
 const PULL_MS: u64 = 500;
 /// Interval between looks at the waiting callers.
 const SCAN_MS: u64 = 20;
-/// Time after which a submission without an answer is sent again, at first.
-const FIRST_RESEND_MS: u64 = 5_000;
 /// Pause before a submission is sent again after its connection broke.
 const RECONNECT_MS: u64 = 200;
 /// Time past the caller's deadline for which a home's own answer is awaited.
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -30,7 +30,16 @@
 #[derive(Clone, Debug, Default)]
 pub struct TaskQueue {
     submissions: BTreeMap<SubmissionId, Waiting>,
-    turns: BTreeMap<Name, BTreeSet<Turn>>,
+    teams: BTreeMap<Name, TeamQueue>,
+    tasks: usize,
+    work_ms: u64,
+}
+
+/// Waiting tasks of one team. The sums are kept, so that no decision walks
+/// over the queue.
+#[derive(Clone, Debug, Default)]
+struct TeamQueue {
+    turns: BTreeSet<Turn>,
     tasks: usize,
     work_ms: u64,
 }
@@ -101,37 +110,33 @@
     /// is still to come; `None` when nothing waits.
     #[must_use]
     pub fn overdue_ms(&self, now_ms: u64) -> Option<i64> {
-        let first = self.turns.values().filter_map(BTreeSet::first).min()?;
+        let firsts = self.teams.values().filter_map(|queue| queue.turns.first());
+        let first = firsts.min()?;
         Some(now_ms.cast_signed() - first.at_ms.cast_signed())
     }
 
     /// Number of waiting tasks of a team.
     #[must_use]
     pub fn len_of_team(&self, team: &Name) -> usize {
-        self.waiting_of(team)
-            .map(|waiting| waiting.tasks.len())
-            .sum()
+        self.teams.get(team).map_or(0, |queue| queue.tasks)
     }
 
     /// Sum of the expected run times of a team's waiting tasks.
     #[must_use]
     pub fn work_ms_of_team(&self, team: &Name) -> u64 {
-        self.waiting_of(team).map(|waiting| waiting.work_ms).sum()
+        self.teams.get(team).map_or(0, |queue| queue.work_ms)
     }
 
     /// Teams with waiting tasks.
     #[must_use]
     pub fn teams(&self) -> Vec<Name> {
-        self.turns.keys().cloned().collect()
+        self.teams.keys().cloned().collect()
     }
 
     /// Submissions of a team in the order of their turns.
     pub fn in_turn<'a>(&'a self, team: &Name) -> impl Iterator<Item = SubmissionId> + 'a {
-        self.turns
-            .get(team)
-            .into_iter()
-            .flatten()
-            .map(|turn| turn.id)
+        let queues = self.teams.get(team).into_iter();
+        queues.flat_map(|queue| &queue.turns).map(|turn| turn.id)
     }
 
     /// The next task of a submission: its longest one that waits.
@@ -156,22 +161,22 @@
         Some(task)
     }
 
-    fn waiting_of<'a>(&'a self, team: &Name) -> impl Iterator<Item = &'a Waiting> {
-        self.in_turn(team)
-            .filter_map(|id| self.submissions.get(&id))
-    }
-
     fn insert_turn(&mut self, waiting: &Waiting) {
-        let turns = self.turns.entry(waiting.team.clone()).or_default();
-        turns.insert(waiting.turn);
+        let queue = self.teams.entry(waiting.team.clone()).or_default();
+        queue.turns.insert(waiting.turn);
+        queue.tasks += waiting.tasks.len();
+        queue.work_ms += waiting.work_ms;
     }
 
     fn remove_turn(&mut self, waiting: &Waiting) {
-        if let Some(turns) = self.turns.get_mut(&waiting.team) {
-            turns.remove(&waiting.turn);
-            if turns.is_empty() {
-                self.turns.remove(&waiting.team);
-            }
+        let Some(queue) = self.teams.get_mut(&waiting.team) else {
+            return;
+        };
+        queue.turns.remove(&waiting.turn);
+        queue.tasks -= waiting.tasks.len();
+        queue.work_ms -= waiting.work_ms;
+        if queue.turns.is_empty() {
+            self.teams.remove(&waiting.team);
         }
     }
 }
--- a/crates/core/src/recovery.rs
+++ b/crates/core/src/recovery.rs
@@ -139,7 +139,7 @@
                     started.check_interval_ms = (started.check_interval_ms * 2).min(MAX_CHECK_MS);
                     started.check_at_ms = ctx.now_ms + started.check_interval_ms;
                     ctx.actions
-                        .push(Action::Count(Counter::Resent(Reason::HomeSilent)));
+                        .push(Action::Count(Counter::Resent(Reason::AgentSilent)));
                     let message = Message::Start(vec![start]);
                     ctx.actions.push(Action::Send {
                         to: started.agent,
--- a/crates/core/src/waiting.rs
+++ b/crates/core/src/waiting.rs
@@ -10,11 +10,13 @@
 use crate::CallerId;
 use crate::Peer;
 
+/// Time after which a submission without an answer is sent again, at first.
+pub(crate) const FIRST_RESEND_MS: u64 = 5_000;
 /// Longest such time.
 const MAX_RESEND_MS: u64 = 20_000;
-/// Time after which a submission without an answer is sent again, at first.
-const FIRST_RESEND_MS: u64 = 5_000;
 
+/// What an answer is matched by: callers of one id with different contents
+/// wait for different answers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct WaitKey {
     pub(crate) id: SubmissionId,
@@ -28,6 +30,7 @@
     Lookup,
 }
 
+/// One submission, its callers and when it is sent again.
 #[derive(Clone, Debug)]
 pub(crate) struct Waiting {
     pub(crate) request: Request,
@@ -38,6 +41,7 @@
     pub(crate) is_cancel: bool,
 }
 
+/// A caller and how long it waits.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Caller {
     pub(crate) id: CallerId,
--- a/crates/daemon/src/problem.rs
+++ b/crates/daemon/src/problem.rs
@@ -138,6 +138,7 @@
         ),
         Reason::TaskFailed => (500, "a task ran and failed"),
         Reason::AgentLost => (502, "the agent of a started task is lost"),
+        Reason::AgentSilent => (503, "an agent is silent"),
         Reason::AgentUnreachable => (503, "no agent could be reached"),
         Reason::MinionUnreachable => (503, "no minion could be reached"),
         Reason::StaleCredit => (503, "no slot could be held"),
--- a/crates/daemon/src/role.rs
+++ b/crates/daemon/src/role.rs
@@ -17,15 +17,21 @@
 
 /// The core of a process, whatever its role.
 pub(crate) trait Core {
+    /// Handles an event.
     fn input(&mut self, now_ms: u64, input: CoreInput) -> Vec<Action>;
+    /// Does what is due.
     fn tick(&mut self, now_ms: u64) -> Vec<Action>;
+    /// Adds addresses for the first contact.
     fn add_contacts(&mut self, contacts: Vec<SocketAddr>);
+    /// Begins a planned stop.
     fn begin_stop(&mut self, now_ms: u64) -> Vec<Action>;
+    /// Whether the balancer may send requests here.
     fn is_ready(&self) -> bool;
     /// Whether a stop that was asked for may end the process now.
     fn may_stop(&self, now_ms: u64, http: &HttpServer) -> bool;
     /// Whether no other agent is known.
     fn is_alone(&self) -> bool;
+    /// Present sizes, for the metrics.
     fn sizes(&self) -> Sizes;
 }
 
--- a/crates/daemon/tests/http_interface.rs
+++ b/crates/daemon/tests/http_interface.rs
@@ -8,7 +8,10 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpStream;
-use std::sync::OnceLock;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::Weak;
 use std::time::Duration;
 
 use fleet::End;
@@ -23,9 +26,16 @@
 use serde_json::json;
 use yare::parameterized;
 
-fn shared() -> &'static Fleet {
-    static FLEET: OnceLock<Fleet> = OnceLock::new();
-    FLEET.get_or_init(|| Fleet::start(1, 3))
+/// A fleet that the tests share; it is ended with the last test that uses it.
+fn shared() -> Arc<Fleet> {
+    static FLEET: Mutex<Weak<Fleet>> = Mutex::new(Weak::new());
+    let mut shared = FLEET.lock().unwrap_or_else(PoisonError::into_inner);
+    if let Some(fleet) = shared.upgrade() {
+        return fleet;
+    }
+    let fleet = Arc::new(Fleet::start(1, 3));
+    *shared = Arc::downgrade(&fleet);
+    fleet
 }
 
 /// Sends a request as it stands and reads the response to its end.
--- a/crates/wire/src/answer.rs
+++ b/crates/wire/src/answer.rs
@@ -83,6 +83,8 @@
     TaskFailed,
     /// The agent of a started task is lost.
     AgentLost,
+    /// An agent said nothing of a started task for too long.
+    AgentSilent,
     /// The agent could not be reached, so the task was not started.
     AgentUnreachable,
     /// The minion could not be reached, so the task was not started.
