--- a/crates/core/tests/limits.rs
+++ b/crates/core/tests/limits.rs
@@ -4,6 +4,7 @@
 mod session;
 
 use gannetvane_core::Command;
+use gannetvane_wire::Change;
 use gannetvane_wire::Needs;
 use gannetvane_wire::NodeId;
 use gannetvane_wire::Operation;
@@ -37,6 +38,17 @@
     }
 }
 
+/// Confirms a change and waits until it is in force everywhere.
+fn confirm(session: &mut Session, operations: Vec<Operation>) {
+    let change = Change {
+        change_id: "second".into(),
+        base_version: 1,
+        operations,
+    };
+    session.command(ENTRY, Command::Confirm { change });
+    session.run_for(3_000);
+}
+
 fn with_needs(needs: Needs) -> Submission {
     let mut submission = request(50, false);
     submission.tasks[0].needs = needs;
@@ -201,13 +213,7 @@
             },
         },
     ];
-    let change = gannetvane_wire::Change {
-        change_id: "teams".into(),
-        base_version: 1,
-        operations,
-    };
-    session.command(ENTRY, Command::Confirm { change });
-    session.run_for(3_000);
+    confirm(&mut session, operations);
     let greedy = Submission {
         team: "greedy".into(),
         ..job(&[1_000; 60])
@@ -252,13 +258,7 @@
             team: TeamConfig { weight: 1, ..quota },
         },
     ];
-    let change = gannetvane_wire::Change {
-        change_id: "teams".into(),
-        base_version: 1,
-        operations,
-    };
-    session.command(ENTRY, Command::Confirm { change });
-    session.run_for(3_000);
+    confirm(&mut session, operations);
     let mut ids = Vec::new();
     for team in ["a-light", "z-heavy"] {
         for _ in 0..60 {
@@ -519,16 +519,10 @@
 #[test]
 fn service_without_minions_is_refused() {
     let mut session = Session::new(1, 3);
-    let change = gannetvane_wire::Change {
-        change_id: "empty".into(),
-        base_version: 1,
-        operations: vec![Operation::PutService {
-            name: "ledger-svc".into(),
-            service: session.entry(ENTRY).configuration().current().services[SERVICE].clone(),
-        }],
-    };
-    session.command(ENTRY, Command::Confirm { change });
-    session.run_for(3_000);
+    let configuration = session.entry(ENTRY).configuration().current();
+    let service = configuration.services[SERVICE].clone();
+    let name = "ledger-svc".into();
+    confirm(&mut session, vec![Operation::PutService { name, service }]);
     let caller = session.command(
         ENTRY,
         Command::TakeIds {
