--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -22,12 +22,19 @@
     observers.all(|observer| session.state_of(observer, node) == Some(state))
 }
 
+fn all_see_within(session: &mut Session, limit_ms: u64, node: NodeId, state: MemberState) {
+    let is_seen = session.run_until(limit_ms, |s| all_see(s, node, state));
+    assert!(
+        is_seen,
+        "{node} is not {state:?} to all after {limit_ms} ms"
+    );
+}
+
 #[test]
 fn new_agent_is_known_to_all_within_seconds() {
     let mut session = Session::new(1, 9);
     let node = session.add_agent(150);
-    let is_known = session.run_until(5_000, |s| all_see(s, node, MemberState::Alive));
-    assert!(is_known);
+    all_see_within(&mut session, 5_000, node, MemberState::Alive);
 }
 
 #[test]
@@ -35,8 +42,7 @@
     let mut session = Session::new(1, 9);
     let node = NodeId(104);
     session.kill(node);
-    let is_dead = session.run_until(4_000, |s| all_see(s, node, MemberState::Dead));
-    assert!(is_dead);
+    all_see_within(&mut session, 4_000, node, MemberState::Dead);
 }
 
 #[test]
@@ -44,11 +50,9 @@
     let mut session = Session::new(1, 9);
     let node = NodeId(104);
     session.freeze(node);
-    let is_dead = session.run_until(10_000, |s| all_see(s, node, MemberState::Dead));
-    assert!(is_dead);
+    all_see_within(&mut session, 10_000, node, MemberState::Dead);
     session.resume(node);
-    let is_alive = session.run_until(20_000, |s| all_see(s, node, MemberState::Alive));
-    assert!(is_alive);
+    all_see_within(&mut session, 20_000, node, MemberState::Alive);
 }
 
 #[test]
