--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 
+use gannetvane_platform::PlatformError;
+use gannetvane_platform::PlatformSettings;
 use gannetvaned::ProcessError;
 use gannetvaned::Settings;
 use gannetvaned::logger;
@@ -24,6 +26,9 @@
 /// Exit code for a process that could not start.
 const EXIT_START: u8 = 3;
 
+/// Variable that names the settings file on the users' platform.
+const SETTINGS_VARIABLE: &str = "GANNETVANE_CONFIG";
+
 /// Runs a process of gannetvane.
 #[derive(Debug, Options)]
 struct Arguments {
@@ -43,6 +48,20 @@
     Entry(RoleArguments),
     /// run beside a minion
     Agent(RoleArguments),
+    /// take jobs from clients of the users' platform
+    PlatformEntry(PlatformArguments),
+    /// run beside a minion of the users' platform
+    PlatformAgent(PlatformArguments),
+}
+
+#[derive(Debug, Options)]
+struct PlatformArguments {
+    /// print help
+    #[options(short = "h")]
+    help: bool,
+    /// settings file in TOML; by default the one that GANNETVANE_CONFIG names
+    #[options(meta = "FILE")]
+    settings: Option<PathBuf>,
 }
 
 #[derive(Debug, Options)]
@@ -68,7 +87,16 @@
         eprintln!("gannetvaned: a command is needed: entry or agent; see --help");
         return ExitCode::from(EXIT_SETTINGS);
     };
-    match run(&command) {
+    let ended = match &command {
+        Command::Entry(arguments) | Command::Agent(arguments) => run(&command, arguments),
+        Command::PlatformEntry(arguments) => {
+            return exit_code(load(arguments).and_then(|s| gannetvane_platform::run_entry(&s)));
+        }
+        Command::PlatformAgent(arguments) => {
+            return exit_code(load(arguments).and_then(|s| gannetvane_platform::run_agent(&s)));
+        }
+    };
+    match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("gannetvaned: {error}");
@@ -80,14 +108,30 @@
     }
 }
 
-fn run(command: &Command) -> Result<(), ProcessError> {
-    let (Command::Entry(arguments) | Command::Agent(arguments)) = command;
+fn load(arguments: &PlatformArguments) -> Result<PlatformSettings, PlatformError> {
+    let named = std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from);
+    let path = arguments.settings.clone().or(named).unwrap_or_default();
+    Ok(PlatformSettings::load(&path)?)
+}
+
+fn exit_code(ended: Result<(), PlatformError>) -> ExitCode {
+    let Err(error) = ended else {
+        return ExitCode::SUCCESS;
+    };
+    eprintln!("gannetvaned: {error}");
+    match error {
+        PlatformError::Settings(_) => ExitCode::from(EXIT_SETTINGS),
+        PlatformError::Start { .. } => ExitCode::from(EXIT_START),
+    }
+}
+
+fn run(command: &Command, arguments: &RoleArguments) -> Result<(), ProcessError> {
     let settings = Settings::load(&arguments.settings, &arguments.set)?;
     let stop = stop_flag()?;
     let node = settings.node.address.to_string();
     match command {
         Command::Entry(_) => run_entry(&settings, &logger(level(&settings), "entry", node), stop),
-        Command::Agent(_) => run_agent(&settings, &logger(level(&settings), "agent", node), stop),
+        _ => run_agent(&settings, &logger(level(&settings), "agent", node), stop),
     }
 }
 
--- /dev/null
+++ b/crates/dispatch/src/fleet.rs
@@ -0,0 +1,176 @@
+//! The agents that an entry knows, and what it learned of their hosts.
+
+use std::collections::BTreeMap;
+
+use gannetvane_wire::Name;
+
+use crate::AgentFrame;
+use crate::AgentHello;
+use crate::GRANT_MS;
+use crate::Order;
+use crate::OrderId;
+use crate::Room;
+
+/// First time for which a host that failed gets no tasks, in milliseconds.
+const FIRST_EJECTION_MS: u64 = 300;
+/// Longest such time, in milliseconds.
+const LONGEST_EJECTION_MS: u64 = 2_400;
+/// Silence of an agent after which it gets no starts, in milliseconds: two
+/// keepalives.
+const QUIET_MS: u64 = 250;
+/// Tasks that wait at an agent, of all entries, above which it gets no more.
+const PARKED_AT_AGENT: u32 = 3;
+
+/// What was learned of a host, kept while its agent is away.
+#[derive(Clone, Debug)]
+pub(crate) struct HostRecord {
+    /// Run time there, against a minion of ordinary speed.
+    pub(crate) slowness: f64,
+    /// Bad ends since the last good one.
+    pub(crate) strikes: u32,
+    /// Until when it gets no tasks.
+    pub(crate) ejected_until_ms: u64,
+    labels: Vec<Name>,
+}
+
+impl HostRecord {
+    fn new(labels: Vec<Name>) -> Self {
+        Self {
+            slowness: 1.0,
+            strikes: 0,
+            ejected_until_ms: 0,
+            labels,
+        }
+    }
+
+    /// A run ended badly for a reason that speaks against the host.
+    pub(crate) fn strike(&mut self, now_ms: u64) {
+        let doubled = FIRST_EJECTION_MS << self.strikes.min(3);
+        self.strikes += 1;
+        self.ejected_until_ms = now_ms + doubled.min(LONGEST_EJECTION_MS);
+    }
+
+    /// A run ended well.
+    pub(crate) fn clear(&mut self) {
+        self.strikes = 0;
+        self.ejected_until_ms = 0;
+    }
+
+    /// A failure turned out to be the task's own.
+    pub(crate) fn pardon(&mut self) {
+        self.strikes = self.strikes.saturating_sub(1);
+        if self.strikes == 0 {
+            self.ejected_until_ms = 0;
+        }
+    }
+}
+
+/// An agent that greeted.
+#[derive(Debug)]
+pub(crate) struct AgentState {
+    pub(crate) hello: AgentHello,
+    pub(crate) outbox: Vec<Order>,
+    pub(crate) heard_ms: u64,
+    pub(crate) sent_ms: u64,
+    pub(crate) clock_ms: u64,
+    free: Room,
+    parked: u32,
+    is_open: bool,
+    starts_seen: u64,
+    starts_sent: u64,
+    /// Orders without an end, with their number on the link and their need.
+    pub(crate) outstanding: BTreeMap<OrderId, (u64, Room)>,
+}
+
+impl AgentState {
+    pub(crate) fn new(now_ms: u64, hello: AgentHello) -> Self {
+        Self {
+            clock_ms: hello.clock_ms,
+            free: Room::default(),
+            parked: 0,
+            is_open: false,
+            hello,
+            outbox: Vec::new(),
+            heard_ms: now_ms,
+            sent_ms: 0,
+            starts_seen: 0,
+            starts_sent: 0,
+            outstanding: BTreeMap::new(),
+        }
+    }
+
+    pub(crate) fn heard(&mut self, now_ms: u64, frame: &AgentFrame) {
+        self.heard_ms = now_ms;
+        self.clock_ms = frame.clock_ms;
+        self.free = frame.free;
+        self.parked = frame.parked;
+        self.is_open = frame.is_open;
+        self.starts_seen = frame.starts_seen;
+    }
+
+    /// Until when a frame that is sent now lets tasks run, on the agent's
+    /// clock. The clock is taken as early as it can be.
+    pub(crate) fn grant_until_ms(&self, now_ms: u64) -> u64 {
+        self.clock_ms + now_ms.saturating_sub(self.heard_ms) + GRANT_MS
+    }
+
+    pub(crate) fn add_order(&mut self, order: OrderId, needs: Room) {
+        self.starts_sent += 1;
+        self.outstanding.insert(order, (self.starts_sent, needs));
+    }
+
+    /// Room that is left after the orders that the agent had not seen.
+    pub(crate) fn free(&self) -> Room {
+        let unseen = self.unseen();
+        unseen.fold(self.free, |free, needs| free.minus(&needs))
+    }
+
+    fn unseen(&self) -> impl Iterator<Item = Room> {
+        let is_unseen = |(number, _): &&(u64, Room)| *number > self.starts_seen;
+        let orders = self.outstanding.values().filter(is_unseen);
+        orders.map(|(_, needs)| *needs)
+    }
+
+    pub(crate) fn takes_starts(&self, now_ms: u64) -> bool {
+        self.is_open && now_ms <= self.heard_ms + QUIET_MS
+    }
+
+    pub(crate) fn takes_parked(&self) -> bool {
+        self.parked < PARKED_AT_AGENT && self.unseen().next().is_none()
+    }
+
+    pub(crate) fn has_label(&self, label: &Name) -> bool {
+        self.hello.labels.contains(label)
+    }
+
+    /// Share of the room that is in use.
+    pub(crate) fn load(&self) -> f64 {
+        let capacity = f64::from(self.hello.capacity.cpu_milli.max(1));
+        1.0 - f64::from(self.free().cpu_milli) / capacity
+    }
+}
+
+/// What was learned of each host.
+#[derive(Debug, Default)]
+pub(crate) struct Hosts {
+    records: BTreeMap<Name, HostRecord>,
+}
+
+impl Hosts {
+    /// Notes a greeting; a minion of another kind starts without a record.
+    pub(crate) fn greeted(&mut self, hello: &AgentHello) {
+        let record = self.record(&hello.host);
+        if record.labels != hello.labels {
+            *record = HostRecord::new(hello.labels.clone());
+        }
+    }
+
+    pub(crate) fn record(&mut self, host: &Name) -> &mut HostRecord {
+        let new = || HostRecord::new(Vec::new());
+        self.records.entry(host.clone()).or_insert_with(new)
+    }
+
+    pub(crate) fn get(&self, host: &Name) -> Option<&HostRecord> {
+        self.records.get(host)
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/jobs.rs
@@ -0,0 +1,211 @@
+//! The jobs of an entry and the state of their tasks.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use gannetvane_wire::Name;
+
+use crate::Caller;
+use crate::Job;
+use crate::JobOutcome;
+use crate::OrderId;
+use crate::TaskId;
+use crate::estimate::Estimates;
+
+/// Time that messages between caller, entry and minion take, in
+/// milliseconds; part of the objective that cannot be used.
+const TRANSIT_MS: f64 = 10.0;
+/// A job is of no use after this many times its objective.
+const LATE_FACTOR: f64 = 3.0;
+
+/// Hosts that a task keeps away from; more would leave none on a small site.
+const AVOIDED_HOSTS: usize = 3;
+
+/// Where a task stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum TaskPhase {
+    /// Steps before it are not done.
+    Blocked,
+    /// It can be ordered.
+    Waiting,
+    /// It is ordered.
+    Ordered(OrderId),
+    /// Its agent is out of reach; it may run until then.
+    Orphaned {
+        /// When nothing of it runs any more, whatever happened.
+        until_ms: u64,
+    },
+    /// Its work is done.
+    Done,
+}
+
+/// One task.
+#[derive(Clone, Debug)]
+pub(crate) struct TaskState {
+    pub(crate) step: usize,
+    pub(crate) index: u32,
+    pub(crate) phase: TaskPhase,
+    /// Number of the last run; 0 before the first.
+    pub(crate) run: u32,
+    /// Runs that failed.
+    pub(crate) failures: u32,
+    /// Hosts on which it failed, hung or got no answer.
+    pub(crate) avoid: Vec<Name>,
+    /// The host of the last order.
+    pub(crate) host: Option<Name>,
+}
+
+impl TaskState {
+    /// Keeps the task from the last few hosts that served it badly.
+    pub(crate) fn avoid(&mut self, host: &Name) {
+        self.avoid.retain(|other| other != host);
+        self.avoid.push(host.clone());
+        if self.avoid.len() > AVOIDED_HOSTS {
+            self.avoid.remove(0);
+        }
+    }
+}
+
+/// One job.
+#[derive(Debug)]
+pub(crate) struct JobState {
+    pub(crate) job: Arc<Job>,
+    pub(crate) callers: Vec<Caller>,
+    pub(crate) received_ms: u64,
+    /// When it should be complete.
+    pub(crate) objective_ms: u64,
+    /// When it is of no use any more.
+    pub(crate) worthless_ms: u64,
+    pub(crate) tasks: Vec<TaskState>,
+    /// Whether a minion may have run some of it.
+    pub(crate) has_run: bool,
+    /// How it ended; tasks may still be about to stop.
+    pub(crate) outcome: Option<JobOutcome>,
+    /// A submission of the same id that waits until this one is gone.
+    pub(crate) next: Option<(Caller, Job, u64)>,
+    pub(crate) first_start_ms: Option<u64>,
+}
+
+impl JobState {
+    pub(crate) fn new(now_ms: u64, caller: Caller, job: Job, estimates: &Estimates) -> Self {
+        let chain_ms = chain_ms(&job, estimates);
+        let objective_ms = job.queue.stretch * chain_ms + job.queue.target_latency_ms as f64;
+        let usable_ms = (objective_ms - TRANSIT_MS).max(1.0) as u64;
+        let late_ms = (objective_ms * LATE_FACTOR - TRANSIT_MS).max(1.0) as u64;
+        let wait_ms = job.wait_ms.max(1);
+        let tasks = job.steps.iter().enumerate().flat_map(|(number, step)| {
+            let phase = if step.after.is_empty() {
+                TaskPhase::Waiting
+            } else {
+                TaskPhase::Blocked
+            };
+            (0..step.count).map(move |index| TaskState {
+                step: number,
+                index,
+                phase,
+                run: 0,
+                failures: 0,
+                avoid: Vec::new(),
+                host: None,
+            })
+        });
+        Self {
+            tasks: tasks.collect(),
+            job: Arc::new(job),
+            callers: vec![caller],
+            received_ms: now_ms,
+            objective_ms: now_ms + usable_ms,
+            worthless_ms: now_ms + late_ms.min(wait_ms),
+            has_run: false,
+            outcome: None,
+            next: None,
+            first_start_ms: None,
+        }
+    }
+
+    pub(crate) fn is_open(&self) -> bool {
+        self.outcome.is_none()
+    }
+
+    pub(crate) fn is_done(&self) -> bool {
+        self.tasks.iter().all(|task| task.phase == TaskPhase::Done)
+    }
+
+    /// Whether nothing of it can run any more.
+    pub(crate) fn is_clear(&self) -> bool {
+        !self.tasks.iter().any(|task| {
+            matches!(
+                task.phase,
+                TaskPhase::Ordered(_) | TaskPhase::Orphaned { .. }
+            )
+        })
+    }
+
+    pub(crate) fn has_waiting(&self) -> bool {
+        self.tasks
+            .iter()
+            .any(|task| task.phase == TaskPhase::Waiting)
+    }
+
+    pub(crate) fn orders(&self) -> Vec<OrderId> {
+        let order = |task: &TaskState| match task.phase {
+            TaskPhase::Ordered(order) => Some(order),
+            _ => None,
+        };
+        self.tasks.iter().filter_map(order).collect()
+    }
+
+    pub(crate) fn task_id(&self, position: usize) -> TaskId {
+        let task = &self.tasks[position];
+        TaskId {
+            job: self.job.id.clone(),
+            step: u32::try_from(task.step).unwrap_or(u32::MAX),
+            index: task.index,
+        }
+    }
+
+    /// Makes the tasks ready whose earlier steps are done.
+    pub(crate) fn unblock(&mut self) {
+        let steps = self.job.steps.len();
+        let is_step_done = |step: usize| {
+            let mut tasks = self.tasks.iter().filter(|task| task.step == step);
+            tasks.all(|task| task.phase == TaskPhase::Done)
+        };
+        let done: Vec<bool> = (0..steps).map(is_step_done).collect();
+        for task in &mut self.tasks {
+            let after = &self.job.steps[task.step].after;
+            let is_ready = after.iter().all(|step| done[*step as usize]);
+            if task.phase == TaskPhase::Blocked && is_ready {
+                task.phase = TaskPhase::Waiting;
+            }
+        }
+    }
+
+    /// Time at which a task of the step must start for the job to be in time.
+    pub(crate) fn latest_start_ms(&self, step: usize, estimates: &Estimates) -> i64 {
+        let rest_ms = chain_from_ms(&self.job, step, estimates);
+        self.objective_ms as i64 - rest_ms as i64
+    }
+}
+
+/// Longest chain of expected run times, in milliseconds.
+fn chain_ms(job: &Job, estimates: &Estimates) -> f64 {
+    let lengths = (0..job.steps.len()).map(|step| chain_from_ms(job, step, estimates));
+    lengths.fold(0.0, f64::max)
+}
+
+/// Expected time from the start of a step to the end of all that needs it.
+fn chain_from_ms(job: &Job, step: usize, estimates: &Estimates) -> f64 {
+    let own_ms = estimates.expected_ms(&job.queue.name, job.steps[step].declared_ms);
+    let mut longest: BTreeMap<usize, f64> = BTreeMap::from([(step, own_ms)]);
+    for later in step + 1..job.steps.len() {
+        let before = job.steps[later].after.iter();
+        let before = before.filter_map(|earlier| longest.get(&(*earlier as usize)));
+        let Some(before_ms) = before.copied().reduce(f64::max) else {
+            continue;
+        };
+        let later_ms = estimates.expected_ms(&job.queue.name, job.steps[later].declared_ms);
+        longest.insert(later, before_ms + later_ms);
+    }
+    longest.values().copied().fold(0.0, f64::max)
+}
--- /dev/null
+++ b/crates/dispatch/src/lib.rs
@@ -0,0 +1,77 @@
+//! The decisions on jobs whose entry is their home.
+//!
+//! An entry keeps a job for as long as its caller waits, divides it into tasks
+//! and orders agents to start them. An agent alone admits tasks to its minion
+//! and counts what runs there. Nothing here opens a socket, starts a thread or
+//! reads a clock: events and the present time in milliseconds go in, actions
+//! come out.
+//!
+//! ```
+//! use gannetvane_dispatch::Room;
+//!
+//! let free = Room { cpu_milli: 4_000, memory_mb: 1_024, accelerators: 0 };
+//! let task = Room { cpu_milli: 1_600, memory_mb: 64, accelerators: 0 };
+//! assert!(free.holds(&task));
+//! assert!(!free.minus(&task).minus(&task).holds(&task));
+//! ```
+
+mod agent;
+mod directory;
+mod dispatcher;
+mod estimate;
+mod fleet;
+mod job;
+mod jobs;
+mod lease;
+mod message;
+mod minion;
+
+mod placement;
+mod room;
+mod route;
+mod runs;
+mod runtable;
+
+pub use agent::Agent;
+pub use agent::AgentAction;
+pub use agent::AgentIdentity;
+pub use agent::AgentNote;
+pub use directory::Directory;
+pub use dispatcher::Dispatcher;
+pub use dispatcher::DispatcherAction;
+pub use dispatcher::DispatcherSettings;
+pub use dispatcher::JobEvent;
+pub use job::Caller;
+pub use job::Job;
+pub use job::JobOutcome;
+pub use job::Refusal;
+pub use job::Step;
+pub use job::TaskId;
+pub use lease::GRANT_MS;
+pub use lease::KEEPALIVE_MS;
+pub use lease::MINION_LEASE_MS;
+pub use lease::SAFE_AFTER_MS;
+pub use message::AgentFrame;
+pub use message::AgentHello;
+pub use message::Busy;
+pub use message::End;
+pub use message::EntryFrame;
+pub use message::Greeting;
+pub use message::LinkId;
+pub use message::Order;
+pub use message::OrderId;
+pub use message::PeerFrame;
+pub use message::Report;
+pub use message::StartOrder;
+pub use message::decode;
+pub use message::encode;
+pub use room::Room;
+pub use route::Queue;
+pub use route::RouteError;
+pub use route::RoutingTable;
+pub use runs::Finished;
+pub use runs::Listing;
+pub use runs::MinionReport;
+pub use runs::RunKey;
+pub use runs::Running;
+pub use runs::StartResult;
--- /dev/null
+++ b/crates/dispatch/src/message.rs
@@ -0,0 +1,188 @@
+//! Frames between processes, encoded by `postcard`.
+
+use std::net::SocketAddr;
+
+use gannetvane_wire::Name;
+use gannetvane_wire::NodeId;
+use serde::Deserialize;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::Room;
+use crate::RoutingTable;
+use crate::TaskId;
+
+/// One connection between an entry and another process, numbered by the
+/// process that holds this end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct LinkId(pub u64);
+
+/// Number of a start order, unique within one run of an entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct OrderId(pub u64);
+
+/// First frame of the process that opened a connection to an entry.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Greeting {
+    /// An agent whose minion has nothing of an earlier connection left.
+    Agent(AgentHello),
+    /// Another entry, and where it accepts connections.
+    Entry(SocketAddr),
+}
+
+/// Who an agent is and what its minion offers.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct AgentHello {
+    /// The run of the agent.
+    pub node: NodeId,
+    /// Name of its host, the same after a restart.
+    pub host: Name,
+    /// Availability zone.
+    pub zone: Name,
+    /// The service of its minion.
+    pub service: Name,
+    /// Labels of its minion.
+    pub labels: Vec<Name>,
+    /// All of its minion's room.
+    pub capacity: Room,
+    /// The agent's steady clock in milliseconds.
+    pub clock_ms: u64,
+}
+
+/// Frame from an entry to an agent.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct EntryFrame {
+    /// Time on the agent's steady clock until which the tasks of this link
+    /// may run. A frame that arrives later than that is void, with its orders.
+    pub grant_until_ms: u64,
+    /// What to do.
+    pub orders: Vec<Order>,
+}
+
+/// What an entry asks of an agent.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Order {
+    /// Start a task.
+    Start(StartOrder),
+    /// Stop what an earlier order started, or forget it.
+    Stop(OrderId),
+    /// Entries to connect to.
+    Entries(Vec<SocketAddr>),
+}
+
+/// The order to start a task.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct StartOrder {
+    /// Number of the order.
+    pub id: OrderId,
+    /// The task.
+    pub task: TaskId,
+    /// Number of the run, rising with each start of the task.
+    pub run: u32,
+    /// Text for the task.
+    pub spec: Name,
+    /// What it needs.
+    pub needs: Room,
+    /// Time in milliseconds within which it should start; orders the tasks
+    /// that wait for room.
+    pub slack_ms: u32,
+}
+
+/// Frame from an agent to an entry.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct AgentFrame {
+    /// The agent's steady clock in milliseconds.
+    pub clock_ms: u64,
+    /// Start orders received on this link so far.
+    pub starts_seen: u64,
+    /// Room that is neither taken nor promised.
+    pub free: Room,
+    /// Tasks of any entry that wait for room here.
+    pub parked: u32,
+    /// Whether starts are admitted.
+    pub is_open: bool,
+    /// What happened.
+    pub reports: Vec<Report>,
+}
+
+/// What an agent tells of an order.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Report {
+    /// The run has ended, or will never begin.
+    Ended {
+        /// The order.
+        order: OrderId,
+        /// How.
+        end: End,
+        /// Time that it ran, in milliseconds.
+        ran_ms: u32,
+    },
+    /// How far a run is.
+    Progress {
+        /// The order.
+        order: OrderId,
+        /// Part of the work that is done.
+        percent: u8,
+        /// Time since the start, in milliseconds.
+        elapsed_ms: u32,
+        /// Time since the percentage last changed, in milliseconds.
+        idle_ms: u32,
+    },
+}
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum End {
+    /// Its work is done.
+    Done,
+    /// It failed.
+    Failed,
+    /// It was stopped on the entry's order.
+    Stopped,
+    /// It ended with its lease or its minion.
+    Lost,
+    /// It never began.
+    NotStarted(Busy),
+}
+
+/// Why a run never began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Busy {
+    /// The agent has no room and enough tasks that wait.
+    Full,
+    /// The minion is leaving, or the agent is.
+    Closing,
+    /// The minion refused it.
+    Unhealthy,
+    /// The minion gave no answer; the run was forbidden there.
+    NoAnswer,
+    /// The minion has seen this run or a later one.
+    OldRun,
+}
+
+/// Frame between entries.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PeerFrame {
+    /// Entries that the sender knows.
+    pub entries: Vec<SocketAddr>,
+    /// The configuration of the sender, when it changed since the last frame.
+    pub table: Option<RoutingTable>,
+}
+
+/// Encodes a frame.
+///
+/// # Errors
+///
+/// An error of `postcard` when the value has no encoding.
+pub fn encode<T: Serialize>(frame: &T) -> Result<Vec<u8>, postcard::Error> {
+    postcard::to_stdvec(frame)
+}
+
+/// Decodes a frame.
+///
+/// # Errors
+///
+/// An error of `postcard` when the bytes are no such frame.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, postcard::Error> {
+    postcard::from_bytes(bytes)
+}
--- /dev/null
+++ b/crates/dispatch/src/placement.rs
@@ -0,0 +1,129 @@
+//! Which agent a task goes to.
+
+use std::collections::BTreeMap;
+
+use gannetvane_wire::Name;
+
+use crate::LinkId;
+use crate::Step;
+use crate::fleet::AgentState;
+use crate::fleet::Hosts;
+
+/// Cost of a message to another availability zone and back, in milliseconds.
+const OTHER_ZONE_MS: f64 = 1.0;
+/// Weight of a minion's load: among equal speeds the emptier one is chosen,
+/// so that a lost minion takes fewer tasks with it.
+const LOAD_WEIGHT: f64 = 0.1;
+/// Factor on the run time away from the data.
+const REMOTE_FACTOR: f64 = 1.5;
+/// Extra share by which equal choices of several entries are spread.
+const SPREAD: f64 = 0.04;
+
+/// What a choice depends on.
+pub(crate) struct Demand<'a> {
+    pub(crate) step: &'a Step,
+    pub(crate) service: &'a Name,
+    pub(crate) zone: &'a Name,
+    pub(crate) expected_ms: f64,
+    pub(crate) avoid: &'a [Name],
+    /// Tasks of the step on each host.
+    pub(crate) beside: &'a BTreeMap<Name, u32>,
+    pub(crate) now_ms: u64,
+}
+
+/// Chooses an agent with room; `spread` gives a number from 0 to 1 a call.
+pub(crate) fn choose(
+    agents: &BTreeMap<LinkId, AgentState>,
+    hosts: &Hosts,
+    demand: &Demand<'_>,
+    spread: &mut dyn FnMut() -> f64,
+) -> Option<LinkId> {
+    let mut best: Option<(f64, LinkId)> = None;
+    for (link, agent) in agents {
+        if !is_eligible(agent, hosts, demand) || !agent.free().holds(&demand.step.needs) {
+            continue;
+        }
+        let cost = cost_ms(agent, hosts, demand) * (1.0 + SPREAD * spread());
+        if best.is_none_or(|(least, _)| cost < least) {
+            best = Some((cost, *link));
+        }
+    }
+    best.map(|(_, link)| link)
+}
+
+/// Chooses an agent at which the task may wait for room.
+pub(crate) fn choose_parking(
+    agents: &BTreeMap<LinkId, AgentState>,
+    hosts: &Hosts,
+    demand: &Demand<'_>,
+    spread: &mut dyn FnMut() -> f64,
+) -> Option<LinkId> {
+    let mut best: Option<(f64, LinkId)> = None;
+    for (link, agent) in agents {
+        let is_large_enough = agent.hello.capacity.holds(&demand.step.needs);
+        let is_healthy = hosts
+            .get(&agent.hello.host)
+            .is_none_or(|host| host.strikes == 0);
+        if !is_eligible(agent, hosts, demand)
+            || !is_large_enough
+            || !is_healthy
+            || !agent.takes_parked()
+        {
+            continue;
+        }
+        let cost = cost_ms(agent, hosts, demand) * (1.0 + SPREAD * spread());
+        if best.is_none_or(|(least, _)| cost < least) {
+            best = Some((cost, *link));
+        }
+    }
+    best.map(|(_, link)| link)
+}
+
+/// Whether any known agent could ever run the step.
+pub(crate) fn fits_somewhere(
+    agents: &BTreeMap<LinkId, AgentState>,
+    service: &Name,
+    step: &Step,
+) -> bool {
+    let mut of_service = agents
+        .values()
+        .filter(|agent| agent.hello.service == *service);
+    of_service
+        .any(|agent| agent.hello.capacity.holds(&step.needs) && has_required_label(agent, step))
+}
+
+fn is_eligible(agent: &AgentState, hosts: &Hosts, demand: &Demand<'_>) -> bool {
+    let host = &agent.hello.host;
+    let is_limited = demand.step.max_per_minion > 0
+        && demand.beside.get(host).copied().unwrap_or(0) >= demand.step.max_per_minion;
+    let is_trusted = hosts.get(host).is_none_or(|record| {
+        let is_on_trial = record.strikes > 0 && !agent.outstanding.is_empty();
+        demand.now_ms >= record.ejected_until_ms && !is_on_trial
+    });
+    agent.hello.service == *demand.service
+        && agent.takes_starts(demand.now_ms)
+        && has_required_label(agent, demand.step)
+        && !demand.avoid.contains(host)
+        && !is_limited
+        && is_trusted
+}
+
+fn has_required_label(agent: &AgentState, step: &Step) -> bool {
+    let label = step.required_label.as_ref();
+    label.is_none_or(|label| agent.has_label(label))
+}
+
+fn cost_ms(agent: &AgentState, hosts: &Hosts, demand: &Demand<'_>) -> f64 {
+    let slowness = hosts
+        .get(&agent.hello.host)
+        .map_or(1.0, |host| host.slowness);
+    let preferred = demand.step.preferred_label.as_ref();
+    let is_remote = preferred.is_some_and(|label| !agent.has_label(label));
+    let remote = if is_remote { REMOTE_FACTOR } else { 1.0 };
+    let zone_ms = if agent.hello.zone == *demand.zone {
+        0.0
+    } else {
+        OTHER_ZONE_MS
+    };
+    demand.expected_ms * slowness * remote * (1.0 + LOAD_WEIGHT * agent.load()) + zone_ms
+}
--- /dev/null
+++ b/crates/dispatch/src/runtable.rs
@@ -0,0 +1,170 @@
+//! The runs that an agent answers for.
+
+use std::collections::BTreeMap;
+
+use gannetvane_wire::Name;
+
+use crate::LinkId;
+use crate::OrderId;
+use crate::Report;
+use crate::Room;
+use crate::RunKey;
+use crate::StartOrder;
+
+/// Where a run stands on the minion.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// It waits for room; the minion knows nothing of it.
+    Parked,
+    /// The start is on its way to the minion.
+    Starting,
+    /// The minion runs it.
+    Running,
+    /// A stop is on its way, or the stopped run is still listed.
+    Stopping {
+        /// Since when it is to be gone.
+        since_ms: u64,
+        /// When the minion acknowledged the stop.
+        acked_ms: Option<u64>,
+        /// When the last stop was sent.
+        tried_ms: u64,
+    },
+}
+
+/// One run.
+#[derive(Clone, Debug)]
+pub(crate) struct Run {
+    pub(crate) link: LinkId,
+    pub(crate) order: OrderId,
+    pub(crate) key: RunKey,
+    pub(crate) spec: Name,
+    pub(crate) needs: Room,
+    pub(crate) due_ms: u64,
+    pub(crate) phase: Phase,
+    pub(crate) started_ms: u64,
+    pub(crate) percent: u8,
+    pub(crate) changed_ms: u64,
+    /// When the minion was known to run it.
+    pub(crate) confirmed_ms: u64,
+    /// Whether the minion was seen to run it.
+    pub(crate) was_seen: bool,
+    /// Whether the start got no answer.
+    pub(crate) is_unanswered: bool,
+}
+
+impl Run {
+    pub(crate) fn parked(now_ms: u64, link: LinkId, start: StartOrder) -> Self {
+        Self {
+            link,
+            order: start.id,
+            key: RunKey {
+                task: start.task,
+                run: start.run,
+            },
+            spec: start.spec,
+            needs: start.needs,
+            due_ms: now_ms + u64::from(start.slack_ms),
+            phase: Phase::Parked,
+            started_ms: now_ms,
+            percent: 0,
+            changed_ms: now_ms,
+            confirmed_ms: now_ms,
+            was_seen: false,
+            is_unanswered: false,
+        }
+    }
+
+    pub(crate) fn takes_room(&self) -> bool {
+        self.phase != Phase::Parked
+    }
+
+    pub(crate) fn ran_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.started_ms)
+    }
+}
+
+/// All runs of an agent.
+#[derive(Debug, Default)]
+pub(crate) struct RunTable {
+    runs: BTreeMap<(LinkId, OrderId), Run>,
+}
+
+impl RunTable {
+    pub(crate) fn is_empty(&self) -> bool {
+        self.runs.is_empty()
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Run> {
+        self.runs.values()
+    }
+
+    pub(crate) fn iter_mut(&mut self) -> impl Iterator<Item = &mut Run> {
+        self.runs.values_mut()
+    }
+
+    pub(crate) fn insert(&mut self, run: Run) {
+        self.runs.insert((run.link, run.order), run);
+    }
+
+    pub(crate) fn get(&self, link: LinkId, order: OrderId) -> Option<&Run> {
+        self.runs.get(&(link, order))
+    }
+
+    pub(crate) fn get_mut(&mut self, link: LinkId, order: OrderId) -> Option<&mut Run> {
+        self.runs.get_mut(&(link, order))
+    }
+
+    pub(crate) fn remove(&mut self, link: LinkId, order: OrderId) -> Option<Run> {
+        self.runs.remove(&(link, order))
+    }
+
+    /// The run that the minion knows by this key.
+    pub(crate) fn find(&self, key: &RunKey) -> Option<(LinkId, OrderId)> {
+        let mut known = self.runs.values().filter(|run| run.takes_room());
+        let run = known.find(|run| run.key == *key)?;
+        Some((run.link, run.order))
+    }
+
+    /// Whether a run of the same task may still be on the minion.
+    pub(crate) fn is_task_active(&self, key: &RunKey) -> bool {
+        let mut known = self.runs.values().filter(|run| run.takes_room());
+        known.any(|run| run.key.task == key.task)
+    }
+
+    pub(crate) fn orders_of(&self, link: LinkId) -> Vec<OrderId> {
+        let runs = self.runs.values().filter(|run| run.link == link);
+        runs.map(|run| run.order).collect()
+    }
+
+    /// Room of all runs that the minion may hold.
+    pub(crate) fn taken(&self) -> Room {
+        let holding = self.runs.values().filter(|run| run.takes_room());
+        holding.fold(Room::default(), |sum, run| sum.plus(&run.needs))
+    }
+
+    /// Room of all runs, those that wait included.
+    pub(crate) fn promised(&self) -> Room {
+        let runs = self.runs.values();
+        runs.fold(Room::default(), |sum, run| sum.plus(&run.needs))
+    }
+
+    pub(crate) fn parked_by_urgency(&self) -> Vec<(LinkId, OrderId)> {
+        let parked = self.runs.values().filter(|run| !run.takes_room());
+        let mut parked: Vec<&Run> = parked.collect();
+        parked.sort_by_key(|run| run.due_ms);
+        parked.iter().map(|run| (run.link, run.order)).collect()
+    }
+
+    /// How far the runs of a link are.
+    pub(crate) fn progress(&self, now_ms: u64, link: LinkId) -> Vec<Report> {
+        let running = self.runs.values();
+        let running = running.filter(|run| run.link == link && run.phase == Phase::Running);
+        let report = |run: &Run| Report::Progress {
+            order: run.order,
+            percent: run.percent,
+            elapsed_ms: u32::try_from(run.ran_ms(now_ms)).unwrap_or(u32::MAX),
+            idle_ms: u32::try_from(now_ms.saturating_sub(run.changed_ms)).unwrap_or(u32::MAX),
+        };
+        running.map(report).collect()
+    }
+}
--- /dev/null
+++ b/crates/node/src/agent_node.rs
@@ -0,0 +1,420 @@
+//! The process around an agent's decisions.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+
+use gannetvane_dispatch::Agent;
+use gannetvane_dispatch::AgentAction;
+use gannetvane_dispatch::AgentIdentity;
+use gannetvane_dispatch::AgentNote;
+use gannetvane_dispatch::Directory;
+use gannetvane_dispatch::EntryFrame;
+use gannetvane_dispatch::Greeting;
+use gannetvane_dispatch::LinkId;
+use gannetvane_dispatch::Listing;
+use gannetvane_dispatch::MinionReport;
+use gannetvane_dispatch::RunKey;
+use gannetvane_dispatch::StartResult;
+use gannetvane_dispatch::decode;
+use gannetvane_dispatch::encode;
+use gannetvane_wire::Name;
+use slog::Logger;
+use slog::info;
+use slog::warn;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::mpsc::unbounded_channel;
+use tokio::sync::oneshot;
+
+use crate::Clock;
+use crate::Metrics;
+use crate::StoreKeeper;
+use crate::links;
+use crate::links::FrameSender;
+use crate::peers::Dialers;
+use crate::peers::SharedDirectory;
+use crate::ports::HoldCall;
+use crate::ports::MinionPort;
+use crate::ports::StartCall;
+
+/// Pause between two looks at the directory, in milliseconds.
+const REFRESH_MS: u64 = 500;
+/// Pause between two looks for entries in the store while none is reached, in
+/// milliseconds.
+const SEARCH_MS: u64 = 2_000;
+
+/// Settings of an agent's process.
+#[derive(Clone, Debug)]
+pub struct AgentNodeSettings {
+    /// Who it is.
+    pub identity: AgentIdentity,
+    /// Addresses for the first contact.
+    pub seeds: Vec<SocketAddr>,
+    /// Longest time from the signal to the end, in milliseconds.
+    pub stop_limit_ms: u64,
+}
+
+enum Input {
+    LinkUp(LinkId, SocketAddr, FrameSender, oneshot::Sender<()>),
+    Frame(LinkId, EntryFrame),
+    LinkDown(LinkId),
+    Reported(MinionReport),
+    Left(Name),
+    Started(Name, RunKey, StartResult),
+    StopDone(Name, RunKey, bool),
+    Listed(Name, u64, Option<Listing>),
+    Entries(Vec<SocketAddr>),
+    Stop,
+}
+
+/// How the minion's reports reach the agent.
+#[derive(Clone, Debug)]
+pub struct AgentHandle {
+    inputs: UnboundedSender<Input>,
+}
+
+impl std::fmt::Debug for Input {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Input")
+    }
+}
+
+impl AgentHandle {
+    /// The minion reported itself; false when the process is about to end.
+    #[must_use]
+    pub fn reported(&self, report: MinionReport) -> bool {
+        self.inputs.send(Input::Reported(report)).is_ok()
+    }
+
+    /// The minion is about to end; false when the process is, too.
+    #[must_use]
+    pub fn left(&self, instance: Name) -> bool {
+        self.inputs.send(Input::Left(instance)).is_ok()
+    }
+
+    /// Begins a planned stop.
+    pub fn stop(&self) {
+        // Without a receiver the process is about to end.
+        let _ = self.inputs.send(Input::Stop);
+    }
+}
+
+/// An agent with its connections.
+pub struct AgentNode {
+    settings: AgentNodeSettings,
+    agent: Agent,
+    clock: Clock,
+    log: Logger,
+    metrics: Rc<Metrics>,
+    minion: Rc<dyn MinionPort>,
+    inputs: UnboundedSender<Input>,
+    queue: UnboundedReceiver<Input>,
+    links: BTreeMap<LinkId, (FrameSender, oneshot::Sender<()>)>,
+    directory: SharedDirectory,
+    stop_ms: Option<u64>,
+    refreshed_ms: u64,
+    searched_ms: u64,
+}
+
+impl std::fmt::Debug for AgentNode {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("AgentNode").finish_non_exhaustive()
+    }
+}
+
+type BoxedDial = dyn Fn(SocketAddr) -> Pin<Box<dyn Future<Output = bool>>>;
+
+impl AgentNode {
+    /// An agent that is not serving yet.
+    #[must_use]
+    pub fn new(
+        settings: AgentNodeSettings,
+        minion: Rc<dyn MinionPort>,
+        log: Logger,
+        metrics: Rc<Metrics>,
+    ) -> Self {
+        let (inputs, queue) = unbounded_channel();
+        let directory = Directory::new(None, settings.seeds.iter().copied());
+        Self {
+            agent: Agent::new(settings.identity.clone()),
+            settings,
+            clock: Clock::start(),
+            log,
+            metrics,
+            minion,
+            inputs,
+            queue,
+            links: BTreeMap::new(),
+            directory: Rc::new(RefCell::new(directory)),
+            stop_ms: None,
+            refreshed_ms: 0,
+            searched_ms: 0,
+        }
+    }
+
+    /// The interface for the minion's reports.
+    #[must_use]
+    pub fn handle(&self) -> AgentHandle {
+        AgentHandle {
+            inputs: self.inputs.clone(),
+        }
+    }
+
+    /// Serves until a planned stop is complete.
+    pub async fn run(mut self, store: StoreKeeper) {
+        let mut dialers = self.dialers();
+        dialers.refresh();
+        self.search(&store);
+        let mut due_ms = 0;
+        while !self.may_end() {
+            let sleep = tokio::time::sleep_until(self.clock.at(due_ms));
+            tokio::select! {
+                biased;
+                input = self.queue.recv() => {
+                    if let Some(input) = input {
+                        self.input(input);
+                    }
+                }
+                () = sleep => {}
+            }
+            while let Ok(input) = self.queue.try_recv() {
+                self.input(input);
+            }
+            let now_ms = self.clock.now_ms();
+            due_ms = self.agent.tick(now_ms);
+            self.carry_out();
+            if now_ms >= self.refreshed_ms + REFRESH_MS {
+                self.refreshed_ms = now_ms;
+                dialers.refresh();
+            }
+            if self.links.is_empty() && now_ms >= self.searched_ms + SEARCH_MS {
+                self.search(&store);
+            }
+        }
+        info!(self.log, "stopped"; "runs" => self.agent.active_runs());
+    }
+
+    fn dialers(&self) -> Dialers<Box<BoxedDial>> {
+        let inputs = self.inputs.clone();
+        let next_link = Rc::new(std::cell::Cell::new(1));
+        let directory = Rc::clone(&self.directory);
+        let clock = self.clock;
+        let dial: Box<BoxedDial> = Box::new(move |entry| {
+            let link = LinkId(next_link.get());
+            next_link.set(link.0 + 1);
+            let inputs = inputs.clone();
+            let directory = Rc::clone(&directory);
+            Box::pin(dial_entry(link, entry, inputs, directory, clock))
+        });
+        Dialers::new(Rc::clone(&self.directory), self.clock, dial)
+    }
+
+    /// Looks for entries in the store.
+    fn search(&mut self, store: &StoreKeeper) {
+        self.searched_ms = self.clock.now_ms();
+        let store = store.clone();
+        let inputs = self.inputs.clone();
+        tokio::task::spawn_local(async move {
+            let entries = store.entries().await;
+            // Without a receiver the process is about to end.
+            let _ = inputs.send(Input::Entries(entries));
+        });
+    }
+
+    fn input(&mut self, input: Input) {
+        let now_ms = self.clock.now_ms();
+        match input {
+            Input::LinkUp(link, addr, sender, closer) => {
+                self.links.insert(link, (sender, closer));
+                self.agent.link_up(now_ms, link, addr);
+            }
+            Input::Frame(link, frame) => self.agent.frame(now_ms, link, frame),
+            Input::LinkDown(link) => {
+                self.links.remove(&link);
+                self.agent.link_down(now_ms, link);
+            }
+            Input::Reported(report) => self.agent.minion_reported(now_ms, report),
+            Input::Left(instance) => self.agent.minion_left(now_ms, &instance),
+            Input::Started(instance, key, result) => {
+                self.agent.start_answered(now_ms, &instance, &key, result);
+            }
+            Input::StopDone(instance, key, is_done) => {
+                self.agent.stop_answered(now_ms, &instance, &key, is_done);
+            }
+            Input::Listed(instance, call, listing) => {
+                self.agent.listed(now_ms, &instance, call, listing);
+            }
+            Input::Entries(entries) => {
+                self.directory.borrow_mut().learn(now_ms, &entries);
+            }
+            Input::Stop => {
+                if self.stop_ms.is_none() {
+                    info!(self.log, "stopping"; "runs" => self.agent.active_runs());
+                    self.stop_ms = Some(now_ms);
+                    self.agent.begin_stop(now_ms);
+                }
+            }
+        }
+    }
+
+    fn may_end(&self) -> bool {
+        let Some(stop_ms) = self.stop_ms else {
+            return false;
+        };
+        let is_over = self.clock.now_ms() >= stop_ms + self.settings.stop_limit_ms;
+        is_over || self.agent.may_stop()
+    }
+
+    fn carry_out(&mut self) {
+        for action in self.agent.take_actions() {
+            match action {
+                AgentAction::Start {
+                    instance,
+                    key,
+                    spec,
+                    deadline_ms,
+                    epoch,
+                } => self.start(StartCall {
+                    instance,
+                    key,
+                    spec,
+                    deadline_ms,
+                    epoch,
+                }),
+                AgentAction::Stop {
+                    instance,
+                    key,
+                    epoch,
+                } => self.stop(instance, key, epoch),
+                AgentAction::Hold {
+                    call,
+                    instance,
+                    epoch,
+                    acked_through,
+                    deadline_ms,
+                    wait_ms,
+                } => self.hold(
+                    call,
+                    HoldCall {
+                        instance,
+                        epoch,
+                        acked_through,
+                        deadline_ms,
+                        wait_ms,
+                    },
+                ),
+                AgentAction::Greet(link, hello) => self.send(link, &Greeting::Agent(hello)),
+                AgentAction::Send(link, frame) => self.send(link, &frame),
+                AgentAction::Close(link) => {
+                    self.links.remove(&link);
+                }
+                AgentAction::Entries(entries) => {
+                    let now_ms = self.clock.now_ms();
+                    if self.directory.borrow_mut().learn(now_ms, &entries) {
+                        self.refreshed_ms = 0;
+                    }
+                }
+                AgentAction::Note(note) => self.note(&note),
+            }
+        }
+    }
+
+    fn start(&self, call: StartCall) {
+        let minion = Rc::clone(&self.minion);
+        let inputs = self.inputs.clone();
+        tokio::task::spawn_local(async move {
+            let (instance, key) = (call.instance.clone(), call.key.clone());
+            let result = minion.start(call).await;
+            // Without a receiver the process is about to end.
+            let _ = inputs.send(Input::Started(instance, key, result));
+        });
+    }
+
+    fn stop(&self, instance: Name, key: RunKey, epoch: u64) {
+        let minion = Rc::clone(&self.minion);
+        let inputs = self.inputs.clone();
+        tokio::task::spawn_local(async move {
+            let is_done = minion.stop(instance.clone(), key.clone(), epoch).await;
+            // Without a receiver the process is about to end.
+            let _ = inputs.send(Input::StopDone(instance, key, is_done));
+        });
+    }
+
+    fn hold(&self, number: u64, call: HoldCall) {
+        let minion = Rc::clone(&self.minion);
+        let inputs = self.inputs.clone();
+        tokio::task::spawn_local(async move {
+            let instance = call.instance.clone();
+            let listing = minion.hold(call).await;
+            // Without a receiver the process is about to end.
+            let _ = inputs.send(Input::Listed(instance, number, listing));
+        });
+    }
+
+    fn send<T: serde::Serialize>(&self, link: LinkId, frame: &T) {
+        let Some((sender, _)) = self.links.get(&link) else {
+            return;
+        };
+        match encode(frame) {
+            Ok(bytes) => sender.send(bytes),
+            Err(error) => warn!(self.log, "encode-failed"; "error" => %error),
+        }
+    }
+
+    fn note(&self, note: &AgentNote) {
+        self.metrics.event(note.event);
+        match &note.job {
+            Some(job) => {
+                info!(self.log, "{}", note.event; "job" => &**job, "why" => &note.detail);
+            }
+            None => info!(self.log, "{}", note.event; "why" => &note.detail),
+        }
+    }
+}
+
+/// Connects to an entry and reads its frames until the connection ends.
+async fn dial_entry(
+    link: LinkId,
+    entry: SocketAddr,
+    inputs: UnboundedSender<Input>,
+    directory: SharedDirectory,
+    clock: Clock,
+) -> bool {
+    let Ok(stream) = links::connect(entry).await else {
+        return false;
+    };
+    let Ok((mut reader, sender)) = links::split(stream) else {
+        return false;
+    };
+    let (closer, closed) = oneshot::channel();
+    if inputs
+        .send(Input::LinkUp(link, entry, sender, closer))
+        .is_err()
+    {
+        return false;
+    }
+    let mut was_useful = false;
+    let read = async {
+        while let Some(frame) = links::next_frame(&mut reader).await {
+            directory.borrow_mut().reached(clock.now_ms(), entry);
+            was_useful = true;
+            let Ok(frame) = decode(&frame) else {
+                break;
+            };
+            if inputs.send(Input::Frame(link, frame)).is_err() {
+                break;
+            }
+        }
+    };
+    tokio::select! {
+        () = read => {}
+        _ = closed => {}
+    }
+    // Without a receiver the process is about to end.
+    let _ = inputs.send(Input::LinkDown(link));
+    was_useful
+}
--- /dev/null
+++ b/crates/node/src/entry_node.rs
@@ -0,0 +1,631 @@
+//! The process around an entry's decisions.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use gannetvane_dispatch::AgentFrame;
+use gannetvane_dispatch::AgentHello;
+use gannetvane_dispatch::Caller;
+use gannetvane_dispatch::Directory;
+use gannetvane_dispatch::Dispatcher;
+use gannetvane_dispatch::DispatcherAction;
+use gannetvane_dispatch::DispatcherSettings;
+use gannetvane_dispatch::Greeting;
+use gannetvane_dispatch::Job;
+use gannetvane_dispatch::JobEvent;
+use gannetvane_dispatch::JobOutcome;
+use gannetvane_dispatch::LinkId;
+use gannetvane_dispatch::PeerFrame;
+use gannetvane_dispatch::Queue;
+use gannetvane_dispatch::Refusal;
+use gannetvane_dispatch::RouteError;
+use gannetvane_dispatch::RoutingTable;
+use gannetvane_dispatch::decode;
+use gannetvane_dispatch::encode;
+use gannetvane_wire::Name;
+use slog::Logger;
+use slog::info;
+use slog::warn;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::mpsc::unbounded_channel;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use tokio::task::AbortHandle;
+
+use crate::Clock;
+use crate::Metrics;
+use crate::StoreKeeper;
+use crate::links;
+use crate::links::FrameReader;
+use crate::links::FrameSender;
+use crate::peers::Dialers;
+use crate::peers::SharedDirectory;
+
+/// Pause between two frames to another entry, in milliseconds.
+const PEER_KEEPALIVE_MS: u64 = 1_000;
+/// Pause between two looks at the directory, in milliseconds.
+const REFRESH_MS: u64 = 500;
+/// Time for the last answers to be written before the process ends, in
+/// milliseconds.
+const FLUSH_MS: u64 = 150;
+
+/// Settings of an entry's process.
+#[derive(Clone, Debug)]
+pub struct EntryNodeSettings {
+    /// Where agents and other entries connect.
+    pub link_addr: SocketAddr,
+    /// Availability zone.
+    pub zone: Name,
+    /// Addresses for the first contact.
+    pub seeds: Vec<SocketAddr>,
+    /// Time after the signal for which requests are still taken, in
+    /// milliseconds: the balancer needs two checks to notice.
+    pub stop_notice_ms: u64,
+    /// Longest time from the signal to the end, in milliseconds.
+    pub stop_limit_ms: u64,
+}
+
+enum Input {
+    AgentUp(LinkId, AgentHello, FrameSender, AbortHandle),
+    AgentFrame(LinkId, AgentFrame),
+    LinkDown(LinkId),
+    Peer(SocketAddr, PeerFrame),
+    Submit(Caller, Job, oneshot::Sender<JobOutcome>),
+    Left(Caller),
+    Cancel(Name, oneshot::Sender<bool>),
+    Pending(Name, oneshot::Sender<usize>),
+    Configure(RoutingTable),
+    Entries(Vec<SocketAddr>),
+    Refresh,
+    Stop,
+}
+
+/// What entries tell each other.
+#[derive(Clone, Debug, Default)]
+struct PeerNews {
+    table: Arc<RoutingTable>,
+    entries: Vec<SocketAddr>,
+}
+
+/// How the interface for callers reaches the entry.
+#[derive(Clone, Debug)]
+pub struct EntryHandle {
+    inputs: UnboundedSender<Input>,
+    table: Rc<RefCell<Arc<RoutingTable>>>,
+    is_ready: Rc<Cell<bool>>,
+    next_caller: Rc<Cell<u64>>,
+}
+
+impl std::fmt::Debug for Input {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Input")
+    }
+}
+
+/// Tells the entry when a caller goes away before its answer.
+struct Presence {
+    caller: Caller,
+    inputs: UnboundedSender<Input>,
+    is_answered: bool,
+}
+
+impl Drop for Presence {
+    fn drop(&mut self) {
+        if !self.is_answered {
+            // Without a receiver the process is about to end.
+            let _ = self.inputs.send(Input::Left(self.caller));
+        }
+    }
+}
+
+impl EntryHandle {
+    /// The queue of a request.
+    ///
+    /// # Errors
+    ///
+    /// [`RouteError`] when there is none.
+    pub fn find(&self, host: &str, path: &str) -> Result<Arc<Queue>, RouteError> {
+        self.table.borrow().find(host, path)
+    }
+
+    /// The configuration in force.
+    #[must_use]
+    pub fn table(&self) -> Arc<RoutingTable> {
+        Arc::clone(&self.table.borrow())
+    }
+
+    /// Whether the balancer may send requests here.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.is_ready.get()
+    }
+
+    /// Submits a job and waits for its end. When the caller drops this, the
+    /// job is stopped.
+    pub async fn submit(&self, job: Job) -> JobOutcome {
+        let caller = Caller(self.next_caller.get());
+        self.next_caller.set(caller.0 + 1);
+        let (answer, outcome) = oneshot::channel();
+        let mut presence = Presence {
+            caller,
+            inputs: self.inputs.clone(),
+            is_answered: false,
+        };
+        let stopped = JobOutcome::Refused {
+            reason: Refusal::Stopping,
+            retry_after_ms: 0,
+        };
+        if self
+            .inputs
+            .send(Input::Submit(caller, job, answer))
+            .is_err()
+        {
+            presence.is_answered = true;
+            return stopped;
+        }
+        // The entry answers all jobs before it ends.
+        let outcome = outcome.await.unwrap_or(JobOutcome::TooLate);
+        presence.is_answered = true;
+        outcome
+    }
+
+    /// Cancels a job; false if there is none.
+    pub async fn cancel(&self, job: Name) -> bool {
+        let (answer, is_cancelled) = oneshot::channel();
+        self.inputs.send(Input::Cancel(job, answer)).is_ok() && is_cancelled.await.unwrap_or(false)
+    }
+
+    /// Jobs of a queue of which nothing has started.
+    pub async fn pending(&self, queue: Name) -> usize {
+        let (answer, pending) = oneshot::channel();
+        match self.inputs.send(Input::Pending(queue, answer)) {
+            Ok(()) => pending.await.unwrap_or(0),
+            Err(_) => 0,
+        }
+    }
+
+    /// Begins a planned stop.
+    pub fn stop(&self) {
+        // Without a receiver the process is about to end.
+        let _ = self.inputs.send(Input::Stop);
+    }
+}
+
+/// An entry with its connections.
+pub struct EntryNode {
+    settings: EntryNodeSettings,
+    dispatcher: Dispatcher,
+    clock: Clock,
+    log: Logger,
+    metrics: Rc<Metrics>,
+    inputs: UnboundedSender<Input>,
+    queue: UnboundedReceiver<Input>,
+    links: BTreeMap<LinkId, (FrameSender, AbortHandle)>,
+    callers: BTreeMap<Caller, oneshot::Sender<JobOutcome>>,
+    directory: SharedDirectory,
+    news: watch::Sender<PeerNews>,
+    handle: EntryHandle,
+    http_stop: watch::Sender<bool>,
+    stop_ms: Option<u64>,
+}
+
+impl std::fmt::Debug for EntryNode {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("EntryNode").finish_non_exhaustive()
+    }
+}
+
+impl EntryNode {
+    /// An entry that is not serving yet.
+    #[must_use]
+    pub fn new(settings: EntryNodeSettings, log: Logger, metrics: Rc<Metrics>) -> Self {
+        let clock = Clock::start();
+        let (inputs, queue) = unbounded_channel();
+        let own = settings.link_addr;
+        let directory = Directory::new(Some(own), settings.seeds.iter().copied());
+        let dispatcher_settings = DispatcherSettings {
+            zone: settings.zone.clone(),
+            seed: rand::random(),
+        };
+        let handle = EntryHandle {
+            inputs: inputs.clone(),
+            table: Rc::default(),
+            is_ready: Rc::default(),
+            next_caller: Rc::default(),
+        };
+        Self {
+            dispatcher: Dispatcher::new(dispatcher_settings, clock.now_ms()),
+            settings,
+            clock,
+            log,
+            metrics,
+            inputs,
+            queue,
+            links: BTreeMap::new(),
+            callers: BTreeMap::new(),
+            directory: Rc::new(RefCell::new(directory)),
+            news: watch::Sender::default(),
+            handle,
+            http_stop: watch::Sender::new(false),
+            stop_ms: None,
+        }
+    }
+
+    /// The interface for callers.
+    #[must_use]
+    pub fn handle(&self) -> EntryHandle {
+        self.handle.clone()
+    }
+
+    /// Becomes true when connections of callers are to end.
+    #[must_use]
+    pub fn http_stop(&self) -> watch::Receiver<bool> {
+        self.http_stop.subscribe()
+    }
+
+    /// Serves until a planned stop is complete.
+    ///
+    /// # Errors
+    ///
+    /// The error of the listener for agents and entries.
+    pub async fn run(mut self, store: StoreKeeper) -> std::io::Result<()> {
+        let listener = TcpListener::bind(self.settings.link_addr).await?;
+        tokio::task::spawn_local(accept_links(
+            listener,
+            self.inputs.clone(),
+            self.log.clone(),
+        ));
+        tokio::task::spawn_local(watch_store(store.clone(), self.inputs.clone()));
+        tokio::task::spawn_local(meet(store, self.settings.link_addr, self.inputs.clone()));
+        let mut dialers = self.dialers();
+        dialers.refresh();
+        tokio::task::spawn_local(send_refreshes(self.inputs.clone()));
+        let mut due_ms = 0;
+        while !self.may_end() {
+            let sleep = tokio::time::sleep_until(self.clock.at(due_ms));
+            tokio::select! {
+                biased;
+                input = self.queue.recv() => {
+                    if let Some(input) = input {
+                        self.input(input);
+                    }
+                }
+                () = sleep => {}
+            }
+            while let Ok(input) = self.queue.try_recv() {
+                self.input(input);
+            }
+            dialers.refresh_if_changed();
+            due_ms = self.dispatcher.tick(self.clock.now_ms());
+            self.follow_stop();
+            self.carry_out();
+        }
+        info!(self.log, "stopped"; "open_jobs" => self.dispatcher.open_jobs());
+        tokio::time::sleep(Duration::from_millis(FLUSH_MS)).await;
+        Ok(())
+    }
+
+    fn dialers(&self) -> PeerDialers {
+        let own = self.settings.link_addr;
+        let news = self.news.subscribe();
+        let directory = Rc::clone(&self.directory);
+        let clock = self.clock;
+        let dial: Box<BoxedDial> = Box::new(move |entry| {
+            let directory = Rc::clone(&directory);
+            Box::pin(dial_peer(entry, own, news.clone(), directory, clock))
+        });
+        PeerDialers {
+            dialers: Dialers::new(Rc::clone(&self.directory), self.clock, dial),
+            refreshed_ms: 0,
+            clock: self.clock,
+        }
+    }
+
+    fn input(&mut self, input: Input) {
+        let now_ms = self.clock.now_ms();
+        match input {
+            Input::AgentUp(link, hello, sender, reader) => {
+                self.links.insert(link, (sender, reader));
+                self.dispatcher.agent_up(now_ms, link, hello);
+                let entries = self.directory.borrow().news(now_ms);
+                self.dispatcher.tell_entries(&entries);
+            }
+            Input::AgentFrame(link, frame) => self.dispatcher.agent_frame(now_ms, link, frame),
+            Input::LinkDown(link) => {
+                self.links.remove(&link);
+                self.dispatcher.agent_down(now_ms, link, "closed");
+            }
+            Input::Peer(entry, frame) => self.peer_frame(now_ms, entry, frame),
+            Input::Submit(caller, job, answer) => {
+                self.callers.insert(caller, answer);
+                self.dispatcher.submit(now_ms, caller, job);
+            }
+            Input::Left(caller) => {
+                self.callers.remove(&caller);
+                self.dispatcher.caller_left(now_ms, caller);
+            }
+            Input::Cancel(job, answer) => {
+                let is_cancelled = self.dispatcher.cancel(now_ms, &job);
+                // A caller that left needs no answer.
+                let _ = answer.send(is_cancelled);
+            }
+            Input::Pending(queue, answer) => {
+                // A caller that left needs no answer.
+                let _ = answer.send(self.dispatcher.pending(&queue));
+            }
+            Input::Configure(table) => self.configure(table),
+            Input::Entries(entries) => {
+                self.directory.borrow_mut().learn(now_ms, &entries);
+            }
+            Input::Refresh => self.spread_entries(now_ms),
+            Input::Stop => self.begin_stop(now_ms),
+        }
+        self.handle
+            .is_ready
+            .set(self.dispatcher.is_ready() && self.stop_ms.is_none());
+    }
+
+    fn peer_frame(&mut self, now_ms: u64, entry: SocketAddr, frame: PeerFrame) {
+        self.directory.borrow_mut().reached(now_ms, entry);
+        self.directory.borrow_mut().learn(now_ms, &frame.entries);
+        if let Some(table) = frame.table {
+            self.configure(table);
+        }
+    }
+
+    fn configure(&mut self, table: RoutingTable) {
+        if self.dispatcher.configure(table) {
+            let table = Arc::new(self.dispatcher.table().clone());
+            *self.handle.table.borrow_mut() = Arc::clone(&table);
+            self.news.send_modify(|news| news.table = table);
+        }
+    }
+
+    /// Tells entries and agents when the set of entries changed.
+    fn spread_entries(&mut self, now_ms: u64) {
+        let entries = self.directory.borrow().news(now_ms);
+        if self.news.borrow().entries != entries {
+            info!(self.log, "entries"; "count" => entries.len());
+            self.dispatcher.tell_entries(&entries);
+            self.news.send_modify(|news| news.entries = entries);
+        }
+    }
+
+    fn begin_stop(&mut self, now_ms: u64) {
+        if self.stop_ms.is_none() {
+            info!(self.log, "stopping"; "open_jobs" => self.dispatcher.open_jobs());
+            self.stop_ms = Some(now_ms);
+        }
+    }
+
+    fn follow_stop(&mut self) {
+        let Some(stop_ms) = self.stop_ms else {
+            return;
+        };
+        let is_noticed = self.clock.now_ms() >= stop_ms + self.settings.stop_notice_ms;
+        if is_noticed && !*self.http_stop.borrow() {
+            self.dispatcher.begin_stop();
+            self.http_stop.send_replace(true);
+        }
+    }
+
+    fn may_end(&self) -> bool {
+        let Some(stop_ms) = self.stop_ms else {
+            return false;
+        };
+        let is_over = self.clock.now_ms() >= stop_ms + self.settings.stop_limit_ms;
+        let is_served = *self.http_stop.borrow() && self.dispatcher.open_jobs() == 0;
+        is_over || is_served
+    }
+
+    fn carry_out(&mut self) {
+        for action in self.dispatcher.take_actions() {
+            match action {
+                DispatcherAction::Answer(caller, outcome) => {
+                    if let Some(answer) = self.callers.remove(&caller) {
+                        // A caller that left needs no answer.
+                        let _ = answer.send(outcome);
+                    }
+                }
+                DispatcherAction::Send(link, frame) => {
+                    if let Some((sender, _)) = self.links.get(&link) {
+                        match encode(&frame) {
+                            Ok(bytes) => sender.send(bytes),
+                            Err(error) => warn!(self.log, "encode-failed"; "error" => %error),
+                        }
+                    }
+                }
+                DispatcherAction::Close(link) => {
+                    if let Some((_, reader)) = self.links.remove(&link) {
+                        reader.abort();
+                    }
+                }
+                DispatcherAction::Event(event) => self.event(&event),
+            }
+        }
+    }
+
+    fn event(&self, event: &JobEvent) {
+        match (&event.job, event.took_ms) {
+            (Some(job), Some(took_ms)) => {
+                self.metrics.job(event.event, event.reason, took_ms);
+                info!(self.log, "{}", event.event; "job" => &**job, "took_ms" => took_ms, "why" => &event.detail);
+            }
+            (Some(job), None) => {
+                self.metrics.event(event.event);
+                info!(self.log, "{}", event.event; "job" => &**job, "why" => &event.detail);
+            }
+            _ => {
+                self.metrics.event(event.event);
+                info!(self.log, "{}", event.event; "why" => &event.detail);
+            }
+        }
+    }
+}
+
+type BoxedDial = dyn Fn(SocketAddr) -> std::pin::Pin<Box<dyn Future<Output = bool>>>;
+
+/// The connections to other entries.
+struct PeerDialers {
+    dialers: Dialers<Box<BoxedDial>>,
+    refreshed_ms: u64,
+    clock: Clock,
+}
+
+impl PeerDialers {
+    fn refresh(&mut self) {
+        self.refreshed_ms = self.clock.now_ms();
+        self.dialers.refresh();
+    }
+
+    fn refresh_if_changed(&mut self) {
+        if self.clock.now_ms() >= self.refreshed_ms + REFRESH_MS {
+            self.refresh();
+        }
+    }
+}
+
+async fn watch_store(store: StoreKeeper, inputs: UnboundedSender<Input>) {
+    store
+        .watch(|table| {
+            // Without a receiver the process is about to end.
+            let _ = inputs.send(Input::Configure(table));
+        })
+        .await;
+}
+
+/// Makes the entry known, and finds those that are known already.
+async fn meet(store: StoreKeeper, own: SocketAddr, inputs: UnboundedSender<Input>) {
+    let entries = store.entries().await;
+    let is_known = entries.contains(&own);
+    // Without a receiver the process is about to end.
+    let _ = inputs.send(Input::Entries(entries));
+    if !is_known {
+        store.announce(own).await;
+    }
+}
+
+async fn send_refreshes(inputs: UnboundedSender<Input>) {
+    while inputs.send(Input::Refresh).is_ok() {
+        tokio::time::sleep(Duration::from_millis(REFRESH_MS)).await;
+    }
+}
+
+async fn accept_links(listener: TcpListener, inputs: UnboundedSender<Input>, log: Logger) {
+    let mut next_link = 1;
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let link = LinkId(next_link);
+                next_link += 1;
+                tokio::task::spawn_local(serve_link(link, stream, inputs.clone()));
+            }
+            Err(error) => {
+                warn!(log, "accept-failed"; "error" => %error);
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+async fn serve_link(link: LinkId, stream: TcpStream, inputs: UnboundedSender<Input>) {
+    let Ok((mut reader, sender)) = links::split(stream) else {
+        return;
+    };
+    let Some(frame) = links::next_frame(&mut reader).await else {
+        return;
+    };
+    match decode::<Greeting>(&frame) {
+        Ok(Greeting::Agent(hello)) => {
+            let task = tokio::task::spawn_local(read_agent(link, reader, inputs.clone()));
+            let up = Input::AgentUp(link, hello, sender, task.abort_handle());
+            // Without a receiver the process is about to end.
+            let _ = inputs.send(up);
+        }
+        Ok(Greeting::Entry(entry)) => read_peer(entry, reader, inputs).await,
+        Err(_) => {}
+    }
+}
+
+async fn read_agent(link: LinkId, mut reader: FrameReader, inputs: UnboundedSender<Input>) {
+    while let Some(frame) = links::next_frame(&mut reader).await {
+        let Ok(frame) = decode(&frame) else {
+            break;
+        };
+        if inputs.send(Input::AgentFrame(link, frame)).is_err() {
+            return;
+        }
+    }
+    // Without a receiver the process is about to end.
+    let _ = inputs.send(Input::LinkDown(link));
+}
+
+async fn read_peer(entry: SocketAddr, mut reader: FrameReader, inputs: UnboundedSender<Input>) {
+    while let Some(frame) = links::next_frame(&mut reader).await {
+        let Ok(frame) = decode(&frame) else {
+            return;
+        };
+        if inputs.send(Input::Peer(entry, frame)).is_err() {
+            return;
+        }
+    }
+}
+
+/// Tells another entry what changes, until the connection ends.
+async fn dial_peer(
+    entry: SocketAddr,
+    own: SocketAddr,
+    mut news: watch::Receiver<PeerNews>,
+    directory: SharedDirectory,
+    clock: Clock,
+) -> bool {
+    let Ok(stream) = links::connect(entry).await else {
+        return false;
+    };
+    let Ok((mut reader, sender)) = links::split(stream) else {
+        return false;
+    };
+    let Ok(greeting) = encode(&Greeting::Entry(own)) else {
+        return false;
+    };
+    sender.send(greeting);
+    let mut told_version = 0;
+    loop {
+        directory.borrow_mut().reached(clock.now_ms(), entry);
+        let frame = {
+            let news = news.borrow_and_update();
+            let is_newer = news.table.version > told_version;
+            told_version = news.table.version;
+            PeerFrame {
+                entries: news.entries.clone(),
+                table: is_newer.then(|| (*news.table).clone()),
+            }
+        };
+        let Ok(bytes) = encode(&frame) else {
+            return false;
+        };
+        sender.send(bytes);
+        tokio::select! {
+            frame = links::next_frame(&mut reader) => {
+                if frame.is_none() {
+                    return true;
+                }
+            }
+            changed = news.changed() => {
+                if changed.is_err() {
+                    return true;
+                }
+            }
+            () = tokio::time::sleep(Duration::from_millis(PEER_KEEPALIVE_MS)) => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/http_client.rs
@@ -0,0 +1,112 @@
+//! Calls over HTTP/1.1 on connections that stay open.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::Method;
+use hyper::Request;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::TokioTimer;
+use thiserror::Error;
+
+/// Connections to one address that are kept open without a call.
+const IDLE_CONNECTIONS: usize = 16;
+/// Time to open a connection, in milliseconds.
+const CONNECT_MS: u64 = 1_000;
+/// Largest answer in bytes.
+const MAX_REPLY_BYTES: usize = 8 * 1024 * 1024;
+
+/// A call without an answer. It may have been carried out.
+#[derive(Debug, Error)]
+pub enum CallError {
+    /// No answer in time.
+    #[error("no answer within {0} ms")]
+    TimedOut(u64),
+    /// The connection could not be opened or broke.
+    #[error("connection: {0}")]
+    Connection(String),
+    /// The call itself cannot be written.
+    #[error("call not valid: {0}")]
+    Invalid(String),
+}
+
+/// An answer.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// The HTTP status.
+    pub status: u16,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// A client of one address.
+#[derive(Clone, Debug)]
+pub struct HttpCaller {
+    addr: SocketAddr,
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl HttpCaller {
+    /// A client of `addr`.
+    #[must_use]
+    pub fn new(addr: SocketAddr) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(Duration::from_millis(CONNECT_MS)));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_max_idle_per_host(IDLE_CONNECTIONS)
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(None)
+            .build(connector);
+        Self { addr, client }
+    }
+
+    /// Makes a call and reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// [`CallError`] without a whole answer in time.
+    pub async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        headers: &[(&'static str, String)],
+        body: Vec<u8>,
+        timeout_ms: u64,
+    ) -> Result<Reply, CallError> {
+        let mut request = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.addr));
+        for (name, value) in headers {
+            request = request.header(*name, value);
+        }
+        let request = request
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|error| CallError::Invalid(error.to_string()))?;
+        let timeout = Duration::from_millis(timeout_ms);
+        match tokio::time::timeout(timeout, self.exchange(request)).await {
+            Ok(reply) => reply,
+            Err(_) => Err(CallError::TimedOut(timeout_ms)),
+        }
+    }
+
+    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Reply, CallError> {
+        let response = self.client.request(request).await;
+        let response = response.map_err(|error| CallError::Connection(error.to_string()))?;
+        let status = response.status().as_u16();
+        let body = Limited::new(response.into_body(), MAX_REPLY_BYTES)
+            .collect()
+            .await;
+        let body = body.map_err(|error| CallError::Connection(error.to_string()))?;
+        Ok(Reply {
+            status,
+            body: body.to_bytes(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/node/src/http_server.rs
@@ -0,0 +1,93 @@
+//! HTTP/1.1 towards callers, with connections that stay open until a planned
+//! stop.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use slog::Logger;
+use slog::debug;
+use slog::warn;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+/// Longest time for the header of a request, in milliseconds. Configured
+/// limits are not below it on the users' sites.
+const HEADER_MS: u64 = 15_000;
+/// Pause after a connection could not be accepted, in milliseconds.
+const ACCEPT_PAUSE_MS: u64 = 20;
+
+/// A response of the server.
+pub type Served = Response<Full<Bytes>>;
+
+/// Accepts connections until `stop` is true, then ends each after the request
+/// that it serves.
+pub async fn serve_http<F, R>(
+    listener: TcpListener,
+    handler: F,
+    stop: watch::Receiver<bool>,
+    log: Logger,
+) where
+    F: Fn(Request<Incoming>) -> R + 'static,
+    R: Future<Output = Served> + 'static,
+{
+    let handler = Rc::new(handler);
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let connection =
+                    serve_connection(stream, Rc::clone(&handler), stop.clone(), log.clone());
+                tokio::task::spawn_local(connection);
+            }
+            Err(error) => {
+                warn!(log, "accept-failed"; "error" => %error);
+                tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection<F, R>(
+    stream: TcpStream,
+    handler: Rc<F>,
+    mut stop: watch::Receiver<bool>,
+    log: Logger,
+) where
+    F: Fn(Request<Incoming>) -> R + 'static,
+    R: Future<Output = Served> + 'static,
+{
+    if let Err(error) = stream.set_nodelay(true) {
+        debug!(log, "connection-option"; "error" => %error);
+    }
+    let service = service_fn(move |request| {
+        let response = handler(request);
+        async move { Ok::<_, Infallible>(response.await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(HEADER_MS))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        _ = stop.wait_for(|is_stopping| *is_stopping) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        debug!(log, "connection-ended"; "error" => %error);
+    }
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,33 @@
+//! Processes around the decisions of `gannetvane-dispatch`.
+//!
+//! One thread, one event loop, and the clock of the runtime: it sleeps until
+//! the next thing is due. What speaks to callers, minions and the store of a
+//! deployment implements the traits in [`ports`].
+
+mod agent_node;
+mod clock;
+mod configuration;
+mod entry_node;
+mod http_client;
+mod http_server;
+mod links;
+mod logging;
+mod metrics;
+mod peers;
+pub mod ports;
+
+pub use agent_node::AgentHandle;
+pub use agent_node::AgentNode;
+pub use agent_node::AgentNodeSettings;
+pub use clock::Clock;
+pub use configuration::StoreKeeper;
+pub use entry_node::EntryHandle;
+pub use entry_node::EntryNode;
+pub use entry_node::EntryNodeSettings;
+pub use http_client::CallError;
+pub use http_client::HttpCaller;
+pub use http_client::Reply;
+pub use http_server::Served;
+pub use http_server::serve_http;
+pub use logging::logger;
+pub use metrics::Metrics;
