--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -623,10 +623,11 @@
             .unwrap_or(now_ms)
             .saturating_sub(job.received_ms);
         let detail = format!(
-            "cause={cause} queue={} tasks={} queued_ms={queued_ms} objective_ms={} version={}",
+            "cause={cause} queue={} tasks={} queued_ms={queued_ms} objective_ms={} wait_ms={} version={}",
             job.job.queue.name,
             job.tasks.len(),
             job.objective_ms.saturating_sub(job.received_ms),
+            job.job.wait_ms,
             self.table.version,
         );
         let orders = job.orders();
