Speed of minions told by agents; run times by regression

Ruled out: learning speeds at the entries from ends alone: a third of the ends, one by one, told a slow minion after seconds. Change: the agent compares the progress of all its runs with the expected; entries learn what a declared time is worth by regression.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -21,6 +21,7 @@
 use crate::RunKey;
 use crate::StartOrder;
 use crate::minion::Minion;
+use crate::pace::Pace;
 use crate::runtable::Phase;
 use crate::runtable::Run;
 use crate::runtable::RunTable;
@@ -125,6 +126,7 @@
     pub(crate) minion: Option<Minion>,
     pub(crate) runs: RunTable,
     pub(crate) links: BTreeMap<LinkId, Link>,
+    pub(crate) pace: Pace,
     pub(crate) is_stopping: bool,
     pub(crate) next_call: u64,
     pub(crate) actions: Vec<AgentAction>,
@@ -139,6 +141,7 @@
             minion: None,
             runs: RunTable::default(),
             links: BTreeMap::new(),
+            pace: Pace::default(),
             is_stopping: false,
             next_call: 1,
             actions: Vec::new(),
@@ -401,6 +404,7 @@
         let free = minion.capacity().minus(&self.runs.promised());
         let parked = self.runs.parked_by_urgency().len();
         let is_open = self.is_open();
+        let speed_permille = self.pace.permille(now_ms);
         for (id, link) in &mut self.links {
             let pause_ms = now_ms.saturating_sub(link.last_sent_ms);
             let is_keepalive = pause_ms >= KEEPALIVE_MS;
@@ -419,6 +423,7 @@
                 clock_ms: now_ms,
                 starts_seen: link.starts_seen,
                 free,
+                speed_permille,
                 parked: u32::try_from(parked).unwrap_or(u32::MAX),
                 is_open,
                 reports,
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -43,18 +43,26 @@
 const SETTLE_MS: u64 = 40;
 /// When to come back after a refusal for want of room, in milliseconds.
 const RETRY_AFTER_MS: u64 = 1_000;
+/// A job waits for the first minion of its service for one in this many parts
+/// of its objective; agents greet within that after a restart.
+const MINION_WAIT_PART: u64 = 3;
 /// Jobs that find no room before a round of placement ends.
 const MISSES_A_ROUND: usize = 12;
-/// Expected time beyond which a run may be moved: factor on the time that it
-/// would take elsewhere, and the cost of a move in milliseconds.
-const MOVE_FACTOR: f64 = 1.3;
-const MOVE_COST_MS: f64 = 60.0;
+/// A run is moved when what remains of it takes longer than this many times
+/// the whole run on a sound minion, and the cost of a move in milliseconds.
+const MOVE_FACTOR: f64 = 1.15;
+const MOVE_COST_MS: f64 = 30.0;
+/// Speed above which a minion is not slow enough for moves.
+const SLOW_SPEED: f64 = 0.6;
 /// A run that made no progress for this share of its expected time, and at
 /// least for [`HANG_MS`], stands still.
 const HANG_SHARE: f64 = 0.5;
-const HANG_MS: f64 = 250.0;
-/// Smallest part of a run that says something of its speed, in percent.
-const TELLING_PERCENT: u8 = 4;
+const HANG_MS: f64 = 150.0;
+/// Speeds of minions whose run times are learned from: the kinds on the
+/// users' sheets, not those that have become slow.
+const SOUND_SPEEDS: std::ops::Range<f64> = 0.6..1.8;
+/// Speed below which all runs on a minion stand still.
+const STALLED_SPEED: f64 = 0.3;
 
 /// Settings of a dispatcher.
 #[derive(Clone, Debug)]
@@ -329,7 +337,13 @@
             .values()
             .map(|agent| agent.sent_ms + KEEPALIVE_MS);
         let open = self.jobs.values().filter(|job| job.is_open());
-        let jobs = open.map(|job| job.worthless_ms);
+        let jobs = open.map(|job| {
+            let part_ms = (job.objective_ms - job.received_ms) / MINION_WAIT_PART + 1;
+            match job.first_start_ms {
+                None if now_ms < job.received_ms + part_ms => job.received_ms + part_ms,
+                _ => job.worthless_ms,
+            }
+        });
         let due_ms = frames.chain(jobs).min().unwrap_or(now_ms + KEEPALIVE_MS);
         due_ms.clamp(now_ms + 1, now_ms + KEEPALIVE_MS)
     }
@@ -363,12 +377,8 @@
             return Err(Refusal::Stopping);
         }
         let service = &job.queue.service;
-        if !self
-            .agents
-            .values()
-            .any(|agent| agent.hello.service == *service)
-        {
-            return Err(Refusal::NoMinion);
+        if !self.has_minions(service) {
+            return Ok(());
         }
         let fits = |step| placement::fits_somewhere(&self.agents, service, step);
         if !job.steps.iter().all(fits) {
@@ -377,6 +387,11 @@
         Ok(())
     }
 
+    fn has_minions(&self, service: &Name) -> bool {
+        let mut agents = self.agents.values();
+        agents.any(|agent| agent.hello.service == *service)
+    }
+
     /// Orders waiting tasks, the most urgent first, while there is room.
     fn place(&mut self, now_ms: u64) {
         if now_ms < self.settled_ms || now_ms > self.ticked_ms + STOOD_STILL_MS {
@@ -398,7 +413,7 @@
             .jobs
             .iter()
             .filter(|(_, job)| job.is_open() && job.has_waiting());
-        let mut waiting: Vec<(bool, i64, &Name)> = waiting
+        let mut waiting: Vec<(bool, bool, i64, &Name)> = waiting
             .map(|(id, job)| {
                 let step = job
                     .tasks
@@ -407,11 +422,12 @@
                 let step = step.map_or(0, |task| task.step);
                 let latest_ms = job.latest_start_ms(step, &self.estimates);
                 let is_late = latest_ms < now_ms as i64;
-                (is_late, latest_ms, id)
+                let is_new = job.first_start_ms.is_none();
+                (is_late, is_new, latest_ms, id)
             })
             .collect();
         waiting.sort_unstable();
-        waiting.into_iter().map(|(_, _, id)| id.clone()).collect()
+        waiting.into_iter().map(|(.., id)| id.clone()).collect()
     }
 
     /// Orders the waiting tasks of a job; `false` if one found no room.
@@ -450,6 +466,7 @@
             expected_ms: self
                 .estimates
                 .expected_ms(&job.queue.name, step.declared_ms),
+            left_ms: state.objective_ms as f64 - now_ms as f64,
             avoid: &task.avoid,
             beside: &beside,
             now_ms,
@@ -470,6 +487,9 @@
         let job = Arc::clone(&state.job);
         let step = &job.steps[state.tasks[position].step];
         let latest_ms = state.latest_start_ms(state.tasks[position].step, &self.estimates);
+        let expected_ms = self
+            .estimates
+            .expected_ms(&job.queue.name, step.declared_ms);
         let slack_ms = (latest_ms - now_ms as i64).max(0);
         let task_id = state.task_id(position);
         let task = &mut state.tasks[position];
@@ -485,11 +505,9 @@
             run,
             spec: job.spec.clone(),
             needs: step.needs,
+            expected_ms: expected_ms as u32,
             slack_ms: u32::try_from(slack_ms).unwrap_or(u32::MAX),
         }));
-        let expected_ms = self
-            .estimates
-            .expected_ms(&job.queue.name, step.declared_ms);
         self.orders.insert(
             order,
             OrderState {
@@ -511,6 +529,7 @@
         };
         agent.outstanding.remove(&order);
         let host = agent.hello.host.clone();
+        let speed = agent.speed;
         let Some(job) = self.jobs.get_mut(&state.job) else {
             return;
         };
@@ -525,11 +544,9 @@
                 task.phase = TaskPhase::Done;
                 let record = self.hosts.record(&host);
                 record.clear();
-                let slowness = record.slowness;
-                let learned = self
-                    .estimates
-                    .observe(&queue.name, declared_ms, ran_ms, slowness);
-                record.slowness = learned;
+                if SOUND_SPEEDS.contains(&speed) {
+                    self.estimates.observe(&queue.name, declared_ms, ran_ms);
+                }
             }
             End::Failed => {
                 task.failures += 1;
@@ -695,29 +712,21 @@
         if state.is_stop_sent || !self.jobs.get(&state.job).is_some_and(JobState::is_open) {
             return;
         }
-        let host = agent.hello.host.clone();
+        let (host, speed) = (agent.hello.host.clone(), agent.speed);
         let elapsed_ms = f64::from(elapsed_ms);
-        let is_hanging = f64::from(idle_ms) > HANG_MS.max(state.expected_ms * HANG_SHARE);
-        let remaining_ms = if is_hanging {
-            f64::INFINITY
-        } else if percent >= TELLING_PERCENT {
-            elapsed_ms * f64::from(100 - percent.min(100)) / f64::from(percent)
-        } else if elapsed_ms > HANG_MS {
-            // At least this much is left at the rate so far.
-            elapsed_ms * f64::from(100 / TELLING_PERCENT)
+        let patience_ms = HANG_MS.max(state.expected_ms * HANG_SHARE);
+        let is_hanging = f64::from(idle_ms) > patience_ms
+            || (f64::from(idle_ms) > HANG_MS && speed < STALLED_SPEED);
+        let (remaining_ms, work_ms) = if is_hanging {
+            (f64::INFINITY, state.expected_ms)
+        } else if percent > 0 {
+            // The work is known from its progress and the speed there.
+            let total_ms = elapsed_ms * 100.0 / f64::from(percent);
+            (total_ms - elapsed_ms, total_ms * speed)
         } else {
             return;
         };
-        // The work itself may be longer than declared: what is known of it is
-        // the time so far on this host, less what the host is slow.
-        let slowness = self.hosts.get(&host).map_or(1.0, |record| record.slowness);
-        let total_ms = elapsed_ms + remaining_ms;
-        let work_ms = if is_hanging || slowness > 2.0 {
-            state.expected_ms
-        } else {
-            (total_ms / slowness).min(state.expected_ms * 2.5)
-        };
-        if remaining_ms > work_ms * MOVE_FACTOR + MOVE_COST_MS {
+        if remaining_ms > work_ms * MOVE_FACTOR + MOVE_COST_MS && speed < SLOW_SPEED || is_hanging {
             self.move_run(now_ms, order, &state, &host, remaining_ms);
         }
     }
@@ -734,11 +743,8 @@
             return;
         };
         job.tasks[state.position].avoid(host);
-        let record = self.hosts.record(host);
         if remaining_ms.is_infinite() {
-            record.strike(now_ms);
-        } else {
-            record.slowness = (record.slowness * 1.3).min(6.0);
+            self.hosts.record(host).strike(now_ms);
         }
         let detail = format!(
             "position={} host={host} remaining_ms={remaining_ms:.0}",
@@ -798,18 +804,26 @@
 
     /// Answers jobs that cannot be of use any more.
     fn give_up(&mut self, now_ms: u64) {
-        let is_over = |job: &JobState| job.is_open() && now_ms >= job.worthless_ms;
-        let over = self.jobs.iter().filter(|(_, job)| is_over(job));
-        let may_have_run = |job: &JobState| job.has_run || !job.is_clear();
-        let over: Vec<(Name, bool)> = over
-            .map(|(id, job)| (id.clone(), may_have_run(job)))
+        let over: Vec<Name> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| job.is_open() && self.is_hopeless(now_ms, job))
+            .map(|(id, _)| id.clone())
             .collect();
-        for (id, has_run) in over {
-            let outcome = if has_run {
+        for id in over {
+            let Some(job) = self.jobs.get(&id) else {
+                continue;
+            };
+            let reason = if self.has_minions(&job.job.queue.service) {
+                Refusal::Overloaded
+            } else {
+                Refusal::NoMinion
+            };
+            let outcome = if job.has_run || !job.is_clear() {
                 JobOutcome::TooLate
             } else {
                 JobOutcome::Refused {
-                    reason: Refusal::Overloaded,
+                    reason,
                     retry_after_ms: RETRY_AFTER_MS,
                 }
             };
@@ -817,6 +831,17 @@
         }
     }
 
+    /// Whether a job is of no use any more, or has waited in vain for a minion
+    /// of its service.
+    fn is_hopeless(&self, now_ms: u64, job: &JobState) -> bool {
+        let is_untouched = job.first_start_ms.is_none();
+        let waited_ms = now_ms.saturating_sub(job.received_ms);
+        let objective_ms = job.objective_ms.saturating_sub(job.received_ms);
+        let has_waited = waited_ms * MINION_WAIT_PART >= objective_ms;
+        let waits_in_vain = is_untouched && has_waited && !self.has_minions(&job.job.queue.service);
+        now_ms >= job.worthless_ms || waits_in_vain
+    }
+
     fn send_frames(&mut self, now_ms: u64) {
         for (link, agent) in &mut self.agents {
             let is_keepalive = now_ms >= agent.sent_ms + KEEPALIVE_MS;
--- a/crates/dispatch/src/estimate.rs
+++ b/crates/dispatch/src/estimate.rs
@@ -1,48 +1,81 @@
-//! Learned run times of queues and speeds of minions.
+//! Learned run times: what a declared run time is worth, for each queue.
+//!
+//! Declared times are noisy, so that the best guess lies between the declared
+//! time and the mean of the queue. A regression of the logarithms, with
+//! earlier runs fading, finds where.
 
 use std::collections::BTreeMap;
 
 use gannetvane_wire::Name;
 
-/// Weight of one observation in a queue's factor.
-const QUEUE_WEIGHT: f64 = 0.02;
-/// Weight of one observation in a minion's factor.
-const MINION_WEIGHT: f64 = 0.06;
-/// Bounds of one observation; beyond them it says more of the declaration.
-const OBSERVED: (f64, f64) = (0.25, 4.0);
-/// Bounds of a learned factor.
-const LEARNED: (f64, f64) = (0.3, 6.0);
+/// Runs that the assumption "as declared" is worth at the start.
+const PRIOR_RUNS: f64 = 12.0;
+/// Runs after which earlier ones fade: about two seconds of a busy entry.
+const MEMORY_RUNS: f64 = 400.0;
+/// Spread of the logarithm of declared times that is assumed at the start.
+const PRIOR_VARIANCE: f64 = 0.1;
 
 /// How true declared run times are, for each queue.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Estimates {
-    queues: BTreeMap<Name, f64>,
+    queues: BTreeMap<Name, Regression>,
+}
+
+/// Logarithm of the time that runs took, against that of the declared time.
+#[derive(Clone, Debug)]
+struct Regression {
+    runs: f64,
+    declared: f64,
+    took: f64,
+    variance: f64,
+    covariance: f64,
 }
 
 impl Estimates {
     /// Expected run time on a minion of ordinary speed, in milliseconds.
     pub(crate) fn expected_ms(&self, queue: &Name, declared_ms: u64) -> f64 {
-        let factor = self.queues.get(queue).copied().unwrap_or(1.0);
-        declared_ms.max(1) as f64 * factor
+        let declared_ms = declared_ms.max(1) as f64;
+        match self.queues.get(queue) {
+            Some(regression) => regression.predict(declared_ms.ln()).exp(),
+            None => declared_ms,
+        }
     }
 
-    /// Learns from a run that was done; returns the new factor of the minion.
-    pub(crate) fn observe(
-        &mut self,
-        queue: &Name,
-        declared_ms: u64,
-        ran_ms: u32,
-        slowness: f64,
-    ) -> f64 {
-        let expected_ms = self.expected_ms(queue, declared_ms) * slowness;
-        let observed = f64::from(ran_ms.max(1)) / expected_ms;
-        let observed = observed.clamp(OBSERVED.0, OBSERVED.1);
-        let factor = self.queues.entry(queue.clone()).or_insert(1.0);
-        *factor = learn(*factor, observed, QUEUE_WEIGHT);
-        learn(slowness, observed, MINION_WEIGHT)
+    /// Learns from a run that was done on a sound minion.
+    pub(crate) fn observe(&mut self, queue: &Name, declared_ms: u64, ran_ms: u32) {
+        let declared = (declared_ms.max(1) as f64).ln();
+        let took = f64::from(ran_ms.max(1)).ln();
+        let regression = self.queues.entry(queue.clone());
+        let regression = regression.or_insert_with(|| Regression::new(declared));
+        regression.observe(declared, took);
     }
 }
 
-fn learn(factor: f64, observed: f64, weight: f64) -> f64 {
-    (factor * (1.0 + weight * (observed - 1.0))).clamp(LEARNED.0, LEARNED.1)
+impl Regression {
+    fn new(declared: f64) -> Self {
+        Self {
+            runs: PRIOR_RUNS,
+            declared,
+            took: declared,
+            variance: PRIOR_VARIANCE,
+            covariance: PRIOR_VARIANCE,
+        }
+    }
+
+    fn predict(&self, declared: f64) -> f64 {
+        let slope = (self.covariance / self.variance.max(1e-6)).clamp(0.0, 1.0);
+        self.took + slope * (declared - self.declared)
+    }
+
+    fn observe(&mut self, declared: f64, took: f64) {
+        self.runs = (self.runs + 1.0).min(MEMORY_RUNS);
+        let weight = 1.0 / self.runs;
+        let declared_off = declared - self.declared;
+        let took_off = took - self.took;
+        self.declared += weight * declared_off;
+        self.took += weight * took_off;
+        let fade = 1.0 - weight;
+        self.variance = fade * (self.variance + weight * declared_off * declared_off);
+        self.covariance = fade * (self.covariance + weight * declared_off * took_off);
+    }
 }
--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -21,11 +21,12 @@
 /// Tasks that wait at an agent, of all entries, above which it gets no more.
 const PARKED_AT_AGENT: u32 = 3;
 
+/// Speed is told in thousandths of the ordinary one.
+const PERMILLE: f64 = 1_000.0;
+
 /// What was learned of a host, kept while its agent is away.
 #[derive(Clone, Debug)]
 pub(crate) struct HostRecord {
-    /// Run time there, against a minion of ordinary speed.
-    pub(crate) slowness: f64,
     /// Bad ends since the last good one.
     pub(crate) strikes: u32,
     /// Until when it gets no tasks.
@@ -36,7 +37,6 @@
 impl HostRecord {
     fn new(labels: Vec<Name>) -> Self {
         Self {
-            slowness: 1.0,
             strikes: 0,
             ejected_until_ms: 0,
             labels,
@@ -73,6 +73,8 @@
     pub(crate) heard_ms: u64,
     pub(crate) sent_ms: u64,
     pub(crate) clock_ms: u64,
+    /// Speed of its minion, 1 for the ordinary one.
+    pub(crate) speed: f64,
     free: Room,
     parked: u32,
     is_open: bool,
@@ -86,6 +88,7 @@
     pub(crate) fn new(now_ms: u64, hello: AgentHello) -> Self {
         Self {
             clock_ms: hello.clock_ms,
+            speed: 1.0,
             free: Room::default(),
             parked: 0,
             is_open: false,
@@ -103,6 +106,7 @@
         self.heard_ms = now_ms;
         self.clock_ms = frame.clock_ms;
         self.free = frame.free;
+        self.speed = f64::from(frame.speed_permille) / PERMILLE;
         self.parked = frame.parked;
         self.is_open = frame.is_open;
         self.starts_seen = frame.starts_seen;
@@ -143,6 +147,11 @@
         self.hello.labels.contains(label)
     }
 
+    /// Whether nothing runs there, as far as is known.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.free() == self.hello.capacity
+    }
+
     /// Share of the room that is in use.
     pub(crate) fn load(&self) -> f64 {
         let capacity = f64::from(self.hello.capacity.cpu_milli.max(1));
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -25,6 +25,7 @@
 mod lease;
 mod message;
 mod minion;
+mod pace;
 
 mod placement;
 mod room;
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -83,6 +83,8 @@
     pub spec: Name,
     /// What it needs.
     pub needs: Room,
+    /// Run time expected on a minion of ordinary speed, in milliseconds.
+    pub expected_ms: u32,
     /// Time in milliseconds within which it should start; orders the tasks
     /// that wait for room.
     pub slack_ms: u32,
@@ -97,6 +99,8 @@
     pub starts_seen: u64,
     /// Room that is neither taken nor promised.
     pub free: Room,
+    /// Speed of the minion of late, in thousandths of the ordinary one.
+    pub speed_permille: u32,
     /// Tasks of any entry that wait for room here.
     pub parked: u32,
     /// Whether starts are admitted.
--- a/crates/dispatch/src/minion.rs
+++ b/crates/dispatch/src/minion.rs
@@ -18,6 +18,7 @@
 use crate::Running;
 use crate::StartResult;
 use crate::lease::STOP_PATIENCE_MS;
+use crate::pace::Pace;
 use crate::runtable::Phase;
 
 /// Time that a listing may wait for an end, in milliseconds; the lease is
@@ -36,6 +37,9 @@
 /// two of its reports may be lost.
 const REPORTS_LOST_MS: u64 = 6_000;
 
+/// Percentage of a run that is done.
+const ALL_DONE: u8 = 100;
+
 /// One lifetime of the minion beside an agent.
 #[derive(Debug)]
 pub(crate) struct Minion {
@@ -152,6 +156,7 @@
                 );
                 self.note("minion-found", None, detail);
                 self.lose_minion(now_ms);
+                self.pace = Pace::default();
                 self.minion = Some(Minion::new(now_ms, report));
                 self.hold_if_due(now_ms);
             }
@@ -188,6 +193,7 @@
         };
         run.phase = Phase::Starting;
         run.started_ms = now_ms;
+        run.read_ms = now_ms;
         run.changed_ms = now_ms;
         let deadline_ms = minion.extend_lease(now_ms);
         self.actions.push(AgentAction::Start {
@@ -357,7 +363,11 @@
             let Some((link, order)) = place else {
                 continue;
             };
-            if let Some(run) = self.runs.remove(link, order) {
+            if let Some(mut run) = self.runs.remove(link, order) {
+                if finished.end == End::Done {
+                    let (done_ms, spent_ms) = run.advance(now_ms, ALL_DONE);
+                    self.pace.add(now_ms, done_ms, spent_ms);
+                }
                 self.report_end(link, order, finished.end, run.ran_ms(now_ms));
             }
         }
@@ -373,10 +383,8 @@
                 .find(|row| row.key.as_ref() == Some(&run.key));
             if let Some(row) = listed {
                 run.was_seen = true;
-                if row.percent != run.percent {
-                    run.percent = row.percent;
-                    run.changed_ms = now_ms;
-                }
+                let (done_ms, spent_ms) = run.advance(now_ms, row.percent);
+                self.pace.add(now_ms, done_ms, spent_ms);
                 if run.phase == Phase::Starting {
                     run.phase = Phase::Running;
                     run.confirmed_ms = now_ms;
--- /dev/null
+++ b/crates/dispatch/src/pace.rs
@@ -0,0 +1,45 @@
+//! How fast a minion works, from the progress of all that runs there.
+
+/// Time constant after which earlier progress counts for little, in
+/// milliseconds: a minion that turns slow or hangs is told within two or three
+/// of a sub-second task's tenths.
+const MEMORY_MS: f64 = 250.0;
+/// Weight of the assumption that a minion has ordinary speed, in milliseconds
+/// of run time; one short task outweighs it.
+const PRIOR_MS: f64 = 60.0;
+/// Speed is told in thousandths of the ordinary one.
+const PERMILLE: f64 = 1_000.0;
+
+/// A running comparison of expected work done with time spent.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Pace {
+    done_ms: f64,
+    spent_ms: f64,
+    updated_ms: u64,
+}
+
+impl Pace {
+    /// Adds the progress of one run: the part of its expected run time that
+    /// was done, and the time that this took.
+    pub(crate) fn add(&mut self, now_ms: u64, done_ms: f64, spent_ms: u64) {
+        self.decay(now_ms);
+        self.done_ms += done_ms;
+        self.spent_ms += spent_ms as f64;
+    }
+
+    /// Speed in thousandths of the ordinary one.
+    pub(crate) fn permille(&self, now_ms: u64) -> u32 {
+        let mut present = self.clone();
+        present.decay(now_ms);
+        let speed = (present.done_ms + PRIOR_MS) / (present.spent_ms + PRIOR_MS);
+        (speed * PERMILLE).round() as u32
+    }
+
+    fn decay(&mut self, now_ms: u64) {
+        let pause_ms = now_ms.saturating_sub(self.updated_ms) as f64;
+        let rest = (-pause_ms / MEMORY_MS).exp();
+        self.done_ms *= rest;
+        self.spent_ms *= rest;
+        self.updated_ms = now_ms;
+    }
+}
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -19,12 +19,20 @@
 /// Extra share by which equal choices of several entries are spread.
 const SPREAD: f64 = 0.04;
 
+/// Speed from which a minion counts as sound; the slowest kind on the users'
+/// sheets has 0.8.
+const SOUND_SPEED: f64 = 0.55;
+/// Least speed that is reckoned with.
+const LEAST_SPEED: f64 = 0.05;
+
 /// What a choice depends on.
 pub(crate) struct Demand<'a> {
     pub(crate) step: &'a Step,
     pub(crate) service: &'a Name,
     pub(crate) zone: &'a Name,
     pub(crate) expected_ms: f64,
+    /// Time that is left for it, in milliseconds; negative when it is late.
+    pub(crate) left_ms: f64,
     pub(crate) avoid: &'a [Name],
     /// Tasks of the step on each host.
     pub(crate) beside: &'a BTreeMap<Name, u32>,
@@ -43,7 +51,7 @@
         if !is_eligible(agent, hosts, demand) || !agent.free().holds(&demand.step.needs) {
             continue;
         }
-        let cost = cost_ms(agent, hosts, demand) * (1.0 + SPREAD * spread());
+        let cost = cost_ms(agent, demand) * (1.0 + SPREAD * spread());
         if best.is_none_or(|(least, _)| cost < least) {
             best = Some((cost, *link));
         }
@@ -71,7 +79,7 @@
         {
             continue;
         }
-        let cost = cost_ms(agent, hosts, demand) * (1.0 + SPREAD * spread());
+        let cost = cost_ms(agent, demand) * (1.0 + SPREAD * spread());
         if best.is_none_or(|(least, _)| cost < least) {
             best = Some((cost, *link));
         }
@@ -101,6 +109,7 @@
         demand.now_ms >= record.ejected_until_ms && !is_on_trial
     });
     agent.hello.service == *demand.service
+        && is_fast_enough(agent, demand)
         && agent.takes_starts(demand.now_ms)
         && has_required_label(agent, demand.step)
         && !demand.avoid.contains(host)
@@ -108,15 +117,20 @@
         && is_trusted
 }
 
+/// A minion that has become slow gets only what it can still end in time, or
+/// one task at a time to show that it has recovered.
+fn is_fast_enough(agent: &AgentState, demand: &Demand<'_>) -> bool {
+    agent.speed >= SOUND_SPEED
+        || demand.expected_ms / agent.speed.max(LEAST_SPEED) <= demand.left_ms
+        || agent.is_idle()
+}
+
 fn has_required_label(agent: &AgentState, step: &Step) -> bool {
     let label = step.required_label.as_ref();
     label.is_none_or(|label| agent.has_label(label))
 }
 
-fn cost_ms(agent: &AgentState, hosts: &Hosts, demand: &Demand<'_>) -> f64 {
-    let slowness = hosts
-        .get(&agent.hello.host)
-        .map_or(1.0, |host| host.slowness);
+fn cost_ms(agent: &AgentState, demand: &Demand<'_>) -> f64 {
     let preferred = demand.step.preferred_label.as_ref();
     let is_remote = preferred.is_some_and(|label| !agent.has_label(label));
     let remote = if is_remote { REMOTE_FACTOR } else { 1.0 };
@@ -125,5 +139,6 @@
     } else {
         OTHER_ZONE_MS
     };
-    demand.expected_ms * slowness * remote * (1.0 + LOAD_WEIGHT * agent.load()) + zone_ms
+    demand.expected_ms / agent.speed.max(LEAST_SPEED) * remote * (1.0 + LOAD_WEIGHT * agent.load())
+        + zone_ms
 }
--- a/crates/dispatch/src/runtable.rs
+++ b/crates/dispatch/src/runtable.rs
@@ -42,7 +42,10 @@
     pub(crate) due_ms: u64,
     pub(crate) phase: Phase,
     pub(crate) started_ms: u64,
+    pub(crate) expected_ms: u32,
     pub(crate) percent: u8,
+    /// When the percentage was last read.
+    pub(crate) read_ms: u64,
     pub(crate) changed_ms: u64,
     /// When the minion was known to run it.
     pub(crate) confirmed_ms: u64,
@@ -66,7 +69,9 @@
             due_ms: now_ms + u64::from(start.slack_ms),
             phase: Phase::Parked,
             started_ms: now_ms,
+            expected_ms: start.expected_ms,
             percent: 0,
+            read_ms: now_ms,
             changed_ms: now_ms,
             confirmed_ms: now_ms,
             was_seen: false,
@@ -78,6 +83,19 @@
         self.phase != Phase::Parked
     }
 
+    /// Notes how far it is; returns the expected work done and time spent
+    /// since the last time, in milliseconds.
+    pub(crate) fn advance(&mut self, now_ms: u64, percent: u8) -> (f64, u64) {
+        let gained = f64::from(percent.saturating_sub(self.percent));
+        let spent_ms = now_ms.saturating_sub(self.read_ms);
+        if percent != self.percent {
+            self.percent = percent;
+            self.changed_ms = now_ms;
+        }
+        self.read_ms = now_ms;
+        (gained / 100.0 * f64::from(self.expected_ms), spent_ms)
+    }
+
     pub(crate) fn ran_ms(&self, now_ms: u64) -> u64 {
         now_ms.saturating_sub(self.started_ms)
     }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -12,8 +12,8 @@
 use crate::Clock;
 
 /// First and longest pause before an entry is tried again, in milliseconds.
-const FIRST_PAUSE_MS: u64 = 50;
-const LONGEST_PAUSE_MS: u64 = 1_000;
+const FIRST_PAUSE_MS: u64 = 25;
+const LONGEST_PAUSE_MS: u64 = 150;
 
 /// The directory of a process, shared by its tasks on one thread.
 pub(crate) type SharedDirectory = Rc<RefCell<Directory>>;
