--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -27,6 +27,7 @@
 use crate::RoutingTable;
 use crate::SAFE_AFTER_MS;
 use crate::StartOrder;
+use crate::drain::Drain;
 use crate::estimate::Estimates;
 use crate::fleet::AgentState;
 use crate::fleet::Hosts;
@@ -108,6 +109,7 @@
     position: usize,
     link: LinkId,
     expected_ms: f64,
+    ordered_ms: u64,
     is_stop_sent: bool,
 }
 
@@ -127,6 +129,7 @@
     is_stopping: bool,
     ticked_ms: u64,
     settled_ms: u64,
+    drained: Drain,
     actions: Vec<DispatcherAction>,
 }
 
@@ -148,6 +151,7 @@
             is_stopping: false,
             ticked_ms: now_ms,
             settled_ms: now_ms,
+            drained: Drain::default(),
             actions: Vec::new(),
         }
     }
@@ -327,6 +331,7 @@
         self.expire_orphans(now_ms);
         self.give_up(now_ms);
         self.place(now_ms);
+        self.shed(now_ms);
         self.send_frames(now_ms);
         self.next_due_ms(now_ms)
     }
@@ -415,13 +420,9 @@
             .filter(|(_, job)| job.is_open() && job.has_waiting());
         let mut waiting: Vec<(bool, bool, i64, &Name)> = waiting
             .map(|(id, job)| {
-                let step = job
-                    .tasks
-                    .iter()
-                    .find(|task| task.phase == TaskPhase::Waiting);
-                let step = step.map_or(0, |task| task.step);
+                let step = job.next_step();
                 let latest_ms = job.latest_start_ms(step, &self.estimates);
-                let is_late = latest_ms < now_ms as i64;
+                let is_late = job.is_late(now_ms, step, &self.estimates);
                 let is_new = job.first_start_ms.is_none();
                 (is_late, is_new, latest_ms, id)
             })
@@ -499,6 +500,8 @@
         let run = task.run;
         state.first_start_ms.get_or_insert(now_ms);
         agent.add_order(order, step.needs);
+        self.drained
+            .add(now_ms, expected_ms * f64::from(step.needs.cpu_milli));
         agent.outbox.push(Order::Start(StartOrder {
             id: order,
             task: task_id,
@@ -515,6 +518,7 @@
                 position,
                 link,
                 expected_ms,
+                ordered_ms: now_ms,
                 is_stop_sent: false,
             },
         );
@@ -542,6 +546,12 @@
         match end {
             End::Done => {
                 task.phase = TaskPhase::Done;
+                let held_ms = now_ms.saturating_sub(state.ordered_ms);
+                job.last_end = format!(
+                    "last_host={host} last_run={} last_ran_ms={ran_ms} last_parked_ms={}",
+                    task.run,
+                    held_ms.saturating_sub(u64::from(ran_ms)),
+                );
                 let record = self.hosts.record(&host);
                 record.clear();
                 if SOUND_SPEEDS.contains(&speed) {
@@ -640,12 +650,13 @@
             .unwrap_or(now_ms)
             .saturating_sub(job.received_ms);
         let detail = format!(
-            "cause={cause} queue={} tasks={} queued_ms={queued_ms} objective_ms={} wait_ms={} version={}",
+            "cause={cause} queue={} tasks={} queued_ms={queued_ms} objective_ms={} wait_ms={} version={} {}",
             job.job.queue.name,
             job.tasks.len(),
             job.objective_ms.saturating_sub(job.received_ms),
             job.job.wait_ms,
             self.table.version,
+            job.last_end,
         );
         let orders = job.orders();
         for caller in std::mem::take(&mut job.callers) {
@@ -834,7 +845,7 @@
     /// Whether a job is of no use any more, or has waited in vain for a minion
     /// of its service.
     fn is_hopeless(&self, now_ms: u64, job: &JobState) -> bool {
-        let is_untouched = job.first_start_ms.is_none();
+        let is_untouched = !job.has_run && job.is_clear();
         let waited_ms = now_ms.saturating_sub(job.received_ms);
         let objective_ms = job.objective_ms.saturating_sub(job.received_ms);
         let has_waited = waited_ms * MINION_WAIT_PART >= objective_ms;
@@ -842,6 +853,39 @@
         now_ms >= job.worthless_ms || waits_in_vain
     }
 
+    /// Refuses jobs of which nothing has started and that would not be
+    /// reached before they are of no use.
+    fn shed(&mut self, now_ms: u64) {
+        self.drained.decay(now_ms);
+        let rate = self.drained.rate();
+        let mut ahead = 0.0;
+        let mut hopeless = Vec::new();
+        for id in self.waiting_by_urgency(now_ms) {
+            let Some(job) = self.jobs.get(&id) else {
+                continue;
+            };
+            let wait_ms = ahead / rate;
+            let step = job.next_step();
+            let rest_ms =
+                job.objective_ms as f64 - job.latest_start_ms(step, &self.estimates) as f64;
+            let end_ms = now_ms as f64 + wait_ms + rest_ms;
+            let is_untouched = !job.has_run && job.is_clear();
+            let is_late = job.is_late(now_ms, step, &self.estimates);
+            if is_untouched && is_late && end_ms > job.worthless_ms as f64 {
+                hopeless.push(id);
+            } else {
+                ahead += job.waiting_work(&self.estimates);
+            }
+        }
+        for id in hopeless {
+            let outcome = JobOutcome::Refused {
+                reason: Refusal::Overloaded,
+                retry_after_ms: RETRY_AFTER_MS,
+            };
+            self.finish(now_ms, &id, outcome, "no-prospect");
+        }
+    }
+
     fn send_frames(&mut self, now_ms: u64) {
         for (link, agent) in &mut self.agents {
             let is_keepalive = now_ms >= agent.sent_ms + KEEPALIVE_MS;
--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -19,7 +19,7 @@
 /// keepalives.
 const QUIET_MS: u64 = 250;
 /// Tasks that wait at an agent, of all entries, above which it gets no more.
-const PARKED_AT_AGENT: u32 = 3;
+const PARKED_AT_AGENT: u32 = 1;
 
 /// Speed is told in thousandths of the ordinary one.
 const PERMILLE: f64 = 1_000.0;
--- a/crates/dispatch/src/jobs.rs
+++ b/crates/dispatch/src/jobs.rs
@@ -21,6 +21,10 @@
 /// Hosts that a task keeps away from; more would leave none on a small site.
 const AVOIDED_HOSTS: usize = 3;
 
+/// Part of the expected time that must be left beyond it, since run times are
+/// uncertain: a job that would only just be in time is mostly late.
+const MARGIN: f64 = 0.15;
+
 /// Where a task stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum TaskPhase {
@@ -84,6 +88,8 @@
     /// A submission of the same id that waits until this one is gone.
     pub(crate) next: Option<(Caller, Job, u64)>,
     pub(crate) first_start_ms: Option<u64>,
+    /// Where and how long the task ran that was done last, for the log.
+    pub(crate) last_end: String,
 }
 
 impl JobState {
@@ -120,6 +126,7 @@
             outcome: None,
             next: None,
             first_start_ms: None,
+            last_end: String::new(),
         }
     }
 
@@ -181,6 +188,30 @@
         }
     }
 
+    /// The step of the first task that waits.
+    pub(crate) fn next_step(&self) -> usize {
+        let waiting = |task: &&TaskState| task.phase == TaskPhase::Waiting;
+        self.tasks.iter().find(waiting).map_or(0, |task| task.step)
+    }
+
+    /// Work of the tasks that wait: expected time by thousandths of a core.
+    pub(crate) fn waiting_work(&self, estimates: &Estimates) -> f64 {
+        let waiting = |task: &&TaskState| task.phase == TaskPhase::Waiting;
+        let work = |task: &TaskState| {
+            let step = &self.job.steps[task.step];
+            let expected_ms = estimates.expected_ms(&self.job.queue.name, step.declared_ms);
+            expected_ms * f64::from(step.needs.cpu_milli)
+        };
+        self.tasks.iter().filter(waiting).map(work).sum()
+    }
+
+    /// Whether it is unlikely to be in time when it starts now.
+    pub(crate) fn is_late(&self, now_ms: u64, step: usize, estimates: &Estimates) -> bool {
+        let latest_ms = self.latest_start_ms(step, estimates);
+        let rest_ms = self.objective_ms as f64 - latest_ms as f64;
+        (now_ms as f64) > latest_ms as f64 - rest_ms * MARGIN
+    }
+
     /// Time at which a task of the step must start for the job to be in time.
     pub(crate) fn latest_start_ms(&self, step: usize, estimates: &Estimates) -> i64 {
         let rest_ms = chain_from_ms(&self.job, step, estimates);
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -18,6 +18,7 @@
 mod agent;
 mod directory;
 mod dispatcher;
+mod drain;
 mod estimate;
 mod fleet;
 mod job;
