--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -18,8 +18,9 @@
 /// Largest frame in bytes: thousands of starts with a full text each would not
 /// fit, and are split by the time that room comes up.
 const MAX_FRAME_BYTES: usize = 4 * 1024 * 1024;
-/// Time to open a connection, in milliseconds; hosts are a few apart.
-const CONNECT_MS: u64 = 500;
+/// Time to open a connection, in milliseconds: hosts are a few apart, and one
+/// that was just switched on loses the first packet.
+const CONNECT_MS: u64 = 200;
 
 /// The frames that arrive on a connection.
 pub(crate) type FrameReader = FramedRead<OwnedReadHalf, LengthDelimitedCodec>;
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -13,7 +13,7 @@
 
 /// First and longest pause before an entry is tried again, in milliseconds.
 const FIRST_PAUSE_MS: u64 = 25;
-const LONGEST_PAUSE_MS: u64 = 150;
+const LONGEST_PAUSE_MS: u64 = 100;
 
 /// The directory of a process, shared by its tasks on one thread.
 pub(crate) type SharedDirectory = Rc<RefCell<Directory>>;
