Placement once a round; room news and waiting tasks bounded

Cause: on the grown deployment entries of 0.12 cores lost their agents (172 in one second): each frame of 70 agents sorted the backlog and looked at all agents, and room news came up to 50 times a second from each. Ruled out: larger grants (a job that is sent again must find nothing running). Change: one round of placement a turn of the loop over the agents that may take a task; room news slow down with the number of entries; at most two tasks wait at an agent, the least urgent is refused.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -29,9 +29,12 @@
 /// Shortest pause between frames that only tell of changed room, in
 /// milliseconds. Room changes about a hundred times a second at full load.
 const ROOM_NEWS_MS: u64 = 20;
-/// Tasks of one entry that may wait here for room; a place frees every few
-/// milliseconds, so that waiting longer would be better done at the entry.
-const PARKED_PER_LINK: usize = 3;
+/// Tasks that may wait here for room; a place frees every few milliseconds, so
+/// that waiting longer would be better done at the entry.
+const PARKED_AT_MOST: usize = 2;
+/// Entries for which [`ROOM_NEWS_MS`] is meant; with more of them the pause
+/// grows, so that news cost an agent and its entries no more in a larger fleet.
+const ENTRIES_AT_FULL_RATE: u64 = 3;
 
 /// Who an agent is, for as long as its process runs.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -259,12 +262,6 @@
             self.report_end(link, start.id, End::NotStarted(Busy::Closing), 0);
             return;
         }
-        let waiting = self.runs.iter();
-        let waiting = waiting.filter(|run| run.link == link && run.phase == Phase::Parked);
-        if waiting.count() >= PARKED_PER_LINK {
-            self.report_end(link, start.id, End::NotStarted(Busy::Full), 0);
-            return;
-        }
         let (order, may_wait) = (start.id, start.may_wait);
         self.runs.insert(Run::parked(now_ms, link, start));
         self.start_parked(now_ms);
@@ -273,9 +270,9 @@
             .get(link, order)
             .is_some_and(|run| run.phase == Phase::Parked);
         if is_parked && !may_wait {
-            self.runs.remove(link, order);
-            self.report_end(link, order, End::NotStarted(Busy::Full), 0);
+            self.refuse(link, order);
         }
+        self.bound_parked();
     }
 
     fn stop_ordered(&mut self, now_ms: u64, link: LinkId, order: OrderId) {
@@ -311,6 +308,19 @@
         }
     }
 
+    fn refuse(&mut self, link: LinkId, order: OrderId) {
+        self.runs.remove(link, order);
+        self.report_end(link, order, End::NotStarted(Busy::Full), 0);
+    }
+
+    /// Refuses the least urgent of too many that wait.
+    fn bound_parked(&mut self) {
+        let parked = self.runs.parked_by_urgency();
+        for (link, order) in parked.into_iter().skip(PARKED_AT_MOST) {
+            self.refuse(link, order);
+        }
+    }
+
     fn close_intake(&mut self, _now_ms: u64) {
         for (link, order) in self.runs.parked_by_urgency() {
             self.runs.remove(link, order);
@@ -414,11 +424,13 @@
         let free = minion.capacity().minus(&self.runs.promised());
         let parked = self.runs.parked_by_urgency().len();
         let is_open = self.is_open();
+        let entries = self.links.len() as u64;
+        let news_ms = ROOM_NEWS_MS * entries.div_ceil(ENTRIES_AT_FULL_RATE).max(1);
         let speed_permille = self.pace.permille(now_ms);
         for (id, link) in &mut self.links {
             let pause_ms = now_ms.saturating_sub(link.last_sent_ms);
             let is_keepalive = pause_ms >= KEEPALIVE_MS;
-            let has_news = free != link.last_free && pause_ms >= ROOM_NEWS_MS;
+            let has_news = free != link.last_free && pause_ms >= news_ms;
             let is_due = !link.reports.is_empty() || has_news || is_keepalive;
             if !link.is_greeted || !is_due {
                 continue;
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -50,6 +50,8 @@
 /// Part of the room that must be free before a job starts that will be late
 /// and earns little.
 const SPARE_SHARE: f64 = 0.12;
+/// Pause between two looks for jobs without a prospect, in milliseconds.
+const SHED_MS: u64 = 10;
 /// Ejection ends when more than one in this many hosts would be left out.
 const EJECTED_PART: usize = 2;
 /// Jobs that find no room before a round of placement ends.
@@ -137,6 +139,8 @@
     ticked_ms: u64,
     settled_ms: u64,
     drained: Drain,
+    shed_ms: u64,
+    lenient: Vec<Name>,
     actions: Vec<DispatcherAction>,
 }
 
@@ -159,6 +163,8 @@
             ticked_ms: now_ms,
             settled_ms: now_ms,
             drained: Drain::default(),
+            shed_ms: now_ms,
+            lenient: Vec::new(),
             actions: Vec::new(),
         }
     }
@@ -227,7 +233,6 @@
             return;
         }
         self.admit(now_ms, caller, job, now_ms);
-        self.place(now_ms);
     }
 
     /// A caller has gone away.
@@ -279,7 +284,6 @@
         }
         self.agents.insert(link, AgentState::new(now_ms, hello));
         self.release_orphans(now_ms, &host);
-        self.place(now_ms);
     }
 
     /// The connection to an agent broke.
@@ -324,7 +328,6 @@
                 } => self.progressed(now_ms, order, percent, elapsed_ms, idle_ms),
             }
         }
-        self.place(now_ms);
     }
 
     /// Does what is due; returns when to call again at the latest.
@@ -339,7 +342,10 @@
         self.expire_orphans(now_ms);
         self.give_up(now_ms);
         self.place(now_ms);
-        self.shed(now_ms);
+        if now_ms >= self.shed_ms + SHED_MS {
+            self.shed_ms = now_ms;
+            self.shed(now_ms);
+        }
         self.send_frames(now_ms);
         self.next_due_ms(now_ms)
     }
@@ -400,20 +406,20 @@
         Ok(())
     }
 
-    /// Whether hosts with bad ends are left out: not when that would leave out
-    /// so many that the cause is elsewhere.
-    fn is_ejecting(&self, now_ms: u64, service: &Name) -> bool {
-        let of_service = self
-            .agents
-            .values()
-            .filter(|agent| agent.hello.service == *service);
-        let (mut all, mut ejected) = (0, 0);
-        for agent in of_service {
-            all += 1;
+    /// Services so many of whose hosts had bad ends that the cause is
+    /// elsewhere: none of their hosts is left out.
+    fn lenient_services(&self, now_ms: u64) -> Vec<Name> {
+        let mut counts: BTreeMap<&Name, (usize, usize)> = BTreeMap::new();
+        for agent in self.agents.values() {
             let record = self.hosts.get(&agent.hello.host);
-            ejected += usize::from(record.is_some_and(|record| now_ms < record.ejected_until_ms));
+            let is_ejected = record.is_some_and(|record| now_ms < record.ejected_until_ms);
+            let (all, ejected) = counts.entry(&agent.hello.service).or_default();
+            *all += 1;
+            *ejected += usize::from(is_ejected);
         }
-        ejected * EJECTED_PART <= all
+        let is_lenient = |(all, ejected): &(usize, usize)| ejected * EJECTED_PART > *all;
+        let lenient = counts.iter().filter(|(_, counts)| is_lenient(counts));
+        lenient.map(|(service, _)| (*service).clone()).collect()
     }
 
     fn has_minions(&self, service: &Name) -> bool {
@@ -426,20 +432,44 @@
         if now_ms < self.settled_ms || now_ms > self.ticked_ms + STOOD_STILL_MS {
             return;
         }
+        let mut open = self.open_agents(now_ms);
+        if open.is_empty() {
+            return;
+        }
+        self.lenient = self.lenient_services(now_ms);
         let mut misses = 0;
         for id in self.waiting_by_urgency(now_ms) {
             if self.is_held_back(now_ms, &id) {
                 continue;
             }
-            if !self.place_job(now_ms, &id) {
+            if !self.place_job(now_ms, &id, &mut open) {
                 misses += 1;
             }
-            if misses >= MISSES_A_ROUND {
+            if misses >= MISSES_A_ROUND || open.is_empty() {
                 return;
             }
         }
     }
 
+    /// Agents that may take a waiting task; in a full fleet they are few, which
+    /// keeps a round cheap.
+    fn open_agents(&self, now_ms: u64) -> Vec<LinkId> {
+        let waiting = self
+            .jobs
+            .values()
+            .filter(|job| job.is_open() && job.has_waiting());
+        let needs = waiting.map(|job| job.job.steps[job.next_step()].needs.cpu_milli);
+        let Some(least_milli) = needs.min() else {
+            return Vec::new();
+        };
+        let may_take = |agent: &AgentState| {
+            let has_room = agent.free().cpu_milli >= least_milli;
+            agent.takes_starts(now_ms) && (has_room || agent.takes_parked())
+        };
+        let open = self.agents.iter().filter(|(_, agent)| may_take(agent));
+        open.map(|(link, _)| *link).collect()
+    }
+
     /// Whether a job waits although there may be room: it would be late, and
     /// its room is kept for jobs that are about to come and can be in time.
     fn is_held_back(&self, now_ms: u64, id: &Name) -> bool {
@@ -482,7 +512,7 @@
     }
 
     /// Orders the waiting tasks of a job; `false` if one found no room.
-    fn place_job(&mut self, now_ms: u64, id: &Name) -> bool {
+    fn place_job(&mut self, now_ms: u64, id: &Name, open: &mut Vec<LinkId>) -> bool {
         let Some(state) = self.jobs.get(id) else {
             return true;
         };
@@ -490,16 +520,25 @@
         let is_waiting = |position: &usize| state.tasks[*position].phase == TaskPhase::Waiting;
         let positions: Vec<usize> = (0..state.tasks.len()).filter(is_waiting).collect();
         for position in positions {
-            let Some((link, may_wait)) = self.choose(now_ms, &job, position) else {
+            let Some((link, may_wait)) = self.choose(now_ms, &job, position, open) else {
                 return false;
             };
+            if may_wait {
+                open.retain(|other| *other != link);
+            }
             self.order(now_ms, id, position, link, may_wait);
         }
         true
     }
 
     /// An agent for a task, and whether the task may wait there for room.
-    fn choose(&mut self, now_ms: u64, job: &Job, position: usize) -> Option<(LinkId, bool)> {
+    fn choose(
+        &mut self,
+        now_ms: u64,
+        job: &Job,
+        position: usize,
+        open: &[LinkId],
+    ) -> Option<(LinkId, bool)> {
         let state = self.jobs.get(&job.id)?;
         let task = &state.tasks[position];
         let step = &job.steps[task.step];
@@ -522,16 +561,20 @@
             avoid: &task.avoid,
             beside: &beside,
             remote_factor: self.settings.remote_factor,
-            is_ejecting: self.is_ejecting(now_ms, &job.queue.service),
+            is_ejecting: !self.lenient.contains(&job.queue.service),
             now_ms,
         };
+        let agents: Vec<(LinkId, &AgentState)> = open
+            .iter()
+            .filter_map(|link| Some((*link, self.agents.get(link)?)))
+            .collect();
         let rng = &mut self.rng;
         let mut spread = || rng.random::<f64>();
-        let with_room = placement::choose(&self.agents, &self.hosts, &demand, &mut spread);
+        let with_room = placement::choose(&agents, &self.hosts, &demand, &mut spread);
         if let Some(link) = with_room {
             return Some((link, false));
         }
-        let parking = placement::choose_parking(&self.agents, &self.hosts, &demand, &mut spread);
+        let parking = placement::choose_parking(&agents, &self.hosts, &demand, &mut spread);
         parking.map(|link| (link, true))
     }
 
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -43,7 +43,7 @@
 
 /// Chooses an agent with room; `spread` gives a number from 0 to 1 a call.
 pub(crate) fn choose(
-    agents: &BTreeMap<LinkId, AgentState>,
+    agents: &[(LinkId, &AgentState)],
     hosts: &Hosts,
     demand: &Demand<'_>,
     spread: &mut dyn FnMut() -> f64,
@@ -63,7 +63,7 @@
 
 /// Chooses an agent at which the task may wait for room.
 pub(crate) fn choose_parking(
-    agents: &BTreeMap<LinkId, AgentState>,
+    agents: &[(LinkId, &AgentState)],
     hosts: &Hosts,
     demand: &Demand<'_>,
     spread: &mut dyn FnMut() -> f64,
