--- a/crates/node/src/entry_node.rs
+++ b/crates/node/src/entry_node.rs
@@ -43,6 +43,7 @@
 
 use crate::Clock;
 use crate::Metrics;
+use crate::OpenConnections;
 use crate::StoreKeeper;
 use crate::links;
 use crate::links::FrameReader;
@@ -54,6 +55,9 @@
 const PEER_KEEPALIVE_MS: u64 = 1_000;
 /// Pause between two looks at the directory, in milliseconds.
 const REFRESH_MS: u64 = 500;
+/// Time before the end of a planned stop from which jobs are refused, in
+/// milliseconds: most end within it.
+const STOP_LAST_JOB_MS: u64 = 2_000;
 /// Time for the last answers to be written before the process ends, in
 /// milliseconds.
 const FLUSH_MS: u64 = 150;
@@ -217,6 +221,7 @@
     news: watch::Sender<PeerNews>,
     handle: EntryHandle,
     http_stop: watch::Sender<bool>,
+    open: OpenConnections,
     stop_ms: Option<u64>,
 }
 
@@ -259,6 +264,7 @@
             news: watch::Sender::default(),
             handle,
             http_stop: watch::Sender::new(false),
+            open: OpenConnections::default(),
             stop_ms: None,
         }
     }
@@ -275,6 +281,12 @@
         self.http_stop.subscribe()
     }
 
+    /// Counts the connections of callers, which a planned stop waits for.
+    #[must_use]
+    pub fn open_connections(&self) -> OpenConnections {
+        self.open.clone()
+    }
+
     /// Serves until a planned stop is complete.
     ///
     /// # Errors
@@ -414,11 +426,13 @@
         let Some(stop_ms) = self.stop_ms else {
             return;
         };
-        let is_noticed = self.clock.now_ms() >= stop_ms + self.settings.stop_notice_ms;
-        if is_noticed && !*self.http_stop.borrow() {
-            self.dispatcher.begin_stop();
+        let since_ms = self.clock.now_ms().saturating_sub(stop_ms);
+        if since_ms >= self.settings.stop_notice_ms && !*self.http_stop.borrow() {
             self.http_stop.send_replace(true);
         }
+        if since_ms + STOP_LAST_JOB_MS >= self.settings.stop_limit_ms {
+            self.dispatcher.begin_stop();
+        }
     }
 
     fn may_end(&self) -> bool {
@@ -426,7 +440,7 @@
             return false;
         };
         let is_over = self.clock.now_ms() >= stop_ms + self.settings.stop_limit_ms;
-        let is_served = *self.http_stop.borrow() && self.dispatcher.open_jobs() == 0;
+        let is_served = *self.http_stop.borrow() && self.open.count() == 0;
         is_over || is_served
     }
 
--- a/crates/node/src/http_server.rs
+++ b/crates/node/src/http_server.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 towards callers, with connections that stay open until a planned
 //! stop.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
 use std::pin::pin;
@@ -32,12 +33,41 @@
 /// A response of the server.
 pub type Served = Response<Full<Bytes>>;
 
+/// Counts the connections that are open.
+#[derive(Clone, Debug, Default)]
+pub struct OpenConnections {
+    count: Rc<Cell<usize>>,
+}
+
+impl OpenConnections {
+    /// Connections that are open now.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.count.get()
+    }
+
+    fn enter(&self) -> OpenConnection {
+        self.count.set(self.count.get() + 1);
+        OpenConnection(self.clone())
+    }
+}
+
+/// One open connection.
+struct OpenConnection(OpenConnections);
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.count.set(self.0.count.get() - 1);
+    }
+}
+
 /// Accepts connections until `stop` is true, then ends each after the request
 /// that it serves.
 pub async fn serve_http<F, R>(
     listener: TcpListener,
     handler: F,
-    stop: watch::Receiver<bool>,
+    mut stop: watch::Receiver<bool>,
+    open: OpenConnections,
     log: Logger,
 ) where
     F: Fn(Request<Incoming>) -> R + 'static,
@@ -45,11 +75,19 @@
 {
     let handler = Rc::new(handler);
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stop.wait_for(|is_stopping| *is_stopping) => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
-                let connection =
-                    serve_connection(stream, Rc::clone(&handler), stop.clone(), log.clone());
-                tokio::task::spawn_local(connection);
+                let connection = open.enter();
+                let handler = Rc::clone(&handler);
+                let served = serve_connection(stream, handler, stop.clone(), log.clone());
+                tokio::task::spawn_local(async move {
+                    served.await;
+                    drop(connection);
+                });
             }
             Err(error) => {
                 warn!(log, "accept-failed"; "error" => %error);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -27,6 +27,7 @@
 pub use http_client::CallError;
 pub use http_client::HttpCaller;
 pub use http_client::Reply;
+pub use http_server::OpenConnections;
 pub use http_server::Served;
 pub use http_server::serve_http;
 pub use logging::logger;
