--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -423,8 +423,14 @@
     }
 
     fn has_minions(&self, service: &Name) -> bool {
-        let mut agents = self.agents.values();
-        agents.any(|agent| agent.hello.service == *service)
+        self.minions(service) > 0
+    }
+
+    fn minions(&self, service: &Name) -> usize {
+        let agents = self.agents.values();
+        agents
+            .filter(|agent| agent.hello.service == *service)
+            .count()
     }
 
     /// Orders waiting tasks, the most urgent first, while there is room.
@@ -558,7 +564,12 @@
                 .estimates
                 .expected_ms(&job.queue.name, step.declared_ms),
             left_ms: state.objective_ms as f64 - now_ms as f64,
-            avoid: &task.avoid,
+            // Where there are no other hosts, a bad one is better than none.
+            avoid: if self.minions(&job.queue.service) > task.avoid.len() {
+                &task.avoid
+            } else {
+                &[]
+            },
             beside: &beside,
             remote_factor: self.settings.remote_factor,
             is_ejecting: !self.lenient.contains(&job.queue.service),
