--- /dev/null
+++ b/crates/dispatch/src/ends.rs
@@ -0,0 +1,327 @@
+//! How runs end, and what becomes of their jobs; runs that stand still or are
+//! slow are moved.
+
+use std::sync::Arc;
+
+use gannetvane_wire::Name;
+
+use crate::Busy;
+use crate::End;
+use crate::JobOutcome;
+use crate::Order;
+use crate::OrderId;
+use crate::dispatcher::Dispatcher;
+use crate::dispatcher::DispatcherAction;
+use crate::dispatcher::JobEvent;
+use crate::dispatcher::OrderState;
+use crate::jobs::JobState;
+use crate::jobs::TaskPhase;
+use crate::jobs::TaskState;
+
+/// A run is moved when what remains of it takes longer than this many times
+/// the whole run on a sound minion, and the cost of a move in milliseconds.
+const MOVE_FACTOR: f64 = 1.15;
+const MOVE_COST_MS: f64 = 30.0;
+/// Speed above which a minion is not slow enough for moves.
+const SLOW_SPEED: f64 = 0.6;
+/// A run that made no progress for this share of its expected time, and at
+/// least for [`HANG_MS`], stands still.
+const HANG_SHARE: f64 = 0.5;
+const HANG_MS: f64 = 150.0;
+/// Speeds of minions whose run times are learned from: the kinds on the
+/// users' sheets, not those that have become slow.
+const SOUND_SPEEDS: std::ops::Range<f64> = 0.6..1.8;
+/// Speed below which all runs on a minion stand still.
+const STALLED_SPEED: f64 = 0.3;
+
+impl Dispatcher {
+    pub(crate) fn ended(&mut self, now_ms: u64, order: OrderId, end: End, ran_ms: u32) {
+        let Some(state) = self.orders.remove(&order) else {
+            return;
+        };
+        let Some(agent) = self.agents.get_mut(&state.link) else {
+            return;
+        };
+        agent.outstanding.remove(&order);
+        let host = agent.hello.host.clone();
+        let speed = agent.speed;
+        let Some(job) = self.jobs.get_mut(&state.job) else {
+            return;
+        };
+        let is_open = job.is_open();
+        job.has_run |= !matches!(end, End::NotStarted(_));
+        let queue = Arc::clone(&job.job.queue);
+        let task = &mut job.tasks[state.position];
+        let declared_ms = job.job.steps[task.step].declared_ms;
+        task.phase = TaskPhase::Waiting;
+        match end {
+            End::Done => {
+                task.phase = TaskPhase::Done;
+                let held_ms = now_ms.saturating_sub(state.ordered_ms);
+                job.last_end = format!(
+                    "last_host={host} last_run={} last_ran_ms={ran_ms} last_parked_ms={}",
+                    task.run,
+                    held_ms.saturating_sub(u64::from(ran_ms)),
+                );
+                let record = self.hosts.record(&host);
+                record.clear();
+                if SOUND_SPEEDS.contains(&speed) {
+                    self.estimates.observe(&queue.name, declared_ms, ran_ms);
+                }
+            }
+            End::Failed => {
+                task.failures += 1;
+                self.task_failed(now_ms, &state, &host);
+            }
+            End::Stopped => {}
+            End::Lost | End::NotStarted(Busy::NoAnswer | Busy::Unhealthy) => {
+                task.avoid(&host);
+                self.hosts.record(&host).strike(now_ms);
+                self.task_event("task-lost", &state, &host, end, ran_ms);
+            }
+            End::NotStarted(Busy::OldRun) => {
+                // An earlier submission of the job had runs there.
+                task.run += 3;
+            }
+            End::NotStarted(Busy::Full | Busy::Closing) => {}
+        }
+        if is_open {
+            self.settle(now_ms, &state.job);
+        } else {
+            self.clear_if_gone(now_ms, &state.job);
+        }
+    }
+
+    /// Judges a failed run: the task is at fault if it failed on two hosts.
+    pub(crate) fn task_failed(&mut self, now_ms: u64, order: &OrderState, host: &Name) {
+        let Some(job) = self.jobs.get_mut(&order.job) else {
+            return;
+        };
+        let failed_on = |job: &JobState| {
+            let mut hosts: Vec<Name> = Vec::new();
+            for task in job.tasks.iter().filter(|task| task.failures > 0) {
+                hosts.extend(task.avoid.iter().cloned());
+            }
+            hosts.sort();
+            hosts.dedup();
+            hosts
+        };
+        let before = failed_on(job);
+        job.tasks[order.position].avoid(host);
+        let after = failed_on(job);
+        if after.len() == 1 {
+            self.hosts.record(host).strike(now_ms);
+        } else if before.len() == 1 && after.len() == 2 {
+            for host in &before {
+                self.hosts.record(host).pardon();
+            }
+        }
+        self.task_event("task-failed", order, host, End::Failed, 0);
+    }
+
+    pub(crate) fn task_event(
+        &mut self,
+        event: &'static str,
+        order: &OrderState,
+        host: &Name,
+        end: End,
+        ran_ms: u32,
+    ) {
+        let detail = format!(
+            "position={} host={host} end={end:?} ran_ms={ran_ms}",
+            order.position
+        );
+        self.event(event, Some(order.job.clone()), detail);
+    }
+
+    /// Ends a job whose tasks are done or cannot be.
+    pub(crate) fn settle(&mut self, now_ms: u64, id: &Name) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let limit = job.job.queue.max_attempts.max(1);
+        if job.tasks.iter().any(|task| task.failures >= limit) {
+            self.finish(now_ms, id, JobOutcome::Failed, "attempts");
+        } else if job.is_done() {
+            self.finish(now_ms, id, JobOutcome::Completed, "done");
+        } else {
+            job.unblock();
+        }
+    }
+
+    /// Answers the callers of a job and stops what is left of it.
+    pub(crate) fn finish(
+        &mut self,
+        now_ms: u64,
+        id: &Name,
+        outcome: JobOutcome,
+        cause: &'static str,
+    ) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        job.outcome = Some(outcome);
+        let took_ms = now_ms.saturating_sub(job.received_ms);
+        let queued_ms = job
+            .first_start_ms
+            .unwrap_or(now_ms)
+            .saturating_sub(job.received_ms);
+        let detail = format!(
+            "cause={cause} queue={} tasks={} queued_ms={queued_ms} objective_ms={} wait_ms={} version={} {}",
+            job.job.queue.name,
+            job.tasks.len(),
+            job.objective_ms.saturating_sub(job.received_ms),
+            job.job.wait_ms,
+            self.table.version,
+            job.last_end,
+        );
+        let orders = job.orders();
+        for caller in std::mem::take(&mut job.callers) {
+            self.callers.remove(&caller);
+            self.actions.push(DispatcherAction::Answer(caller, outcome));
+        }
+        for order in orders {
+            self.send_stop(order);
+        }
+        self.actions.push(DispatcherAction::Event(JobEvent {
+            event: outcome_event(outcome),
+            job: Some(id.clone()),
+            detail,
+            reason: cause,
+            took_ms: Some(took_ms),
+        }));
+        self.clear_if_gone(now_ms, id);
+    }
+
+    pub(crate) fn send_stop(&mut self, order: OrderId) {
+        let Some(state) = self.orders.get_mut(&order) else {
+            return;
+        };
+        if !state.is_stop_sent
+            && let Some(agent) = self.agents.get_mut(&state.link)
+        {
+            state.is_stop_sent = true;
+            agent.outbox.push(Order::Stop(order));
+        }
+    }
+
+    /// Forgets an ended job of which nothing can run any more.
+    pub(crate) fn clear_if_gone(&mut self, now_ms: u64, id: &Name) {
+        let is_gone = self
+            .jobs
+            .get(id)
+            .is_some_and(|job| !job.is_open() && job.is_clear());
+        if !is_gone {
+            return;
+        }
+        let Some(state) = self.jobs.remove(id) else {
+            return;
+        };
+        if let Some((caller, job, received_ms)) = state.next {
+            self.admit(now_ms, caller, job, received_ms);
+        }
+    }
+
+    /// Moves a run that stands still or is slow, when it gains.
+    pub(crate) fn progressed(
+        &mut self,
+        now_ms: u64,
+        order: OrderId,
+        percent: u8,
+        elapsed_ms: u32,
+        idle_ms: u32,
+    ) {
+        let Some(state) = self.orders.get(&order).cloned() else {
+            return;
+        };
+        let Some(agent) = self.agents.get(&state.link) else {
+            return;
+        };
+        if state.is_stop_sent || !self.jobs.get(&state.job).is_some_and(JobState::is_open) {
+            return;
+        }
+        let (host, speed) = (agent.hello.host.clone(), agent.speed);
+        let elapsed_ms = f64::from(elapsed_ms);
+        let patience_ms = HANG_MS.max(state.expected_ms * HANG_SHARE);
+        let is_hanging = f64::from(idle_ms) > patience_ms
+            || (f64::from(idle_ms) > HANG_MS && speed < STALLED_SPEED);
+        let (remaining_ms, work_ms) = if is_hanging {
+            (f64::INFINITY, state.expected_ms)
+        } else if percent > 0 {
+            // The work is known from its progress and the speed there.
+            let total_ms = elapsed_ms * 100.0 / f64::from(percent);
+            (total_ms - elapsed_ms, total_ms * speed)
+        } else {
+            return;
+        };
+        if remaining_ms > work_ms * MOVE_FACTOR + MOVE_COST_MS && speed < SLOW_SPEED || is_hanging {
+            self.move_run(now_ms, order, &state, &host, remaining_ms);
+        }
+    }
+
+    pub(crate) fn move_run(
+        &mut self,
+        now_ms: u64,
+        order: OrderId,
+        state: &OrderState,
+        host: &Name,
+        remaining_ms: f64,
+    ) {
+        let Some(job) = self.jobs.get_mut(&state.job) else {
+            return;
+        };
+        job.tasks[state.position].avoid(host);
+        if remaining_ms.is_infinite() {
+            self.hosts.record(host).strike(now_ms);
+        }
+        let detail = format!(
+            "position={} host={host} remaining_ms={remaining_ms:.0}",
+            state.position
+        );
+        self.event("task-moved", Some(state.job.clone()), detail);
+        self.send_stop(order);
+    }
+
+    pub(crate) fn release_orphans(&mut self, now_ms: u64, host: &Name) {
+        self.settle_orphans(now_ms, |task, _| task.host.as_ref() == Some(host));
+    }
+
+    pub(crate) fn expire_orphans(&mut self, now_ms: u64) {
+        self.settle_orphans(now_ms, |_, until_ms| now_ms >= until_ms);
+    }
+
+    pub(crate) fn settle_orphans(
+        &mut self,
+        now_ms: u64,
+        is_over: impl Fn(&TaskState, u64) -> bool,
+    ) {
+        let mut touched = Vec::new();
+        for (id, job) in &mut self.jobs {
+            let mut is_touched = false;
+            for task in &mut job.tasks {
+                if let TaskPhase::Orphaned { until_ms } = task.phase
+                    && is_over(task, until_ms)
+                {
+                    task.phase = TaskPhase::Waiting;
+                    is_touched = true;
+                }
+            }
+            if is_touched {
+                touched.push(id.clone());
+            }
+        }
+        for id in touched {
+            self.clear_if_gone(now_ms, &id);
+        }
+    }
+}
+
+fn outcome_event(outcome: JobOutcome) -> &'static str {
+    match outcome {
+        JobOutcome::Completed => "completed",
+        JobOutcome::Failed => "failed",
+        JobOutcome::TooLate => "too-late",
+        JobOutcome::Cancelled => "cancelled",
+        JobOutcome::Refused { .. } => "refused",
+    }
+}
--- a/crates/dispatch/src/jobs.rs
+++ b/crates/dispatch/src/jobs.rs
@@ -215,7 +215,7 @@
     /// Time at which a task of the step must start for the job to be in time.
     pub(crate) fn latest_start_ms(&self, step: usize, estimates: &Estimates) -> i64 {
         let rest_ms = chain_from_ms(&self.job, step, estimates);
-        self.objective_ms as i64 - rest_ms as i64
+        self.objective_ms.cast_signed() - rest_ms as i64
     }
 }
 
--- /dev/null
+++ b/crates/dispatch/src/listings.rs
@@ -0,0 +1,162 @@
+//! What a minion lists, compared with what should run there.
+
+use crate::Agent;
+use crate::Busy;
+use crate::End;
+use crate::LinkId;
+use crate::Listing;
+use crate::OrderId;
+use crate::RunKey;
+use crate::Running;
+use crate::minion::STOP_RETRY_MS;
+use crate::runtable::Phase;
+
+/// First and longest pause before the minion is asked again after a call
+/// without an answer, in milliseconds.
+const ASK_AGAIN_MS: u64 = 15;
+const ASK_AGAIN_LONGEST_MS: u64 = 240;
+/// Percentage of a run that is done.
+const ALL_DONE: u8 = 100;
+
+impl Agent {
+    /// The minion listed what runs, or gave no answer.
+    pub fn listed(&mut self, now_ms: u64, instance: &str, call: u64, listing: Option<Listing>) {
+        if !self.is_instance(instance) {
+            return;
+        }
+        let Some(minion) = &mut self.minion else {
+            return;
+        };
+        let position = minion.holds.iter().position(|hold| hold.call == call);
+        let Some(hold) = position.map(|position| minion.holds.remove(position)) else {
+            return;
+        };
+        minion.judge(listing.is_some());
+        let Some(listing) = listing else {
+            let doubled_ms = ASK_AGAIN_MS << minion.unanswered.min(5);
+            minion.ask_ms = now_ms + doubled_ms.min(ASK_AGAIN_LONGEST_MS);
+            return;
+        };
+        minion.ask_ms = now_ms;
+        minion.holds.retain(|other| other.sent_ms > hold.sent_ms);
+        minion.read_clock(now_ms, listing.clock_ms);
+        if minion.epoch == 0 {
+            // The clock never runs back within a lifetime, so the epoch is
+            // above that of any agent before.
+            minion.epoch = listing.clock_ms.max(1);
+            let epoch = minion.epoch;
+            self.note("epoch-taken", None, format!("epoch={epoch}"));
+            self.hold_if_due(now_ms);
+            return;
+        }
+        minion.acked_through = minion.acked_through.max(hold.acked_through);
+        self.take_ends(now_ms, &listing);
+        self.take_running(now_ms, hold.sent_ms, &listing.running);
+        self.start_parked(now_ms);
+    }
+
+    pub(crate) fn take_ends(&mut self, now_ms: u64, listing: &Listing) {
+        for finished in &listing.finished {
+            let Some(minion) = &mut self.minion else {
+                return;
+            };
+            if finished.number <= minion.finished_through {
+                continue;
+            }
+            minion.finished_through = finished.number;
+            let place = finished.key.as_ref().and_then(|key| self.runs.find(key));
+            let Some((link, order)) = place else {
+                continue;
+            };
+            if let Some(mut run) = self.runs.remove(link, order) {
+                if finished.end == End::Done {
+                    let (done_ms, spent_ms) = run.advance(now_ms, ALL_DONE);
+                    self.pace.add(now_ms, done_ms, spent_ms);
+                }
+                self.report_end(link, order, finished.end, run.ran_ms(now_ms));
+            }
+        }
+    }
+
+    /// Compares the listing with what should run. A listing tells of a run
+    /// only if it was asked for after the run's last answer.
+    pub(crate) fn take_running(&mut self, now_ms: u64, asked_ms: u64, running: &[Running]) {
+        let mut gone = Vec::new();
+        for run in self.runs.iter_mut().filter(|run| run.takes_room()) {
+            let listed = running
+                .iter()
+                .find(|row| row.key.as_ref() == Some(&run.key));
+            if let Some(row) = listed {
+                run.was_seen = true;
+                let (done_ms, spent_ms) = run.advance(now_ms, row.percent);
+                self.pace.add(now_ms, done_ms, spent_ms);
+                if run.phase == Phase::Starting {
+                    run.phase = Phase::Running;
+                    run.confirmed_ms = now_ms;
+                }
+            } else if is_surely_gone(run.phase, run.confirmed_ms, asked_ms) {
+                gone.push((run.link, run.order));
+            }
+        }
+        for (link, order) in gone {
+            self.run_vanished(now_ms, link, order);
+        }
+        self.stop_strangers(now_ms, running);
+    }
+
+    pub(crate) fn run_vanished(&mut self, now_ms: u64, link: LinkId, order: OrderId) {
+        let Some(run) = self.runs.remove(link, order) else {
+            return;
+        };
+        let end = match run.phase {
+            Phase::Running => End::Lost,
+            _ if run.was_seen => End::Stopped,
+            _ if run.unanswered > 0 => End::NotStarted(Busy::NoAnswer),
+            _ => End::Stopped,
+        };
+        self.report_end(link, order, end, run.ran_ms(now_ms));
+    }
+
+    /// Stops what an earlier agent left on the minion, and begins to serve
+    /// when nothing of it is listed any more.
+    pub(crate) fn stop_strangers(&mut self, now_ms: u64, running: &[Running]) {
+        let is_known = |key: &RunKey| self.runs.find(key).is_some();
+        let keys = running.iter().filter_map(|row| row.key.clone());
+        let strangers: Vec<RunKey> = keys.filter(|key| !is_known(key)).collect();
+        let Some(minion) = &mut self.minion else {
+            return;
+        };
+        if strangers.is_empty() && !minion.is_clean {
+            minion.is_clean = true;
+            self.note("minion-served", None, String::new());
+            self.greet_links(now_ms);
+            return;
+        }
+        let is_due = |key: &RunKey| {
+            let tried = minion.leftovers.iter().find(|(tried, _)| tried == key);
+            tried.is_none_or(|(_, tried_ms)| now_ms >= tried_ms + STOP_RETRY_MS)
+        };
+        let due: Vec<RunKey> = strangers.into_iter().filter(is_due).collect();
+        minion.leftovers.retain(|(key, _)| !due.contains(key));
+        minion
+            .leftovers
+            .extend(due.iter().map(|key| (key.clone(), now_ms)));
+        for key in due {
+            self.note(
+                "leftover-stopped",
+                Some(key.task.job.clone()),
+                format!("run={}", key.run),
+            );
+            self.send_stop(key);
+        }
+    }
+}
+
+/// Whether a run that is not listed is gone for good.
+fn is_surely_gone(phase: Phase, confirmed_ms: u64, asked_ms: u64) -> bool {
+    match phase {
+        Phase::Parked | Phase::Starting => false,
+        Phase::Running => asked_ms > confirmed_ms,
+        Phase::Stopping { acked_ms, .. } => acked_ms.is_some_and(|acked_ms| asked_ms > acked_ms),
+    }
+}
--- a/crates/dispatch/src/minion.rs
+++ b/crates/dispatch/src/minion.rs
@@ -9,13 +9,11 @@
 use crate::Busy;
 use crate::End;
 use crate::LinkId;
-use crate::Listing;
 use crate::MINION_LEASE_MS;
 use crate::MinionReport;
 use crate::OrderId;
 use crate::Room;
 use crate::RunKey;
-use crate::Running;
 use crate::StartResult;
 use crate::lease::STOP_PATIENCE_MS;
 use crate::pace::Pace;
@@ -31,7 +29,7 @@
 /// milliseconds; a minion on the same host answers within a few.
 const HOLD_PATIENCE_MS: u64 = 40;
 /// Pause before a stop without an answer is sent again, in milliseconds.
-const STOP_RETRY_MS: u64 = 60;
+pub(crate) const STOP_RETRY_MS: u64 = 60;
 /// Time without an answer after which the minion gets no more starts.
 const SILENCE_MS: u64 = 250;
 /// Time without a report of the minion after which it gets no more starts:
@@ -45,47 +43,40 @@
 /// Calls in a row without an answer after which the minion gets no more
 /// starts until it answers again.
 const UNANSWERED: u32 = 3;
-/// First and longest pause before the minion is asked again after a call
-/// without an answer, in milliseconds.
-const ASK_AGAIN_MS: u64 = 15;
-const ASK_AGAIN_LONGEST_MS: u64 = 240;
-
-/// Percentage of a run that is done.
-const ALL_DONE: u8 = 100;
 
 /// One lifetime of the minion beside an agent.
 #[derive(Debug)]
 pub(crate) struct Minion {
-    report: MinionReport,
+    pub(crate) report: MinionReport,
     /// The agent's epoch at this lifetime; 0 while it is unknown.
-    epoch: u64,
+    pub(crate) epoch: u64,
     /// The minion's clock, and when it was read.
-    clock_ms: u64,
-    clock_read_ms: u64,
-    reported_ms: u64,
-    answered_ms: u64,
+    pub(crate) clock_ms: u64,
+    pub(crate) clock_read_ms: u64,
+    pub(crate) reported_ms: u64,
+    pub(crate) answered_ms: u64,
     /// Latest end of the lease that any call asked for, on our clock.
-    lease_until_ms: u64,
-    finished_through: u64,
-    acked_through: u64,
+    pub(crate) lease_until_ms: u64,
+    pub(crate) finished_through: u64,
+    pub(crate) acked_through: u64,
     /// Whether nothing of an earlier agent is left.
-    is_clean: bool,
-    has_left: bool,
-    holds: Vec<HoldCall>,
+    pub(crate) is_clean: bool,
+    pub(crate) has_left: bool,
+    pub(crate) holds: Vec<HoldCall>,
     /// Calls in a row without an answer.
-    unanswered: u32,
+    pub(crate) unanswered: u32,
     /// When it may be asked again.
-    ask_ms: u64,
-    leftovers: Vec<(RunKey, u64)>,
+    pub(crate) ask_ms: u64,
+    pub(crate) leftovers: Vec<(RunKey, u64)>,
 }
 
 /// A listing under way.
 #[derive(Clone, Copy, Debug)]
-struct HoldCall {
-    call: u64,
-    sent_ms: u64,
-    overdue_ms: u64,
-    acked_through: u64,
+pub(crate) struct HoldCall {
+    pub(crate) call: u64,
+    pub(crate) sent_ms: u64,
+    pub(crate) overdue_ms: u64,
+    pub(crate) acked_through: u64,
 }
 
 impl Minion {
@@ -113,12 +104,12 @@
         self.is_clean && !self.report.is_draining && !self.has_left && self.is_answering()
     }
 
-    fn is_answering(&self) -> bool {
+    pub(crate) fn is_answering(&self) -> bool {
         self.unanswered < UNANSWERED
     }
 
     /// Notes whether a call was answered.
-    fn judge(&mut self, is_answered: bool) {
+    pub(crate) fn judge(&mut self, is_answered: bool) {
         if is_answered {
             self.unanswered = 0;
         } else {
@@ -150,7 +141,7 @@
         self.clock_ms + now_ms.saturating_sub(self.clock_read_ms)
     }
 
-    fn read_clock(&mut self, now_ms: u64, clock_ms: u64) {
+    pub(crate) fn read_clock(&mut self, now_ms: u64, clock_ms: u64) {
         self.answered_ms = now_ms;
         if clock_ms > 0 {
             self.clock_ms = clock_ms;
@@ -252,7 +243,7 @@
         }
     }
 
-    fn send_stop(&mut self, key: RunKey) {
+    pub(crate) fn send_stop(&mut self, key: RunKey) {
         if let Some(minion) = &self.minion {
             self.actions.push(AgentAction::Stop {
                 instance: minion.report.instance.clone(),
@@ -303,7 +294,7 @@
     }
 
     /// The same start may be sent again: the minion takes it once.
-    fn start_unanswered(&mut self, now_ms: u64, link: LinkId, order: OrderId) {
+    pub(crate) fn start_unanswered(&mut self, now_ms: u64, link: LinkId, order: OrderId) {
         let Some(run) = self.runs.get_mut(link, order) else {
             return;
         };
@@ -334,7 +325,13 @@
         }
     }
 
-    fn start_refused(&mut self, now_ms: u64, link: LinkId, order: OrderId, result: StartResult) {
+    pub(crate) fn start_refused(
+        &mut self,
+        now_ms: u64,
+        link: LinkId,
+        order: OrderId,
+        result: StartResult,
+    ) {
         let Some(run) = self.runs.remove(link, order) else {
             return;
         };
@@ -380,138 +377,6 @@
         }
     }
 
-    /// The minion listed what runs, or gave no answer.
-    pub fn listed(&mut self, now_ms: u64, instance: &str, call: u64, listing: Option<Listing>) {
-        if !self.is_instance(instance) {
-            return;
-        }
-        let Some(minion) = &mut self.minion else {
-            return;
-        };
-        let position = minion.holds.iter().position(|hold| hold.call == call);
-        let Some(hold) = position.map(|position| minion.holds.remove(position)) else {
-            return;
-        };
-        minion.judge(listing.is_some());
-        let Some(listing) = listing else {
-            let doubled_ms = ASK_AGAIN_MS << minion.unanswered.min(5);
-            minion.ask_ms = now_ms + doubled_ms.min(ASK_AGAIN_LONGEST_MS);
-            return;
-        };
-        minion.ask_ms = now_ms;
-        minion.holds.retain(|other| other.sent_ms > hold.sent_ms);
-        minion.read_clock(now_ms, listing.clock_ms);
-        if minion.epoch == 0 {
-            // The clock never runs back within a lifetime, so the epoch is
-            // above that of any agent before.
-            minion.epoch = listing.clock_ms.max(1);
-            let epoch = minion.epoch;
-            self.note("epoch-taken", None, format!("epoch={epoch}"));
-            self.hold_if_due(now_ms);
-            return;
-        }
-        minion.acked_through = minion.acked_through.max(hold.acked_through);
-        self.take_ends(now_ms, &listing);
-        self.take_running(now_ms, hold.sent_ms, &listing.running);
-        self.start_parked(now_ms);
-    }
-
-    fn take_ends(&mut self, now_ms: u64, listing: &Listing) {
-        for finished in &listing.finished {
-            let Some(minion) = &mut self.minion else {
-                return;
-            };
-            if finished.number <= minion.finished_through {
-                continue;
-            }
-            minion.finished_through = finished.number;
-            let place = finished.key.as_ref().and_then(|key| self.runs.find(key));
-            let Some((link, order)) = place else {
-                continue;
-            };
-            if let Some(mut run) = self.runs.remove(link, order) {
-                if finished.end == End::Done {
-                    let (done_ms, spent_ms) = run.advance(now_ms, ALL_DONE);
-                    self.pace.add(now_ms, done_ms, spent_ms);
-                }
-                self.report_end(link, order, finished.end, run.ran_ms(now_ms));
-            }
-        }
-    }
-
-    /// Compares the listing with what should run. A listing tells of a run
-    /// only if it was asked for after the run's last answer.
-    fn take_running(&mut self, now_ms: u64, asked_ms: u64, running: &[Running]) {
-        let mut gone = Vec::new();
-        for run in self.runs.iter_mut().filter(|run| run.takes_room()) {
-            let listed = running
-                .iter()
-                .find(|row| row.key.as_ref() == Some(&run.key));
-            if let Some(row) = listed {
-                run.was_seen = true;
-                let (done_ms, spent_ms) = run.advance(now_ms, row.percent);
-                self.pace.add(now_ms, done_ms, spent_ms);
-                if run.phase == Phase::Starting {
-                    run.phase = Phase::Running;
-                    run.confirmed_ms = now_ms;
-                }
-            } else if is_surely_gone(run.phase, run.confirmed_ms, asked_ms) {
-                gone.push((run.link, run.order));
-            }
-        }
-        for (link, order) in gone {
-            self.run_vanished(now_ms, link, order);
-        }
-        self.stop_strangers(now_ms, running);
-    }
-
-    fn run_vanished(&mut self, now_ms: u64, link: LinkId, order: OrderId) {
-        let Some(run) = self.runs.remove(link, order) else {
-            return;
-        };
-        let end = match run.phase {
-            Phase::Running => End::Lost,
-            _ if run.was_seen => End::Stopped,
-            _ if run.unanswered > 0 => End::NotStarted(Busy::NoAnswer),
-            _ => End::Stopped,
-        };
-        self.report_end(link, order, end, run.ran_ms(now_ms));
-    }
-
-    /// Stops what an earlier agent left on the minion, and begins to serve
-    /// when nothing of it is listed any more.
-    fn stop_strangers(&mut self, now_ms: u64, running: &[Running]) {
-        let is_known = |key: &RunKey| self.runs.find(key).is_some();
-        let keys = running.iter().filter_map(|row| row.key.clone());
-        let strangers: Vec<RunKey> = keys.filter(|key| !is_known(key)).collect();
-        let Some(minion) = &mut self.minion else {
-            return;
-        };
-        if strangers.is_empty() && !minion.is_clean {
-            minion.is_clean = true;
-            self.note("minion-served", None, String::new());
-            self.greet_links(now_ms);
-            return;
-        }
-        let is_due = |key: &RunKey| {
-            let tried = minion.leftovers.iter().find(|(tried, _)| tried == key);
-            tried.is_none_or(|(_, tried_ms)| now_ms >= tried_ms + STOP_RETRY_MS)
-        };
-        let due: Vec<RunKey> = strangers.into_iter().filter(is_due).collect();
-        minion.leftovers.retain(|(key, _)| !due.contains(key));
-        minion
-            .leftovers
-            .extend(due.iter().map(|key| (key.clone(), now_ms)));
-        for key in due {
-            self.note(
-                "leftover-stopped",
-                Some(key.task.job.clone()),
-                format!("run={}", key.run),
-            );
-            self.send_stop(key);
-        }
-    }
-
     /// Repeats stops without an answer, and gives the minion up when its last
     /// lease is over.
     pub(crate) fn watch_minion(&mut self, now_ms: u64) {
@@ -534,7 +399,7 @@
         }
     }
 
-    fn repeat_stops(&mut self, now_ms: u64) {
+    pub(crate) fn repeat_stops(&mut self, now_ms: u64) {
         let mut again = Vec::new();
         for run in self.runs.iter_mut() {
             if let Phase::Stopping {
@@ -554,7 +419,7 @@
     }
 
     /// Nothing that was started runs any more; all ends as lost.
-    fn lose_minion(&mut self, now_ms: u64) {
+    pub(crate) fn lose_minion(&mut self, now_ms: u64) {
         if self.minion.is_none() {
             return;
         }
@@ -642,21 +507,12 @@
         due_ms.or(Some(now_ms + HOLD_PATIENCE_MS))
     }
 
-    fn is_instance(&self, instance: &str) -> bool {
+    pub(crate) fn is_instance(&self, instance: &str) -> bool {
         let current = self.minion.as_ref().map(|minion| &*minion.report.instance);
         current == Some(instance)
     }
 }
 
-/// Whether a run that is not listed is gone for good.
-fn is_surely_gone(phase: Phase, confirmed_ms: u64, asked_ms: u64) -> bool {
-    match phase {
-        Phase::Parked | Phase::Starting => false,
-        Phase::Running => asked_ms > confirmed_ms,
-        Phase::Stopping { acked_ms, .. } => acked_ms.is_some_and(|acked_ms| asked_ms > acked_ms),
-    }
-}
-
 /// Names used by the process around the agent.
 impl Agent {
     /// The lifetime of the present minion.
--- /dev/null
+++ b/crates/dispatch/src/rounds.rs
@@ -0,0 +1,256 @@
+//! Rounds of placement: waiting tasks go to agents with room, the most urgent
+//! first.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use gannetvane_wire::Name;
+use rand::RngExt;
+
+use crate::Job;
+use crate::LinkId;
+use crate::Order;
+use crate::OrderId;
+use crate::StartOrder;
+use crate::dispatcher::Dispatcher;
+use crate::dispatcher::OrderState;
+use crate::dispatcher::STOOD_STILL_MS;
+use crate::fleet::AgentState;
+use crate::jobs::TaskPhase;
+use crate::placement;
+use crate::placement::Demand;
+
+/// Part of the room that must be free before a job starts that will be late
+/// and earns little.
+const SPARE_SHARE: f64 = 0.12;
+/// Ejection ends when more than one in this many hosts would be left out.
+const EJECTED_PART: usize = 2;
+/// Jobs that find no room before a round of placement ends.
+const MISSES_A_ROUND: usize = 12;
+
+impl Dispatcher {
+    /// Services so many of whose hosts had bad ends that the cause is
+    /// elsewhere: none of their hosts is left out.
+    pub(crate) fn lenient_services(&self, now_ms: u64) -> Vec<Name> {
+        let mut counts: BTreeMap<&Name, (usize, usize)> = BTreeMap::new();
+        for agent in self.agents.values() {
+            let record = self.hosts.get(&agent.hello.host);
+            let is_ejected = record.is_some_and(|record| now_ms < record.ejected_until_ms);
+            let (all, ejected) = counts.entry(&agent.hello.service).or_default();
+            *all += 1;
+            *ejected += usize::from(is_ejected);
+        }
+        let is_lenient = |(all, ejected): &(usize, usize)| ejected * EJECTED_PART > *all;
+        let lenient = counts.iter().filter(|(_, counts)| is_lenient(counts));
+        lenient.map(|(service, _)| (*service).clone()).collect()
+    }
+
+    /// Orders waiting tasks, the most urgent first, while there is room.
+    pub(crate) fn place(&mut self, now_ms: u64) {
+        if now_ms < self.settled_ms || now_ms > self.ticked_ms + STOOD_STILL_MS {
+            return;
+        }
+        let mut open = self.open_agents(now_ms);
+        if open.is_empty() {
+            return;
+        }
+        self.lenient = self.lenient_services(now_ms);
+        let mut misses = 0;
+        for id in self.waiting_by_urgency(now_ms) {
+            if self.is_held_back(now_ms, &id) {
+                continue;
+            }
+            if !self.place_job(now_ms, &id, &mut open) {
+                misses += 1;
+            }
+            if misses >= MISSES_A_ROUND || open.is_empty() {
+                return;
+            }
+        }
+    }
+
+    /// Agents that may take a waiting task; in a full fleet they are few, which
+    /// keeps a round cheap.
+    pub(crate) fn open_agents(&self, now_ms: u64) -> Vec<LinkId> {
+        let waiting = self
+            .jobs
+            .values()
+            .filter(|job| job.is_open() && job.has_waiting());
+        let needs = waiting.map(|job| job.job.steps[job.next_step()].needs.cpu_milli);
+        let Some(least_milli) = needs.min() else {
+            return Vec::new();
+        };
+        let may_take = |agent: &AgentState| {
+            let has_room = agent.free().cpu_milli >= least_milli;
+            agent.takes_starts(now_ms) && (has_room || agent.takes_parked())
+        };
+        let open = self.agents.iter().filter(|(_, agent)| may_take(agent));
+        open.map(|(link, _)| *link).collect()
+    }
+
+    /// Whether a job waits although there may be room: it would be late, and
+    /// its room is kept for jobs that are about to come and can be in time.
+    pub(crate) fn is_held_back(&self, now_ms: u64, id: &Name) -> bool {
+        let Some(job) = self.jobs.get(id) else {
+            return true;
+        };
+        let is_late = job.is_late(now_ms, job.next_step(), &self.estimates);
+        let is_untouched = job.first_start_ms.is_none();
+        is_late && is_untouched && self.free_share(&job.job.queue.service) < SPARE_SHARE
+    }
+
+    /// Part of the service's room that is free, as far as is known.
+    pub(crate) fn free_share(&self, service: &Name) -> f64 {
+        let of_service = self.agents.values();
+        let of_service = of_service.filter(|agent| agent.hello.service == *service);
+        let (mut free, mut all) = (0.0, 1.0);
+        for agent in of_service {
+            free += f64::from(agent.free().cpu_milli) * agent.speed.min(1.0);
+            all += f64::from(agent.hello.capacity.cpu_milli);
+        }
+        free / all
+    }
+
+    pub(crate) fn waiting_by_urgency(&self, now_ms: u64) -> Vec<Name> {
+        let waiting = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| job.is_open() && job.has_waiting());
+        let mut waiting: Vec<(bool, bool, i64, &Name)> = waiting
+            .map(|(id, job)| {
+                let step = job.next_step();
+                let latest_ms = job.latest_start_ms(step, &self.estimates);
+                let is_late = job.is_late(now_ms, step, &self.estimates);
+                let is_new = job.first_start_ms.is_none();
+                (is_late, is_new, latest_ms, id)
+            })
+            .collect();
+        waiting.sort_unstable();
+        waiting.into_iter().map(|(.., id)| id.clone()).collect()
+    }
+
+    /// Orders the waiting tasks of a job; `false` if one found no room.
+    pub(crate) fn place_job(&mut self, now_ms: u64, id: &Name, open: &mut Vec<LinkId>) -> bool {
+        let Some(state) = self.jobs.get(id) else {
+            return true;
+        };
+        let job = Arc::clone(&state.job);
+        let is_waiting = |position: &usize| state.tasks[*position].phase == TaskPhase::Waiting;
+        let positions: Vec<usize> = (0..state.tasks.len()).filter(is_waiting).collect();
+        for position in positions {
+            let Some((link, may_wait)) = self.choose(now_ms, &job, position, open) else {
+                return false;
+            };
+            if may_wait {
+                open.retain(|other| *other != link);
+            }
+            self.order(now_ms, id, position, link, may_wait);
+        }
+        true
+    }
+
+    /// An agent for a task, and whether the task may wait there for room.
+    pub(crate) fn choose(
+        &mut self,
+        now_ms: u64,
+        job: &Job,
+        position: usize,
+        open: &[LinkId],
+    ) -> Option<(LinkId, bool)> {
+        let state = self.jobs.get(&job.id)?;
+        let task = &state.tasks[position];
+        let step = &job.steps[task.step];
+        let mut beside: BTreeMap<Name, u32> = BTreeMap::new();
+        if step.max_per_minion > 0 {
+            let same = state.tasks.iter().filter(|other| other.step == task.step);
+            let running = same.filter(|other| matches!(other.phase, TaskPhase::Ordered(_)));
+            for host in running.filter_map(|other| other.host.clone()) {
+                *beside.entry(host).or_default() += 1;
+            }
+        }
+        let demand = Demand {
+            step,
+            service: &job.queue.service,
+            zone: &self.settings.zone,
+            expected_ms: self
+                .estimates
+                .expected_ms(&job.queue.name, step.declared_ms),
+            left_ms: state.objective_ms as f64 - now_ms as f64,
+            // Where there are no other hosts, a bad one is better than none.
+            avoid: if self.minions(&job.queue.service) > task.avoid.len() {
+                &task.avoid
+            } else {
+                &[]
+            },
+            beside: &beside,
+            remote_factor: self.settings.remote_factor,
+            is_ejecting: !self.lenient.contains(&job.queue.service),
+            now_ms,
+        };
+        let agents: Vec<(LinkId, &AgentState)> = open
+            .iter()
+            .filter_map(|link| Some((*link, self.agents.get(link)?)))
+            .collect();
+        let rng = &mut self.rng;
+        let mut spread = || rng.random::<f64>();
+        let with_room = placement::choose(&agents, &self.hosts, &demand, &mut spread);
+        if let Some(link) = with_room {
+            return Some((link, false));
+        }
+        let parking = placement::choose_parking(&agents, &self.hosts, &demand, &mut spread);
+        parking.map(|link| (link, true))
+    }
+
+    pub(crate) fn order(
+        &mut self,
+        now_ms: u64,
+        id: &Name,
+        position: usize,
+        link: LinkId,
+        may_wait: bool,
+    ) {
+        let order = OrderId(self.next_order);
+        let (Some(state), Some(agent)) = (self.jobs.get_mut(id), self.agents.get_mut(&link)) else {
+            return;
+        };
+        self.next_order += 1;
+        let job = Arc::clone(&state.job);
+        let step = &job.steps[state.tasks[position].step];
+        let latest_ms = state.latest_start_ms(state.tasks[position].step, &self.estimates);
+        let expected_ms = self
+            .estimates
+            .expected_ms(&job.queue.name, step.declared_ms);
+        let slack_ms = (latest_ms - now_ms.cast_signed()).max(0);
+        let task_id = state.task_id(position);
+        let task = &mut state.tasks[position];
+        task.run += 1;
+        task.phase = TaskPhase::Ordered(order);
+        task.host = Some(agent.hello.host.clone());
+        let run = task.run;
+        state.first_start_ms.get_or_insert(now_ms);
+        agent.add_order(order, step.needs);
+        self.drained
+            .add(now_ms, expected_ms * f64::from(step.needs.cpu_milli));
+        agent.outbox.push(Order::Start(StartOrder {
+            id: order,
+            task: task_id,
+            run,
+            spec: job.spec.clone(),
+            needs: step.needs,
+            expected_ms: expected_ms as u32,
+            may_wait,
+            slack_ms: u32::try_from(slack_ms).unwrap_or(u32::MAX),
+        }));
+        self.orders.insert(
+            order,
+            OrderState {
+                job: id.clone(),
+                position,
+                link,
+                expected_ms,
+                ordered_ms: now_ms,
+                is_stop_sent: false,
+            },
+        );
+    }
+}
--- a/crates/dispatch/tests/session/mod.rs
+++ b/crates/dispatch/tests/session/mod.rs
@@ -566,8 +566,10 @@
                     Some(late_ms) => self.answer_nothing(agent, &action, late_ms),
                 }
             }
-            AgentAction::Greet(link, hello) => self.to_entry(link, Event::Greeting(link, hello)),
-            AgentAction::Send(link, frame) => self.to_entry(link, Event::ToEntry(link, frame)),
+            AgentAction::Greet(link, hello) => {
+                self.post_to_entry(link, Event::Greeting(link, hello))
+            }
+            AgentAction::Send(link, frame) => self.post_to_entry(link, Event::ToEntry(link, frame)),
             AgentAction::Close(id) => {
                 if let Some(link) = self.links.get(&id).copied() {
                     self.post(Side::Entry(link.entry), Event::LinkDown(id));
@@ -580,7 +582,7 @@
         }
     }
 
-    fn to_entry(&mut self, id: LinkId, event: Event) {
+    fn post_to_entry(&mut self, id: LinkId, event: Event) {
         if let Some(link) = self.links.get(&id) {
             self.post(Side::Entry(link.entry), event);
         }
--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -15,7 +15,6 @@
 /// A logger that writes one JSON object a line. The name of the event is in
 /// the field `event`. When output is slow, lines are dropped and the next line
 /// tells how many.
-#[must_use]
 pub fn logger(level: Level, role: &'static str, node: String) -> Logger {
     let json = slog_json::Json::new(std::io::stdout())
         .add_key_value(o!(
