--- a/crates/dispatch/tests/session/mod.rs
+++ b/crates/dispatch/tests/session/mod.rs
@@ -567,9 +567,9 @@
                 }
             }
             AgentAction::Greet(link, hello) => {
-                self.post_to_entry(link, Event::Greeting(link, hello))
+                self.post_to_entry(link, Event::Greeting(link, hello));
             }
-            AgentAction::Send(link, frame) => self.post_to_entry(link, Event::ToEntry(link, frame)),
+            AgentAction::Send(link, frame) => self.post_to_entry(link, Event::ToEntry(link, frame));,
             AgentAction::Close(id) => {
                 if let Some(link) = self.links.get(&id).copied() {
                     self.post(Side::Entry(link.entry), Event::LinkDown(id));
