--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -437,7 +437,7 @@
             }
             let mut reports = std::mem::take(&mut link.reports);
             if is_keepalive {
-                reports.extend(self.runs.progress(now_ms, *id));
+                reports.extend(self.runs.progress(*id));
             }
             link.last_sent_ms = now_ms;
             link.last_free = free;
--- a/crates/dispatch/src/runtable.rs
+++ b/crates/dispatch/src/runtable.rs
@@ -177,14 +177,15 @@
     }
 
     /// How far the runs of a link are.
-    pub(crate) fn progress(&self, now_ms: u64, link: LinkId) -> Vec<Report> {
+    pub(crate) fn progress(&self, link: LinkId) -> Vec<Report> {
         let running = self.runs.values();
         let running = running.filter(|run| run.link == link && run.phase == Phase::Running);
         let report = |run: &Run| Report::Progress {
             order: run.order,
             percent: run.percent,
-            elapsed_ms: u32::try_from(run.ran_ms(now_ms)).unwrap_or(u32::MAX),
-            idle_ms: u32::try_from(now_ms.saturating_sub(run.changed_ms)).unwrap_or(u32::MAX),
+            elapsed_ms: u32::try_from(run.ran_ms(run.read_ms)).unwrap_or(u32::MAX),
+            // Time without a reading says nothing of the run.
+            idle_ms: u32::try_from(run.read_ms.saturating_sub(run.changed_ms)).unwrap_or(u32::MAX),
         };
         running.map(report).collect()
     }
--- a/crates/dispatch/tests/session/mod.rs
+++ b/crates/dispatch/tests/session/mod.rs
@@ -121,6 +121,7 @@
 pub struct CallerState {
     pub id: String,
     pub work_ms: u64,
+    pub declared_ms: u64,
     pub tasks: u32,
     pub sent_ms: u64,
     pub outcome: Option<JobOutcome>,
@@ -246,9 +247,22 @@
 
     /// Submits a job of tasks that work this long.
     pub fn submit(&mut self, entry: usize, id: &str, tasks: u32, work_ms: u64) -> usize {
+        self.submit_declared(entry, id, tasks, work_ms, work_ms)
+    }
+
+    /// Submits a job whose declared time is not that of its work.
+    pub fn submit_declared(
+        &mut self,
+        entry: usize,
+        id: &str,
+        tasks: u32,
+        work_ms: u64,
+        declared_ms: u64,
+    ) -> usize {
         self.callers.push(CallerState {
             id: id.to_owned(),
             work_ms,
+            declared_ms,
             tasks,
             sent_ms: self.now_ms,
             outcome: None,
@@ -284,7 +298,7 @@
             steps: vec![Step {
                 count: state.tasks,
                 needs: TASK_ROOM,
-                declared_ms: state.work_ms,
+                declared_ms: state.declared_ms,
                 ..Step::default()
             }],
             queue: Arc::clone(&table(1).queues[0]),
@@ -569,7 +583,7 @@
             AgentAction::Greet(link, hello) => {
                 self.post_to_entry(link, Event::Greeting(link, hello));
             }
-            AgentAction::Send(link, frame) => self.post_to_entry(link, Event::ToEntry(link, frame));,
+            AgentAction::Send(link, frame) => self.post_to_entry(link, Event::ToEntry(link, frame)),
             AgentAction::Close(id) => {
                 if let Some(link) = self.links.get(&id).copied() {
                     self.post(Side::Entry(link.entry), Event::LinkDown(id));
