--- /dev/null
+++ b/crates/node/tests/entry.rs
@@ -0,0 +1,221 @@
+//! An entry's process: configuration passed on between entries, and planned
+//! stops.
+
+use std::cell::RefCell;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use gannetvane_dispatch::Queue;
+use gannetvane_dispatch::RoutingTable;
+use gannetvane_node::EntryHandle;
+use gannetvane_node::EntryNode;
+use gannetvane_node::EntryNodeSettings;
+use gannetvane_node::Metrics;
+use gannetvane_node::StoreKeeper;
+use gannetvane_node::ports::StoreError;
+use gannetvane_node::ports::StorePage;
+use gannetvane_node::ports::StorePort;
+use gannetvane_node::serve_http;
+use http_body_util::Full;
+use hyper::Response;
+use slog::Discard;
+use slog::Logger;
+use slog::o;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::task::LocalSet;
+
+/// A store that serves or refuses everything.
+#[derive(Default)]
+struct FakeStore {
+    table: RefCell<Option<RoutingTable>>,
+    entries: RefCell<Vec<SocketAddr>>,
+    is_down: bool,
+}
+
+#[async_trait(?Send)]
+impl StorePort for FakeStore {
+    async fn newest_configuration(&self) -> Result<StorePage, StoreError> {
+        self.check()?;
+        Ok(StorePage {
+            table: self.table.borrow().clone(),
+            next_offset: 0,
+        })
+    }
+
+    async fn next_configuration(&self, offset: u64, _: u64) -> Result<StorePage, StoreError> {
+        self.check()?;
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        Ok(StorePage {
+            table: self.table.borrow().clone(),
+            next_offset: offset,
+        })
+    }
+
+    async fn entries(&self) -> Result<Vec<SocketAddr>, StoreError> {
+        self.check()?;
+        Ok(self.entries.borrow().clone())
+    }
+
+    async fn announce(&self, entry: SocketAddr) -> Result<(), StoreError> {
+        self.check()?;
+        self.entries.borrow_mut().push(entry);
+        Ok(())
+    }
+}
+
+impl FakeStore {
+    fn check(&self) -> Result<(), StoreError> {
+        if self.is_down {
+            return Err(StoreError::Refused(503));
+        }
+        Ok(())
+    }
+}
+
+fn free_addr() -> SocketAddr {
+    static CALLS: AtomicU16 = AtomicU16::new(0);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let port = 7_900 + CALLS.fetch_add(1, Ordering::Relaxed);
+    SocketAddr::from((Ipv4Addr::new(127, 100 + high % 100, low, 2), port))
+}
+
+fn table(version: u64) -> RoutingTable {
+    let queue = Queue {
+        name: "slots".into(),
+        host: "desk.example".into(),
+        path_prefix: "/slots/".into(),
+        service: "desk".into(),
+        timeout_ms: 1_500,
+        target_latency_ms: 60,
+        priority: 0,
+        max_attempts: 3,
+        stretch: 1.6,
+        needs_advice: false,
+    };
+    RoutingTable {
+        version,
+        queues: vec![Arc::new(queue)],
+        max_body_bytes: 0,
+    }
+}
+
+fn log() -> Logger {
+    Logger::root(Discard, o!())
+}
+
+fn entry(addr: SocketAddr, seeds: Vec<SocketAddr>) -> EntryNode {
+    let settings = EntryNodeSettings {
+        link_addr: addr,
+        zone: "selfoss".into(),
+        remote_factor: 1.5,
+        seeds,
+        stop_notice_ms: 150,
+        stop_limit_ms: 4_000,
+    };
+    EntryNode::new(settings, log(), Rc::new(Metrics::new()))
+}
+
+fn start(node: EntryNode, store: FakeStore) -> EntryHandle {
+    let handle = node.handle();
+    let keeper = StoreKeeper::new(Rc::new(store), log());
+    tokio::task::spawn_local(async move { node.run(keeper).await.expect("a free address") });
+    handle
+}
+
+async fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    for _ in 0..2_000 {
+        if holds() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    panic!("{what} did not come about");
+}
+
+async fn on_one_thread(test: impl Future<Output = ()>) {
+    LocalSet::new().run_until(test).await;
+}
+
+#[tokio::test]
+async fn an_entry_that_the_store_turns_away_learns_from_its_peers() {
+    on_one_thread(async {
+        let (first, second) = (free_addr(), free_addr());
+        let serving = FakeStore {
+            table: RefCell::new(Some(table(7))),
+            ..FakeStore::default()
+        };
+        let refusing = FakeStore {
+            is_down: true,
+            ..FakeStore::default()
+        };
+        let _first = start(entry(first, Vec::new()), serving);
+        let second = start(entry(second, vec![first]), refusing);
+        until("the configuration", || second.table().version == 7).await;
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn an_entry_never_goes_back_to_an_older_configuration() {
+    on_one_thread(async {
+        let (first, second) = (free_addr(), free_addr());
+        let newer = FakeStore {
+            table: RefCell::new(Some(table(9))),
+            ..FakeStore::default()
+        };
+        let older = FakeStore {
+            table: RefCell::new(Some(table(4))),
+            ..FakeStore::default()
+        };
+        let _first = start(entry(first, vec![second]), newer);
+        let second = start(entry(second, Vec::new()), older);
+        until("the newer configuration", || second.table().version == 9).await;
+        for _ in 0..20 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+            assert_eq!(second.table().version, 9);
+        }
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_planned_stop_waits_for_the_request_that_is_served() {
+    on_one_thread(async {
+        let node = entry(free_addr(), Vec::new());
+        let handle = node.handle();
+        let (stop, open) = (node.http_stop(), node.open_connections());
+        let front = free_addr();
+        let listener = TcpListener::bind(front).await.expect("a free address");
+        let serve = |_| async {
+            tokio::time::sleep(Duration::from_millis(600)).await;
+            Response::new(Full::new(Bytes::from_static(b"whole")))
+        };
+        tokio::task::spawn_local(serve_http(listener, serve, stop, open, log()));
+        let keeper = StoreKeeper::new(Rc::new(FakeStore::default()), log());
+        let running = tokio::task::spawn_local(node.run(keeper));
+        let mut stream = TcpStream::connect(front).await.expect("an open front");
+        let request = b"GET / HTTP/1.1\r\nHost: desk.example\r\n\r\n";
+        stream.write_all(request).await.expect("a writable stream");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        handle.stop();
+        let mut answer = String::new();
+        let read = stream.read_to_string(&mut answer).await;
+        assert!(
+            read.is_ok() && answer.ends_with("whole"),
+            "{read:?} {answer}"
+        );
+        assert!(running.await.expect("no panic").is_ok());
+        assert!(TcpStream::connect(front).await.is_err());
+    })
+    .await;
+}
