The system's allocator in place of mimalloc

Ruled out: smaller queues and pools (the processes hold next to nothing). Change: no allocator of our own; one dependency less. The own interface's figures in docs/CAPACITY.md were measured with mimalloc and were not repeated.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -13,13 +13,10 @@
 use gannetvaned::run_agent;
 use gannetvaned::run_entry;
 use gumdrop::Options;
-use mimalloc::MiMalloc;
 use signal_hook::consts::SIGINT;
 use signal_hook::consts::SIGTERM;
 use slog::Level;
 
-#[global_allocator]
-static ALLOCATOR: MiMalloc = MiMalloc;
 
 /// Exit code for settings that cannot be used.
 const EXIT_SETTINGS: u8 = 2;
