--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -17,7 +17,6 @@
 use signal_hook::consts::SIGTERM;
 use slog::Level;
 
-
 /// Exit code for settings that cannot be used.
 const EXIT_SETTINGS: u8 = 2;
 /// Exit code for a process that could not start.
