One logger, one exporter of metrics, one choice of an agent

Change: gannetvane-node's logger and exporter serve both interfaces; placement has one loop; parameters that nothing used are gone. No change of behaviour: all tests of the decisions pass.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,7 +6,6 @@
 mod event_loop;
 mod http;
 mod input;
-mod logging;
 mod metrics;
 mod minion;
 mod net;
@@ -17,7 +16,6 @@
 mod routes;
 pub mod settings;
 
-pub use logging::logger;
 pub use process::ProcessError;
 pub use process::run_agent;
 pub use process::run_entry;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -5,11 +5,11 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 
+use gannetvane_node::logger;
 use gannetvane_platform::PlatformError;
 use gannetvane_platform::PlatformSettings;
 use gannetvaned::ProcessError;
 use gannetvaned::Settings;
-use gannetvaned::logger;
 use gannetvaned::run_agent;
 use gannetvaned::run_entry;
 use gumdrop::Options;
@@ -126,8 +126,16 @@
     let stop = stop_flag()?;
     let node = settings.node.address.to_string();
     match command {
-        Command::Entry(_) => run_entry(&settings, &logger(level(&settings), "entry", node), stop),
-        _ => run_agent(&settings, &logger(level(&settings), "agent", node), stop),
+        Command::Entry(_) => run_entry(
+            &settings,
+            &logger(level(&settings), "entry", node, std::io::stderr()),
+            stop,
+        ),
+        _ => run_agent(
+            &settings,
+            &logger(level(&settings), "agent", node, std::io::stderr()),
+            stop,
+        ),
     }
 }
 
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -3,15 +3,15 @@
 use std::fmt;
 
 use gannetvane_core::Counter;
+use gannetvane_node::exported_provider;
+use gannetvane_node::exported_text;
 use gannetvane_wire::Reason;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter as OtelCounter;
 use opentelemetry::metrics::Gauge;
 use opentelemetry::metrics::MeterProvider;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::Encoder;
 use prometheus::Registry;
-use prometheus::TextEncoder;
 
 /// All metrics of one process.
 pub(crate) struct Metrics {
@@ -44,19 +44,9 @@
 
 impl Metrics {
     /// New metrics, all at zero.
-    ///
-    /// # Panics
-    ///
-    /// Never with the fixed names used here.
     #[must_use]
     pub fn new() -> Self {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .without_target_info()
-            .build()
-            .expect("a fresh registry takes the exporter");
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let (registry, provider) = exported_provider();
         let meter = provider.meter("gannetvane");
         Self {
             submissions: meter.u64_counter("gannetvane_submissions").build(),
@@ -108,12 +98,7 @@
     /// All metrics in the Prometheus text format.
     #[must_use]
     pub fn text(&self) -> String {
-        let mut bytes = Vec::new();
-        let families = self.registry.gather();
-        match TextEncoder::new().encode(&families, &mut bytes) {
-            Ok(()) => String::from_utf8_lossy(&bytes).into_owned(),
-            Err(error) => format!("# {error}\n"),
-        }
+        exported_text(&self.registry)
     }
 
     fn submission(&self, outcome: &'static str, reason: Reason) {
--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -174,7 +174,7 @@
         self.runs.iter().filter(|run| run.takes_room()).count()
     }
 
-    /// Connections that the minion's minion serves at present.
+    /// Connections to entries that may order starts.
     #[must_use]
     pub fn greeted_links(&self) -> usize {
         self.links.values().filter(|link| link.is_greeted).count()
@@ -222,9 +222,9 @@
     }
 
     /// Begins a planned stop: nothing more is started, what runs may end.
-    pub fn begin_stop(&mut self, now_ms: u64) {
+    pub fn begin_stop(&mut self) {
         self.is_stopping = true;
-        self.close_intake(now_ms);
+        self.close_intake();
     }
 
     /// Does what is due; returns when to call again at the latest.
@@ -321,7 +321,7 @@
         }
     }
 
-    fn close_intake(&mut self, _now_ms: u64) {
+    fn close_intake(&mut self) {
         for (link, order) in self.runs.parked_by_urgency() {
             self.runs.remove(link, order);
             self.report_end(link, order, End::NotStarted(Busy::Closing), 0);
@@ -329,9 +329,9 @@
     }
 
     /// Refuses what waits when the minion or the agent takes no more.
-    pub(crate) fn refuse_parked(&mut self, now_ms: u64) {
+    pub(crate) fn refuse_parked(&mut self) {
         if !self.is_open() {
-            self.close_intake(now_ms);
+            self.close_intake();
         }
     }
 
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -341,7 +341,7 @@
     }
 
     pub(crate) fn admit(&mut self, now_ms: u64, caller: Caller, job: Job, received_ms: u64) {
-        if let Err(reason) = self.check(now_ms, &job) {
+        if let Err(reason) = self.check(&job) {
             let retry_after_ms = RETRY_AFTER_MS;
             let detail = format!("reason={} queue={}", reason.name(), job.queue.name);
             self.actions.push(DispatcherAction::Event(JobEvent {
@@ -364,7 +364,7 @@
         self.jobs.insert(id, state);
     }
 
-    pub(crate) fn check(&self, _now_ms: u64, job: &Job) -> Result<(), Refusal> {
+    pub(crate) fn check(&self, job: &Job) -> Result<(), Refusal> {
         if self.is_stopping {
             return Err(Refusal::Stopping);
         }
--- a/crates/dispatch/src/minion.rs
+++ b/crates/dispatch/src/minion.rs
@@ -183,7 +183,7 @@
                 self.hold_if_due(now_ms);
             }
         }
-        self.refuse_parked(now_ms);
+        self.refuse_parked();
     }
 
     /// The minion said that it is about to end.
@@ -193,7 +193,7 @@
         {
             minion.has_left = true;
             self.note("minion-left", None, format!("instance={instance}"));
-            self.refuse_parked(now_ms);
+            self.refuse_parked();
         }
     }
 
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -48,17 +48,8 @@
     demand: &Demand<'_>,
     spread: &mut dyn FnMut() -> f64,
 ) -> Option<LinkId> {
-    let mut best: Option<(f64, LinkId)> = None;
-    for (link, agent) in agents {
-        if !is_eligible(agent, hosts, demand) || !agent.free().holds(&demand.step.needs) {
-            continue;
-        }
-        let cost = cost_ms(agent, demand) * (1.0 + SPREAD * spread());
-        if best.is_none_or(|(least, _)| cost < least) {
-            best = Some((cost, *link));
-        }
-    }
-    best.map(|(_, link)| link)
+    let has_room = |agent: &AgentState| agent.free().holds(&demand.step.needs);
+    cheapest(agents, hosts, demand, spread, &has_room)
 }
 
 /// Chooses an agent at which the task may wait for room.
@@ -67,18 +58,27 @@
     hosts: &Hosts,
     demand: &Demand<'_>,
     spread: &mut dyn FnMut() -> f64,
+) -> Option<LinkId> {
+    let may_wait = |agent: &AgentState| {
+        let is_large_enough = agent.hello.capacity.holds(&demand.step.needs);
+        let record = hosts.get(&agent.hello.host);
+        let is_healthy = record.is_none_or(|host| host.strikes == 0);
+        is_large_enough && is_healthy && agent.takes_parked()
+    };
+    cheapest(agents, hosts, demand, spread, &may_wait)
+}
+
+/// The suitable agent at which the task would end soonest.
+fn cheapest(
+    agents: &[(LinkId, &AgentState)],
+    hosts: &Hosts,
+    demand: &Demand<'_>,
+    spread: &mut dyn FnMut() -> f64,
+    is_suitable: &dyn Fn(&AgentState) -> bool,
 ) -> Option<LinkId> {
     let mut best: Option<(f64, LinkId)> = None;
     for (link, agent) in agents {
-        let is_large_enough = agent.hello.capacity.holds(&demand.step.needs);
-        let is_healthy = hosts
-            .get(&agent.hello.host)
-            .is_none_or(|host| host.strikes == 0);
-        if !is_eligible(agent, hosts, demand)
-            || !is_large_enough
-            || !is_healthy
-            || !agent.takes_parked()
-        {
+        if !is_eligible(agent, hosts, demand) || !is_suitable(agent) {
             continue;
         }
         let cost = cost_ms(agent, demand) * (1.0 + SPREAD * spread());
--- a/crates/dispatch/tests/session/mod.rs
+++ b/crates/dispatch/tests/session/mod.rs
@@ -374,8 +374,7 @@
     }
 
     pub fn stop_agent(&mut self, agent: usize) {
-        let now_ms = self.now_ms;
-        self.agents[agent].core.begin_stop(now_ms);
+        self.agents[agent].core.begin_stop();
     }
 
     pub fn agent(&self, agent: usize) -> &Agent {
--- a/crates/node/src/agent_node.rs
+++ b/crates/node/src/agent_node.rs
@@ -255,7 +255,7 @@
                 if self.stop_ms.is_none() {
                     info!(self.log, "stopping"; "runs" => self.agent.active_runs());
                     self.stop_ms = Some(now_ms);
-                    self.agent.begin_stop(now_ms);
+                    self.agent.begin_stop();
                 }
             }
         }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -32,3 +32,5 @@
 pub use http_server::serve_http;
 pub use logging::logger;
 pub use metrics::Metrics;
+pub use metrics::exported_provider;
+pub use metrics::exported_text;
--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -1,4 +1,6 @@
-//! Logs as JSON lines on standard output, never blocking.
+//! Logs as JSON lines, never blocking.
+
+use std::io::Write;
 
 use slog::Drain;
 use slog::FnValue;
@@ -12,11 +14,14 @@
 /// Lines that wait to be written before further ones are dropped and counted.
 const QUEUED_LINES: usize = 2_048;
 
-/// A logger that writes one JSON object a line. The name of the event is in
+/// A logger that writes one JSON object a line to `output`. The name of the event is in
 /// the field `event`. When output is slow, lines are dropped and the next line
 /// tells how many.
-pub fn logger(level: Level, role: &'static str, node: String) -> Logger {
-    let json = slog_json::Json::new(std::io::stdout())
+pub fn logger<W>(level: Level, role: &'static str, node: String, output: W) -> Logger
+where
+    W: Write + Send + 'static,
+{
+    let json = slog_json::Json::new(output)
         .add_key_value(o!(
             "event" => PushFnValue(|record: &Record<'_>, serializer| {
                 serializer.emit(record.msg())
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -34,19 +34,9 @@
 
 impl Metrics {
     /// New metrics, all at zero.
-    ///
-    /// # Panics
-    ///
-    /// Never with the fixed names used here.
     #[must_use]
     pub fn new() -> Self {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .without_target_info()
-            .build()
-            .expect("a fresh registry takes the exporter");
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let (registry, provider) = exported_provider();
         let meter = provider.meter("gannetvane");
         Self {
             events: meter.u64_counter("gannetvane_events").build(),
@@ -74,10 +64,33 @@
     /// All metrics in the Prometheus text format.
     #[must_use]
     pub fn text(&self) -> String {
-        let mut bytes = Vec::new();
-        match TextEncoder::new().encode(&self.registry.gather(), &mut bytes) {
-            Ok(()) => String::from_utf8_lossy(&bytes).into_owned(),
-            Err(error) => format!("# {error}\n"),
-        }
+        exported_text(&self.registry)
+    }
+}
+
+/// A registry, and a provider whose metrics it exports.
+///
+/// # Panics
+///
+/// Never: a fresh registry takes the exporter.
+#[must_use]
+pub fn exported_provider() -> (Registry, SdkMeterProvider) {
+    let registry = Registry::new();
+    let exporter = opentelemetry_prometheus::exporter()
+        .with_registry(registry.clone())
+        .without_target_info()
+        .build()
+        .expect("a fresh registry takes the exporter");
+    let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+    (registry, provider)
+}
+
+/// All metrics of a registry in the Prometheus text format.
+#[must_use]
+pub fn exported_text(registry: &Registry) -> String {
+    let mut bytes = Vec::new();
+    match TextEncoder::new().encode(&registry.gather(), &mut bytes) {
+        Ok(()) => String::from_utf8_lossy(&bytes).into_owned(),
+        Err(error) => format!("# {error}\n"),
     }
 }
