--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -204,7 +204,7 @@
             }
             return;
         }
-        self.admit(now_ms, caller, job, now_ms);
+        self.admit(caller, job, now_ms);
     }
 
     /// A caller has gone away.
@@ -255,7 +255,7 @@
             self.agent_down(now_ms, stale, "greeted-again");
         }
         self.agents.insert(link, AgentState::new(now_ms, hello));
-        self.release_orphans(now_ms, &host);
+        self.release_orphans(&host);
     }
 
     /// The connection to an agent broke.
@@ -279,7 +279,7 @@
                 job.tasks[state.position].phase = TaskPhase::Orphaned { until_ms };
                 job.has_run = true;
             }
-            self.clear_if_gone(now_ms, &state.job);
+            self.clear_if_gone(&state.job);
         }
     }
 
@@ -340,7 +340,7 @@
         due_ms.clamp(now_ms + 1, now_ms + KEEPALIVE_MS)
     }
 
-    pub(crate) fn admit(&mut self, now_ms: u64, caller: Caller, job: Job, received_ms: u64) {
+    pub(crate) fn admit(&mut self, caller: Caller, job: Job, received_ms: u64) {
         if let Err(reason) = self.check(&job) {
             let retry_after_ms = RETRY_AFTER_MS;
             let detail = format!("reason={} queue={}", reason.name(), job.queue.name);
--- a/crates/dispatch/src/ends.rs
+++ b/crates/dispatch/src/ends.rs
@@ -91,7 +91,7 @@
         if is_open {
             self.settle(now_ms, &state.job);
         } else {
-            self.clear_if_gone(now_ms, &state.job);
+            self.clear_if_gone(&state.job);
         }
     }
 
@@ -193,7 +193,7 @@
             reason: cause,
             took_ms: Some(took_ms),
         }));
-        self.clear_if_gone(now_ms, id);
+        self.clear_if_gone(id);
     }
 
     pub(crate) fn send_stop(&mut self, order: OrderId) {
@@ -209,7 +209,7 @@
     }
 
     /// Forgets an ended job of which nothing can run any more.
-    pub(crate) fn clear_if_gone(&mut self, now_ms: u64, id: &Name) {
+    pub(crate) fn clear_if_gone(&mut self, id: &Name) {
         let is_gone = self
             .jobs
             .get(id)
@@ -221,7 +221,7 @@
             return;
         };
         if let Some((caller, job, received_ms)) = state.next {
-            self.admit(now_ms, caller, job, received_ms);
+            self.admit(caller, job, received_ms);
         }
     }
 
@@ -296,19 +296,15 @@
         self.send_stop(order);
     }
 
-    pub(crate) fn release_orphans(&mut self, now_ms: u64, host: &Name) {
-        self.settle_orphans(now_ms, |task, _| task.host.as_ref() == Some(host));
+    pub(crate) fn release_orphans(&mut self, host: &Name) {
+        self.settle_orphans(|task, _| task.host.as_ref() == Some(host));
     }
 
     pub(crate) fn expire_orphans(&mut self, now_ms: u64) {
-        self.settle_orphans(now_ms, |_, until_ms| now_ms >= until_ms);
+        self.settle_orphans(|_, until_ms| now_ms >= until_ms);
     }
 
-    pub(crate) fn settle_orphans(
-        &mut self,
-        now_ms: u64,
-        is_over: impl Fn(&TaskState, u64) -> bool,
-    ) {
+    pub(crate) fn settle_orphans(&mut self, is_over: impl Fn(&TaskState, u64) -> bool) {
         let mut touched = Vec::new();
         for (id, job) in &mut self.jobs {
             let mut is_touched = false;
@@ -325,7 +321,7 @@
             }
         }
         for id in touched {
-            self.clear_if_gone(now_ms, &id);
+            self.clear_if_gone(&id);
         }
     }
 }
--- a/crates/dispatch/src/minion.rs
+++ b/crates/dispatch/src/minion.rs
@@ -187,7 +187,7 @@
     }
 
     /// The minion said that it is about to end.
-    pub fn minion_left(&mut self, now_ms: u64, instance: &str) {
+    pub fn minion_left(&mut self, instance: &str) {
         if let Some(minion) = &mut self.minion
             && &*minion.report.instance == instance
         {
--- a/crates/dispatch/tests/session/mod.rs
+++ b/crates/dispatch/tests/session/mod.rs
@@ -561,7 +561,7 @@
                     process.core.listed(now_ms, &instance, call, listing);
                 }
                 Event::Reported(report) => process.core.minion_reported(now_ms, report),
-                Event::MinionLeft(instance) => process.core.minion_left(now_ms, &instance),
+                Event::MinionLeft(instance) => process.core.minion_left(&instance),
                 _ => {}
             }
         }
--- a/crates/node/src/agent_node.rs
+++ b/crates/node/src/agent_node.rs
@@ -238,7 +238,7 @@
                 self.agent.link_down(now_ms, link);
             }
             Input::Reported(report) => self.agent.minion_reported(now_ms, report),
-            Input::Left(instance) => self.agent.minion_left(now_ms, &instance),
+            Input::Left(instance) => self.agent.minion_left(&instance),
             Input::Started(instance, key, result) => {
                 self.agent.start_answered(now_ms, &instance, &key, result);
             }
