--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -252,14 +252,14 @@
             .find(|(_, agent)| agent.hello.host == host);
         if let Some((stale, _)) = stale.map(|(link, agent)| (*link, agent.sent_ms)) {
             self.actions.push(DispatcherAction::Close(stale));
-            self.agent_down(now_ms, stale, "greeted-again");
+            self.agent_down(stale, "greeted-again");
         }
         self.agents.insert(link, AgentState::new(now_ms, hello));
         self.release_orphans(&host);
     }
 
     /// The connection to an agent broke.
-    pub fn agent_down(&mut self, now_ms: u64, link: LinkId, cause: &'static str) {
+    pub fn agent_down(&mut self, link: LinkId, cause: &'static str) {
         let Some(agent) = self.agents.remove(&link) else {
             return;
         };
@@ -401,7 +401,7 @@
         let silent: Vec<LinkId> = silent.map(|(link, _)| *link).collect();
         for link in silent {
             self.actions.push(DispatcherAction::Close(link));
-            self.agent_down(now_ms, link, "silent");
+            self.agent_down(link, "silent");
         }
     }
 
--- a/crates/dispatch/tests/session/mod.rs
+++ b/crates/dispatch/tests/session/mod.rs
@@ -704,7 +704,7 @@
             match event {
                 Event::Greeting(link, hello) => process.core.agent_up(now_ms, link, hello),
                 Event::ToEntry(link, frame) => process.core.agent_frame(now_ms, link, frame),
-                Event::LinkDown(link) => process.core.agent_down(now_ms, link, "closed"),
+                Event::LinkDown(link) => process.core.agent_down(link, "closed"),
                 Event::CallerLeft(caller) => process.core.caller_left(now_ms, caller),
                 _ => {}
             }
--- a/crates/node/src/entry_node.rs
+++ b/crates/node/src/entry_node.rs
@@ -357,7 +357,7 @@
             Input::AgentFrame(link, frame) => self.dispatcher.agent_frame(now_ms, link, frame),
             Input::LinkDown(link) => {
                 self.links.remove(&link);
-                self.dispatcher.agent_down(now_ms, link, "closed");
+                self.dispatcher.agent_down(link, "closed");
             }
             Input::Peer(entry, frame) => self.peer_frame(now_ms, entry, frame),
             Input::Submit(caller, job, answer) => {
