--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -27,7 +27,7 @@
 use gannetvane_platform_standins::StoreFault;
 use gannetvane_platform_standins::StoreStandIn;
 use gannetvane_platform_standins::free_addr;
-use gannetvane_platform_standins::http;
+use gannetvane_platform_standins::post_job;
 use gannetvane_platform_standins::settings;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -164,7 +164,7 @@
             std::env::temp_dir().join(format!("gannetvane-soak-{}-{seed}", std::process::id()));
         fs::create_dir_all(&folder).expect("a folder for settings");
         let store = StoreStandIn::start();
-        store.put("keyed.op", "config", CONFIG.as_bytes());
+        store.configure(CONFIG);
         let mut soak = Self {
             programs: Vec::new(),
             minions: Vec::new(),
@@ -241,7 +241,7 @@
             loop {
                 number += 1;
                 let id = format!("{:016x}", 0xabc0_0000 + entry * 10_000 + number);
-                let (status, _) = post(front.addr, &id, 1, 10);
+                let (status, _) = post_job(front.addr, &id, 1, 10);
                 if status == 200 {
                     break;
                 }
@@ -351,19 +351,6 @@
     }
 }
 
-fn post(front: SocketAddr, id: &str, tasks: usize, work_ms: u64) -> (u16, String) {
-    let body = format!(
-        r#"{{"spec":"ms={work_ms}","best_effort":true,"steps":[{{"count":{tasks},"cpu":1000,"mem_mb":64,"est_runtime_ms":{work_ms}}}]}}"#
-    );
-    http(
-        front,
-        "POST",
-        "desk.example",
-        &format!("/slots/{id}"),
-        &body,
-    )
-}
-
 /// Sends jobs one after the other, each again when no answer came.
 fn run_client(
     number: usize,
@@ -385,7 +372,7 @@
         };
         for _ in 0..3 {
             let front = fronts[rng.random_range(0..fronts.len())];
-            let (status, body) = post(front, &id, tasks, work_ms);
+            let (status, body) = post_job(front, &id, tasks, work_ms);
             log.statuses.push(status);
             log.is_completed = status == 200 && body.contains("completed");
             if matches!(status, 200 | 422 | 429 | 503 | 504) {
