A late report of an earlier lifetime no longer displaces the minion that is served

Cause: the users' news: a report that a cut delayed may arrive after its sender has crashed and the next lifetime has registered. The agent took any other id for a new lifetime, told all runs as lost and served the old id, so that the tasks ran again elsewhere beside the runs that went on. Ruled out: deciding by sequence numbers or clocks: they start anew with each lifetime and an agent may not have seen the earlier one. Change: another id only makes a candidate (lifetimes.rs), which takes over when the minion answers a call that names it. A listing that is answered by another lifetime now ends the served one at once instead of counting as unanswered.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -20,6 +20,7 @@
 use crate::Room;
 use crate::RunKey;
 use crate::StartOrder;
+use crate::lifetimes::Candidate;
 use crate::minion::Minion;
 use crate::pace::Pace;
 use crate::runtable::Phase;
@@ -127,6 +128,7 @@
 pub struct Agent {
     pub(crate) identity: AgentIdentity,
     pub(crate) minion: Option<Minion>,
+    pub(crate) candidate: Option<Candidate>,
     pub(crate) runs: RunTable,
     pub(crate) links: BTreeMap<LinkId, Link>,
     pub(crate) pace: Pace,
@@ -142,6 +144,7 @@
         Self {
             identity,
             minion: None,
+            candidate: None,
             runs: RunTable::default(),
             links: BTreeMap::new(),
             pace: Pace::default(),
@@ -231,6 +234,7 @@
     pub fn tick(&mut self, now_ms: u64) -> u64 {
         self.expire_links(now_ms);
         self.watch_minion(now_ms);
+        self.watch_candidate(now_ms);
         self.repeat_starts(now_ms);
         self.start_parked(now_ms);
         self.greet_links(now_ms);
--- a/crates/dispatch/src/listings.rs
+++ b/crates/dispatch/src/listings.rs
@@ -3,6 +3,7 @@
 use crate::Agent;
 use crate::Busy;
 use crate::End;
+use crate::HoldResult;
 use crate::LinkId;
 use crate::Listing;
 use crate::OrderId;
@@ -21,11 +22,24 @@
 const ALL_DONE: u8 = 100;
 
 impl Agent {
-    /// The minion listed what runs, or gave no answer.
-    pub fn listed(&mut self, now_ms: u64, instance: &str, call: u64, listing: Option<Listing>) {
+    /// A call that lists the minion's runs ended.
+    pub fn listed(&mut self, now_ms: u64, instance: &str, call: u64, result: HoldResult) {
+        if self.is_candidate(instance) {
+            self.candidate_answered(now_ms, call, &result);
+            return;
+        }
         if !self.is_instance(instance) {
             return;
         }
+        let listing = match result {
+            HoldResult::Listed(listing) => Some(listing),
+            HoldResult::NoAnswer => None,
+            HoldResult::OtherInstance => {
+                self.note("minion-replaced", None, format!("instance={instance}"));
+                self.lose_minion(now_ms);
+                return;
+            }
+        };
         let Some(minion) = &mut self.minion else {
             return;
         };
--- a/crates/dispatch/src/minion.rs
+++ b/crates/dispatch/src/minion.rs
@@ -1,7 +1,5 @@
 //! How an agent keeps its minion: epoch, lease, listings, and what they tell.
 
-use gannetvane_wire::Name;
-
 use crate::Agent;
 use crate::AgentAction;
 use crate::AgentHello;
@@ -16,7 +14,7 @@
 use crate::RunKey;
 use crate::StartResult;
 use crate::lease::STOP_PATIENCE_MS;
-use crate::pace::Pace;
+use crate::lifetimes::Candidate;
 use crate::runtable::Phase;
 use crate::runtable::Run;
 
@@ -80,7 +78,7 @@
 }
 
 impl Minion {
-    fn new(now_ms: u64, report: MinionReport) -> Self {
+    pub(crate) fn new(now_ms: u64, report: MinionReport) -> Self {
         Self {
             clock_ms: report.clock_ms,
             report,
@@ -157,46 +155,6 @@
 }
 
 impl Agent {
-    /// The minion reported itself.
-    pub fn minion_reported(&mut self, now_ms: u64, report: MinionReport) {
-        match &mut self.minion {
-            Some(minion) if minion.report.instance == report.instance => {
-                if report.sequence < minion.report.sequence {
-                    return;
-                }
-                minion.reported_ms = now_ms;
-                let was_draining = minion.report.is_draining;
-                minion.report = report;
-                if minion.report.is_draining && !was_draining {
-                    self.note("minion-draining", None, String::new());
-                }
-            }
-            _ => {
-                let detail = format!(
-                    "instance={} capacity={:?}",
-                    report.instance, report.capacity
-                );
-                self.note("minion-found", None, detail);
-                self.lose_minion(now_ms);
-                self.pace = Pace::default();
-                self.minion = Some(Minion::new(now_ms, report));
-                self.hold_if_due(now_ms);
-            }
-        }
-        self.refuse_parked();
-    }
-
-    /// The minion said that it is about to end.
-    pub fn minion_left(&mut self, instance: &str) {
-        if let Some(minion) = &mut self.minion
-            && &*minion.report.instance == instance
-        {
-            minion.has_left = true;
-            self.note("minion-left", None, format!("instance={instance}"));
-            self.refuse_parked();
-        }
-    }
-
     /// Whether the lease may be extended: not while a stop has no answer.
     pub(crate) fn may_extend_lease(&self, now_ms: u64) -> bool {
         !self.runs.iter().any(|run| match run.phase {
@@ -418,27 +376,6 @@
         }
     }
 
-    /// Nothing that was started runs any more; all ends as lost.
-    pub(crate) fn lose_minion(&mut self, now_ms: u64) {
-        if self.minion.is_none() {
-            return;
-        }
-        let places: Vec<(LinkId, OrderId)> =
-            self.runs.iter().map(|run| (run.link, run.order)).collect();
-        for (link, order) in places {
-            if let Some(run) = self.runs.remove(link, order) {
-                let end = match run.phase {
-                    Phase::Parked => End::NotStarted(Busy::Closing),
-                    _ => End::Lost,
-                };
-                self.report_end(link, order, end, run.ran_ms(now_ms));
-            }
-        }
-        self.send_frames(now_ms);
-        self.minion = None;
-        self.close_links(now_ms);
-    }
-
     /// Lists when there is something to learn and no listing is under way.
     pub(crate) fn hold_if_due(&mut self, now_ms: u64) {
         let may_extend = self.may_extend_lease(now_ms);
@@ -482,7 +419,10 @@
     }
 
     pub(crate) fn minion_due_ms(&self, now_ms: u64) -> Option<u64> {
-        let minion = self.minion.as_ref()?;
+        let candidate_ms = self.candidate.as_ref().map(Candidate::due_ms);
+        let Some(minion) = &self.minion else {
+            return candidate_ms;
+        };
         let holds_ms = minion.holds.iter().map(|hold| hold.overdue_ms).min();
         let has_runs = self.runs.iter().any(Run::takes_room);
         let lease_ms = (has_runs || minion.has_left).then_some(minion.lease_until_ms + 1);
@@ -498,7 +438,15 @@
         let repeats_ms = self.runs.iter().filter_map(|run| run.repeat_ms).min();
         let ask_ms = Some(minion.ask_ms);
         let stops_ms = stops.min();
-        let times = [holds_ms, lease_ms, reports_ms, stops_ms, repeats_ms, ask_ms];
+        let times = [
+            holds_ms,
+            lease_ms,
+            reports_ms,
+            stops_ms,
+            repeats_ms,
+            ask_ms,
+            candidate_ms,
+        ];
         let due_ms = times
             .into_iter()
             .flatten()
@@ -506,20 +454,4 @@
             .min();
         due_ms.or(Some(now_ms + HOLD_PATIENCE_MS))
     }
-
-    pub(crate) fn is_instance(&self, instance: &str) -> bool {
-        let current = self.minion.as_ref().map(|minion| &*minion.report.instance);
-        current == Some(instance)
-    }
-}
-
-/// Names used by the process around the agent.
-impl Agent {
-    /// The lifetime of the present minion.
-    #[must_use]
-    pub fn instance(&self) -> Option<Name> {
-        self.minion
-            .as_ref()
-            .map(|minion| minion.report.instance.clone())
-    }
 }
--- a/crates/dispatch/src/runs.rs
+++ b/crates/dispatch/src/runs.rs
@@ -88,3 +88,15 @@
     /// What ended and is not acknowledged yet.
     pub finished: Vec<Finished>,
 }
+
+/// How a call that lists a minion's runs ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum HoldResult {
+    /// The minion listed what runs.
+    Listed(Listing),
+    /// Another lifetime is at the minion's address: the one that was meant has
+    /// ended.
+    OtherInstance,
+    /// No answer, or one that is no listing.
+    NoAnswer,
+}
--- a/crates/dispatch/tests/at_most_once.rs
+++ b/crates/dispatch/tests/at_most_once.rs
@@ -232,3 +232,33 @@
     assert_eq!(starts, 8);
     assert_clean(&session);
 }
+
+#[test]
+fn a_late_report_of_an_earlier_lifetime_changes_nothing() {
+    let mut session = Session::new(1, 2);
+    session.crash_minion(0);
+    session.run(2_000);
+    let job = session.submit(0, "a", 12, 800);
+    session.run(100);
+    session.deliver_late_report(0);
+    session.run_until_answered(job, 3_000);
+    assert_eq!(session.outcome(job), Some(JobOutcome::Completed));
+    let starts: usize = session.starts.values().sum();
+    assert_eq!(starts, 12);
+    assert_clean(&session);
+}
+
+#[test]
+fn a_new_lifetime_takes_over_although_its_first_listings_get_no_answer() {
+    let mut session = Session::new(1, 1);
+    session.crash_minion(0);
+    let crashed_ms = session.now_ms;
+    // The first calls to the new lifetime are lost.
+    session.fate = Box::new(move |now_ms, _| (now_ms < crashed_ms + 1_700).then_some(5_000));
+    session.run(2_600);
+    session.fate = Box::new(|_, _| None);
+    let job = session.submit(0, "a", 4, 100);
+    session.run_until_answered(job, 400);
+    assert_eq!(session.outcome(job), Some(JobOutcome::Completed));
+    assert_clean(&session);
+}
--- a/crates/dispatch/tests/interleavings.rs
+++ b/crates/dispatch/tests/interleavings.rs
@@ -81,6 +81,7 @@
             let position = rng.random_range(0..session.callers.len());
             session.break_caller(position);
         }
+        24 => session.deliver_late_report(agent),
         _ => {}
     }
 }
--- a/crates/dispatch/tests/session/minion.rs
+++ b/crates/dispatch/tests/session/minion.rs
@@ -154,13 +154,13 @@
         epoch: u64,
         acked_through: u64,
         deadline_ms: Option<u64>,
-    ) -> Option<Listing> {
+    ) -> Listing {
         self.tick(now_ms);
         if epoch < self.epoch {
-            return Some(Listing {
+            return Listing {
                 clock_ms: self.clock_ms(now_ms),
                 ..Listing::default()
-            });
+            };
         }
         self.epoch = epoch;
         if let Some(deadline_ms) = deadline_ms {
@@ -172,11 +172,11 @@
             key: Some(key.clone()),
             percent: (100.0 * (1.0 - work.left_ms / work.total_ms)) as u8,
         });
-        Some(Listing {
+        Listing {
             clock_ms: self.clock_ms(now_ms),
             running: running.collect(),
             finished: self.finished.clone(),
-        })
+        }
     }
 
     /// Whether an end waits to be told.
--- a/crates/dispatch/tests/session/mod.rs
+++ b/crates/dispatch/tests/session/mod.rs
@@ -23,10 +23,10 @@
 use gannetvane_dispatch::DispatcherAction;
 use gannetvane_dispatch::DispatcherSettings;
 use gannetvane_dispatch::EntryFrame;
+use gannetvane_dispatch::HoldResult;
 use gannetvane_dispatch::Job;
 use gannetvane_dispatch::JobOutcome;
 use gannetvane_dispatch::LinkId;
-use gannetvane_dispatch::Listing;
 use gannetvane_dispatch::MinionReport;
 use gannetvane_dispatch::Queue;
 use gannetvane_dispatch::Room;
@@ -76,7 +76,7 @@
     LinkDown(LinkId),
     Started(String, RunKey, StartResult),
     Stopped(String, RunKey, bool),
-    Listed(String, u64, Option<Listing>),
+    Listed(String, u64, HoldResult),
     Reported(MinionReport),
     MinionLeft(String),
     CallerLeft(Caller),
@@ -168,6 +168,8 @@
     pub violations: Violations,
     dialed_ms: BTreeMap<(usize, usize), u64>,
     draining: BTreeSet<usize>,
+    /// The last report of the lifetime that ended last, for each minion.
+    last_reports: BTreeMap<usize, MinionReport>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -196,6 +198,7 @@
             violations: Violations::default(),
             dialed_ms: BTreeMap::new(),
             draining: BTreeSet::new(),
+            last_reports: BTreeMap::new(),
         };
         for entry in 0..entries {
             let process = session.new_entry(entry, 1);
@@ -352,11 +355,19 @@
 
     /// The minion crashes and comes back as a new lifetime.
     pub fn crash_minion(&mut self, agent: usize) {
+        self.last_reports.insert(agent, self.report(agent));
         let runs = self.sequence;
         let instance = format!("minion-{agent}-x{runs}");
         self.minions[agent] = FakeMinion::new(self.now_ms, &instance, MINION_ROOM);
     }
 
+    /// The last report of the lifetime before the present one arrives only now.
+    pub fn deliver_late_report(&mut self, agent: usize) {
+        if let Some(report) = self.last_reports.get(&agent).cloned() {
+            self.post(Side::Agent(agent), Event::Reported(report));
+        }
+    }
+
     /// Holds up all that an entry and an agent send each other.
     pub fn cut(&mut self, entry: usize, agent: usize) {
         self.cuts.insert((entry, agent));
@@ -557,8 +568,8 @@
                 Event::Stopped(instance, key, is_done) => {
                     process.core.stop_answered(now_ms, &instance, &key, is_done);
                 }
-                Event::Listed(instance, call, listing) => {
-                    process.core.listed(now_ms, &instance, call, listing);
+                Event::Listed(instance, call, result) => {
+                    process.core.listed(now_ms, &instance, call, result);
                 }
                 Event::Reported(report) => process.core.minion_reported(now_ms, report),
                 Event::MinionLeft(instance) => process.core.minion_left(&instance),
@@ -617,7 +628,7 @@
                 Event::Stopped(instance.to_string(), key.clone(), false)
             }
             AgentAction::Hold { instance, call, .. } => {
-                Event::Listed(instance.to_string(), *call, None)
+                Event::Listed(instance.to_string(), *call, HoldResult::NoAnswer)
             }
             _ => return,
         };
@@ -675,10 +686,13 @@
                 wait_ms,
                 ..
             } => {
-                let listing = is_same
-                    .then(|| minion.hold(now_ms, *epoch, *acked_through, *deadline_ms))
-                    .flatten();
-                let event = Event::Listed(instance.to_string(), *call, listing);
+                let result = if is_same {
+                    let listing = minion.hold(now_ms, *epoch, *acked_through, *deadline_ms);
+                    HoldResult::Listed(listing)
+                } else {
+                    HoldResult::OtherInstance
+                };
+                let event = Event::Listed(instance.to_string(), *call, result);
                 if is_answered {
                     // The listing is made now; waiting for an end would only
                     // make it newer.
--- a/crates/node/src/agent_node.rs
+++ b/crates/node/src/agent_node.rs
@@ -14,8 +14,8 @@
 use gannetvane_dispatch::Directory;
 use gannetvane_dispatch::EntryFrame;
 use gannetvane_dispatch::Greeting;
+use gannetvane_dispatch::HoldResult;
 use gannetvane_dispatch::LinkId;
-use gannetvane_dispatch::Listing;
 use gannetvane_dispatch::MinionReport;
 use gannetvane_dispatch::RunKey;
 use gannetvane_dispatch::StartResult;
@@ -66,7 +66,7 @@
     Left(Name),
     Started(Name, RunKey, StartResult),
     StopDone(Name, RunKey, bool),
-    Listed(Name, u64, Option<Listing>),
+    Listed(Name, u64, HoldResult),
     Entries(Vec<SocketAddr>),
     Stop,
 }
@@ -245,8 +245,8 @@
             Input::StopDone(instance, key, is_done) => {
                 self.agent.stop_answered(now_ms, &instance, &key, is_done);
             }
-            Input::Listed(instance, call, listing) => {
-                self.agent.listed(now_ms, &instance, call, listing);
+            Input::Listed(instance, call, result) => {
+                self.agent.listed(now_ms, &instance, call, result);
             }
             Input::Entries(entries) => {
                 self.directory.borrow_mut().learn(now_ms, &entries);
@@ -349,9 +349,9 @@
         let inputs = self.inputs.clone();
         tokio::task::spawn_local(async move {
             let instance = call.instance.clone();
-            let listing = minion.hold(call).await;
+            let result = minion.hold(call).await;
             // Without a receiver the process is about to end.
-            let _ = inputs.send(Input::Listed(instance, number, listing));
+            let _ = inputs.send(Input::Listed(instance, number, result));
         });
     }
 
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use async_trait::async_trait;
-use gannetvane_dispatch::Listing;
+use gannetvane_dispatch::HoldResult;
 use gannetvane_dispatch::RoutingTable;
 use gannetvane_dispatch::RunKey;
 use gannetvane_dispatch::StartResult;
@@ -18,8 +18,8 @@
     /// Stops a run, or forbids it if it is not there yet; true when the minion
     /// acknowledged it.
     async fn stop(&self, instance: Name, key: RunKey, epoch: u64) -> bool;
-    /// Extends the lease and lists; `None` without an answer.
-    async fn hold(&self, call: HoldCall) -> Option<Listing>;
+    /// Extends the lease and lists.
+    async fn hold(&self, call: HoldCall) -> HoldResult;
 }
 
 /// The order to start a run.
