Open connections that go silent are found within the time that a reset is given

Cause: the users' news: open connections may go silent for good without a reset, while new ones work. An entry's read of the store waited 10 s and 1.5 s more, and after that the next call took another silent connection out of the pool; entries never noticed that a connection to another entry was silent, and passed nothing on over it any more. Ruled out: keepalive probes of TCP: what holds a connection back may still answer them. Change: reads of the store wait 1.5 s and 0.75 s more; a call that times out while nothing else was answered gives up all idle connections (http_client.rs); entries acknowledge each other's frames and end a connection after 2.2 s of silence (peer_links.rs, split off entry_node.rs). Beside it: a start that was carried out without an answer and had ended before it was sent again was refused as old and run anew; its listing is awaited now.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -66,6 +66,7 @@
 pub use message::LinkId;
 pub use message::Order;
 pub use message::OrderId;
+pub use message::PeerAck;
 pub use message::PeerFrame;
 pub use message::Report;
 pub use message::StartOrder;
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -176,6 +176,10 @@
     pub table: Option<RoutingTable>,
 }
 
+/// Answer of an entry to each frame of another one: the connection works.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerAck;
+
 /// Encodes a frame.
 ///
 /// # Errors
--- a/crates/dispatch/src/minion.rs
+++ b/crates/dispatch/src/minion.rs
@@ -247,6 +247,12 @@
             }
             StartResult::NoAnswer => self.start_unanswered(now_ms, link, order),
             StartResult::OtherInstance => self.lose_minion(now_ms),
+            StartResult::OldRun if run.unanswered > 0 && !is_stopping => {
+                // An earlier start of it was carried out, and it has ended: the
+                // next listing tells how.
+                run.phase = Phase::Running;
+                run.confirmed_ms = now_ms;
+            }
             refused => self.start_refused(now_ms, link, order, refused),
         }
     }
--- a/crates/dispatch/tests/at_most_once.rs
+++ b/crates/dispatch/tests/at_most_once.rs
@@ -262,3 +262,16 @@
     assert_eq!(session.outcome(job), Some(JobOutcome::Completed));
     assert_clean(&session);
 }
+
+#[test]
+fn a_run_that_ended_before_its_start_was_sent_again_is_not_run_anew() {
+    let mut session = Session::new(1, 1);
+    let began_ms = session.now_ms;
+    // The start is carried out at once, and its answer is lost.
+    session.fate = Box::new(move |now_ms, _| (now_ms < began_ms + 30).then_some(0));
+    let job = session.submit(0, "a", 1, 40);
+    session.run_until_answered(job, 1_000);
+    assert_eq!(session.outcome(job), Some(JobOutcome::Completed));
+    assert_eq!(session.minions[0].done.len(), 1);
+    assert_clean(&session);
+}
--- a/crates/node/src/configuration.rs
+++ b/crates/node/src/configuration.rs
@@ -13,9 +13,10 @@
 use crate::ports::StoreError;
 use crate::ports::StorePort;
 
-/// Time that a read waits for a change, in milliseconds. A read that hangs on
-/// a store that went away is found that late, but peers pass changes on.
-const READ_WAIT_MS: u64 = 10_000;
+/// Time that a read waits for a change, in milliseconds. A read on a connection
+/// that went silent is found that late; the platform counts a host as sound 3 s
+/// after its connections were disturbed, and a change must then be in force.
+const READ_WAIT_MS: u64 = 1_500;
 /// First and longest pause after a failed call, in milliseconds.
 const FIRST_PAUSE_MS: u64 = 100;
 const LONGEST_PAUSE_MS: u64 = 800;
--- a/crates/node/src/entry_node.rs
+++ b/crates/node/src/entry_node.rs
@@ -48,11 +48,11 @@
 use crate::links;
 use crate::links::FrameReader;
 use crate::links::FrameSender;
+use crate::peer_links;
+use crate::peer_links::PeerNews;
 use crate::peers::Dialers;
 use crate::peers::SharedDirectory;
 
-/// Pause between two frames to another entry, in milliseconds.
-const PEER_KEEPALIVE_MS: u64 = 1_000;
 /// Pause between two looks at the directory, in milliseconds.
 const REFRESH_MS: u64 = 500;
 /// Time before the end of a planned stop from which jobs are refused, in
@@ -95,13 +95,6 @@
     Stop,
 }
 
-/// What entries tell each other.
-#[derive(Clone, Debug, Default)]
-struct PeerNews {
-    table: Arc<RoutingTable>,
-    entries: Vec<SocketAddr>,
-}
-
 /// How the interface for callers reaches the entry.
 #[derive(Clone, Debug)]
 pub struct EntryHandle {
@@ -336,7 +329,7 @@
         let clock = self.clock;
         let dial: Box<BoxedDial> = Box::new(move |entry| {
             let directory = Rc::clone(&directory);
-            Box::pin(dial_peer(entry, own, news.clone(), directory, clock))
+            Box::pin(peer_links::dial(entry, own, news.clone(), directory, clock))
         });
         PeerDialers {
             dialers: Dialers::new(Rc::clone(&self.directory), self.clock, dial),
@@ -568,7 +561,13 @@
             // Without a receiver the process is about to end.
             let _ = inputs.send(up);
         }
-        Ok(Greeting::Entry(entry)) => read_peer(entry, reader, inputs).await,
+        Ok(Greeting::Entry(entry)) => {
+            let received = |frame| {
+                // Without a receiver the process is about to end.
+                let _ = inputs.send(Input::Peer(entry, frame));
+            };
+            peer_links::serve(reader, sender, received).await;
+        }
         Err(_) => {}
     }
 }
@@ -585,64 +584,3 @@
     // Without a receiver the process is about to end.
     let _ = inputs.send(Input::LinkDown(link));
 }
-
-async fn read_peer(entry: SocketAddr, mut reader: FrameReader, inputs: UnboundedSender<Input>) {
-    while let Some(frame) = links::next_frame(&mut reader).await {
-        let Ok(frame) = decode(&frame) else {
-            return;
-        };
-        if inputs.send(Input::Peer(entry, frame)).is_err() {
-            return;
-        }
-    }
-}
-
-/// Tells another entry what changes, until the connection ends.
-async fn dial_peer(
-    entry: SocketAddr,
-    own: SocketAddr,
-    mut news: watch::Receiver<PeerNews>,
-    directory: SharedDirectory,
-    clock: Clock,
-) -> bool {
-    let Ok(stream) = links::connect(entry).await else {
-        return false;
-    };
-    let Ok((mut reader, sender)) = links::split(stream) else {
-        return false;
-    };
-    let Ok(greeting) = encode(&Greeting::Entry(own)) else {
-        return false;
-    };
-    sender.send(greeting);
-    let mut told_version = 0;
-    loop {
-        directory.borrow_mut().reached(clock.now_ms(), entry);
-        let frame = {
-            let news = news.borrow_and_update();
-            let is_newer = news.table.version > told_version;
-            told_version = news.table.version;
-            PeerFrame {
-                entries: news.entries.clone(),
-                table: is_newer.then(|| (*news.table).clone()),
-            }
-        };
-        let Ok(bytes) = encode(&frame) else {
-            return false;
-        };
-        sender.send(bytes);
-        tokio::select! {
-            frame = links::next_frame(&mut reader) => {
-                if frame.is_none() {
-                    return true;
-                }
-            }
-            changed = news.changed() => {
-                if changed.is_err() {
-                    return true;
-                }
-            }
-            () = tokio::time::sleep(Duration::from_millis(PEER_KEEPALIVE_MS)) => {}
-        }
-    }
-}
--- a/crates/node/src/http_client.rs
+++ b/crates/node/src/http_client.rs
@@ -1,6 +1,13 @@
 //! Calls over HTTP/1.1 on connections that stay open.
+//!
+//! A connection can go silent for good without a reset. When a call times out
+//! and nothing else was answered meanwhile, all idle connections are suspect
+//! and are given up with it, so that the next call opens a new one.
 
+use std::cell::Cell;
+use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -49,26 +56,26 @@
     pub body: Bytes,
 }
 
+type PooledClient = Client<HttpConnector, Full<Bytes>>;
+
 /// A client of one address.
 #[derive(Clone, Debug)]
 pub struct HttpCaller {
     addr: SocketAddr,
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Rc<RefCell<PooledClient>>,
+    /// Calls that were answered so far.
+    answers: Rc<Cell<u64>>,
 }
 
 impl HttpCaller {
     /// A client of `addr`.
     #[must_use]
     pub fn new(addr: SocketAddr) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(Duration::from_millis(CONNECT_MS)));
-        let client = Client::builder(TokioExecutor::new())
-            .pool_max_idle_per_host(IDLE_CONNECTIONS)
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(None)
-            .build(connector);
-        Self { addr, client }
+        Self {
+            addr,
+            client: Rc::new(RefCell::new(pooled_client())),
+            answers: Rc::default(),
+        }
     }
 
     /// Makes a call and reads the whole answer.
@@ -94,15 +101,29 @@
             .body(Full::new(Bytes::from(body)))
             .map_err(|error| CallError::Invalid(error.to_string()))?;
         let timeout = Duration::from_millis(timeout_ms);
+        let answers_before = self.answers.get();
         tokio::select! {
             biased;
-            reply = self.exchange(request) => reply,
-            () = time_out(timeout) => Err(CallError::TimedOut(timeout_ms)),
+            reply = self.exchange(request) => {
+                self.answers.set(self.answers.get() + 1);
+                reply
+            }
+            () = time_out(timeout) => {
+                if self.answers.get() == answers_before {
+                    self.drop_idle_connections();
+                }
+                Err(CallError::TimedOut(timeout_ms))
+            }
         }
     }
 
+    fn drop_idle_connections(&self) {
+        *self.client.borrow_mut() = pooled_client();
+    }
+
     async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Reply, CallError> {
-        let response = self.client.request(request).await;
+        let client = self.client.borrow().clone();
+        let response = client.request(request).await;
         let response = response.map_err(|error| CallError::Connection(error.to_string()))?;
         let status = response.status().as_u16();
         let body = Limited::new(response.into_body(), MAX_REPLY_BYTES)
@@ -116,6 +137,17 @@
     }
 }
 
+fn pooled_client() -> PooledClient {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(Duration::from_millis(CONNECT_MS)));
+    Client::builder(TokioExecutor::new())
+        .pool_max_idle_per_host(IDLE_CONNECTIONS)
+        .pool_timer(TokioTimer::new())
+        .pool_idle_timeout(None)
+        .build(connector)
+}
+
 /// Waits, and then lets answers go first that arrived while this process stood
 /// still.
 async fn time_out(timeout: Duration) {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,6 +13,7 @@
 mod links;
 mod logging;
 mod metrics;
+mod peer_links;
 mod peers;
 pub mod ports;
 
--- /dev/null
+++ b/crates/node/src/peer_links.rs
@@ -0,0 +1,125 @@
+//! Connections between entries: the one that opened it tells what changes, the
+//! other acknowledges each frame. Either side ends a connection that has gone
+//! silent, and the opener tells everything anew on the next one.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use gannetvane_dispatch::Greeting;
+use gannetvane_dispatch::PeerAck;
+use gannetvane_dispatch::PeerFrame;
+use gannetvane_dispatch::RoutingTable;
+use gannetvane_dispatch::decode;
+use gannetvane_dispatch::encode;
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+use crate::Clock;
+use crate::links;
+use crate::links::FrameReader;
+use crate::links::FrameSender;
+use crate::peers::SharedDirectory;
+
+/// Pause between two frames to another entry, in milliseconds.
+const KEEPALIVE_MS: u64 = 1_000;
+/// Silence after which a connection is given up, in milliseconds. The platform
+/// counts a host as sound 3 s after its connections were disturbed; one frame
+/// may be late.
+const SILENCE_MS: u64 = 2_200;
+
+/// What an entry tells the others.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct PeerNews {
+    pub(crate) table: Arc<RoutingTable>,
+    pub(crate) entries: Vec<SocketAddr>,
+}
+
+/// Tells another entry what changes, until the connection ends; whether the
+/// other one ever answered.
+pub(crate) async fn dial(
+    entry: SocketAddr,
+    own: SocketAddr,
+    mut news: watch::Receiver<PeerNews>,
+    directory: SharedDirectory,
+    clock: Clock,
+) -> bool {
+    let Ok(stream) = links::connect(entry).await else {
+        return false;
+    };
+    let Ok((mut reader, sender)) = links::split(stream) else {
+        return false;
+    };
+    let Ok(greeting) = encode(&Greeting::Entry(own)) else {
+        return false;
+    };
+    sender.send(greeting);
+    let mut told_version = 0;
+    let mut heard_ms = clock.now_ms();
+    let mut was_answered = false;
+    while clock.now_ms() < heard_ms + SILENCE_MS {
+        let frame = next_news(&mut news, &mut told_version);
+        let Ok(bytes) = encode(&frame) else {
+            return was_answered;
+        };
+        sender.send(bytes);
+        let until_next = tokio::time::sleep(Duration::from_millis(KEEPALIVE_MS));
+        tokio::pin!(until_next);
+        loop {
+            tokio::select! {
+                ack = next_ack(&mut reader) => {
+                    if ack.is_none() {
+                        return was_answered;
+                    }
+                    heard_ms = clock.now_ms();
+                    was_answered = true;
+                    directory.borrow_mut().reached(heard_ms, entry);
+                }
+                changed = news.changed() => {
+                    if changed.is_err() {
+                        return was_answered;
+                    }
+                    break;
+                }
+                () = &mut until_next => break,
+            }
+        }
+    }
+    was_answered
+}
+
+/// Passes on the frames of the entry that opened a connection, and acknowledges
+/// each.
+pub(crate) async fn serve(
+    mut reader: FrameReader,
+    sender: FrameSender,
+    received: impl Fn(PeerFrame),
+) {
+    let silence = Duration::from_millis(SILENCE_MS);
+    while let Ok(Some(frame)) = timeout(silence, links::next_frame(&mut reader)).await {
+        let Ok(frame) = decode(&frame) else {
+            return;
+        };
+        received(frame);
+        let Ok(bytes) = encode(&PeerAck) else {
+            return;
+        };
+        sender.send(bytes);
+    }
+}
+
+/// What changed since the last frame; everything in the first one.
+fn next_news(news: &mut watch::Receiver<PeerNews>, told_version: &mut u64) -> PeerFrame {
+    let news = news.borrow_and_update();
+    let is_newer = news.table.version > *told_version;
+    *told_version = news.table.version;
+    PeerFrame {
+        entries: news.entries.clone(),
+        table: is_newer.then(|| (*news.table).clone()),
+    }
+}
+
+async fn next_ack(reader: &mut FrameReader) -> Option<PeerAck> {
+    let frame = links::next_frame(reader).await?;
+    decode(&frame).ok()
+}
--- a/crates/node/tests/entry.rs
+++ b/crates/node/tests/entry.rs
@@ -12,8 +12,13 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
+use gannetvane_dispatch::Greeting;
+use gannetvane_dispatch::PeerAck;
+use gannetvane_dispatch::PeerFrame;
 use gannetvane_dispatch::Queue;
 use gannetvane_dispatch::RoutingTable;
+use gannetvane_dispatch::decode;
+use gannetvane_dispatch::encode;
 use gannetvane_node::EntryHandle;
 use gannetvane_node::EntryNode;
 use gannetvane_node::EntryNodeSettings;
@@ -188,6 +193,77 @@
     .await;
 }
 
+/// Reads one frame of a connection between processes.
+async fn read_frame(stream: &mut TcpStream) -> Vec<u8> {
+    let length = stream.read_u32().await.expect("a frame");
+    let mut frame = vec![0; length as usize];
+    stream.read_exact(&mut frame).await.expect("a whole frame");
+    frame
+}
+
+async fn write_frame<T: serde::Serialize>(stream: &mut TcpStream, frame: &T) {
+    let bytes = encode(frame).expect("it can be encoded");
+    let length = u32::try_from(bytes.len()).expect("a short frame");
+    stream.write_u32(length).await.expect("an open stream");
+    stream.write_all(&bytes).await.expect("an open stream");
+}
+
+async fn accept(listener: &TcpListener) -> TcpStream {
+    let accepted = tokio::time::timeout(Duration::from_secs(10), listener.accept());
+    let (stream, _) = accepted.await.expect("a connection").expect("a stream");
+    stream
+}
+
+#[tokio::test]
+async fn an_entry_tells_everything_anew_when_a_peer_went_silent() {
+    on_one_thread(async {
+        let peer = free_addr();
+        let listener = TcpListener::bind(peer).await.expect("a free address");
+        let store = FakeStore {
+            table: RefCell::new(Some(table(7))),
+            ..FakeStore::default()
+        };
+        let entry = start(entry(free_addr(), vec![peer]), store);
+        until("the configuration", || entry.table().version == 7).await;
+        // The first connection stays open and is never answered.
+        let _silent = accept(&listener).await;
+        let mut next = accept(&listener).await;
+        let greeting = decode::<Greeting>(&read_frame(&mut next).await);
+        assert!(matches!(greeting, Ok(Greeting::Entry(_))), "{greeting:?}");
+        let frame = decode::<PeerFrame>(&read_frame(&mut next).await).expect("a frame");
+        assert_eq!(frame.table.map(|table| table.version), Some(7));
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn an_entry_answers_its_peers_and_ends_a_connection_that_went_silent() {
+    on_one_thread(async {
+        let addr = free_addr();
+        let entry = start(entry(addr, Vec::new()), FakeStore::default());
+        let mut peer = None;
+        until("an open port", || {
+            peer = std::net::TcpStream::connect(addr).ok();
+            peer.is_some()
+        })
+        .await;
+        let peer = peer.expect("just connected");
+        peer.set_nonblocking(true).expect("a socket");
+        let mut peer = TcpStream::from_std(peer).expect("a socket");
+        write_frame(&mut peer, &Greeting::Entry(free_addr())).await;
+        let frame = PeerFrame {
+            entries: Vec::new(),
+            table: Some(table(5)),
+        };
+        write_frame(&mut peer, &frame).await;
+        assert!(decode::<PeerAck>(&read_frame(&mut peer).await).is_ok());
+        assert_eq!(entry.table().version, 5);
+        let ended = tokio::time::timeout(Duration::from_secs(10), peer.read_u8());
+        assert!(ended.await.expect("the connection ends").is_err());
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn a_planned_stop_waits_for_the_request_that_is_served() {
     on_one_thread(async {
