An agent keeps links to twelve entries at most

Cause: every agent held a link to every entry. Ruled out: fewer keepalives: the bound on what outlives an entry needs a frame within 400 ms; entries that choose agents: agents are the many, and know no count. Change: an agent keeps links to the twelve entries that rank highest for its host by rendezvous hashing (directory.rs). Others, such as the seeds of the first contact, take no more starts and are closed with their last run, once each chosen entry is linked. An entry tells the members to the agent that greeted, no longer to all.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -2,6 +2,7 @@
 //! what runs.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use gannetvane_wire::Name;
@@ -117,6 +118,8 @@
     addr: SocketAddr,
     grant_until_ms: u64,
     is_greeted: bool,
+    /// Whether it takes no more starts and ends with its last run.
+    is_retiring: bool,
     starts_seen: u64,
     reports: Vec<Report>,
     last_sent_ms: u64,
@@ -189,6 +192,7 @@
             addr,
             grant_until_ms: now_ms + crate::GRANT_MS,
             is_greeted: false,
+            is_retiring: false,
             starts_seen: 0,
             reports: Vec::new(),
             last_sent_ms: now_ms,
@@ -205,6 +209,21 @@
         }
     }
 
+    /// Keeps links to these entries only: once each of them has one, the others
+    /// take no more starts and are closed when nothing of theirs runs.
+    pub fn keep_links(&mut self, entries: &BTreeSet<SocketAddr>) {
+        let linked: BTreeSet<SocketAddr> = self.links.values().map(|link| link.addr).collect();
+        if !entries.is_subset(&linked) {
+            return;
+        }
+        let extra = self.links.values_mut();
+        let extra = extra.filter(|link| !entries.contains(&link.addr) && !link.is_retiring);
+        let retired = extra.map(|link| link.is_retiring = true).count();
+        if retired > 0 {
+            self.note("links-retired", None, format!("links={retired}"));
+        }
+    }
+
     /// A frame of an entry arrived.
     pub fn frame(&mut self, now_ms: u64, link: LinkId, frame: EntryFrame) {
         let Some(state) = self.links.get_mut(&link) else {
@@ -233,6 +252,7 @@
     /// Does what is due; returns when to call again at the latest.
     pub fn tick(&mut self, now_ms: u64) -> u64 {
         self.expire_links(now_ms);
+        self.close_retired();
         self.watch_minion(now_ms);
         self.watch_candidate(now_ms);
         self.repeat_starts(now_ms);
@@ -260,10 +280,12 @@
     }
 
     fn start_ordered(&mut self, now_ms: u64, link: LinkId, start: StartOrder) {
+        let mut is_retiring = false;
         if let Some(state) = self.links.get_mut(&link) {
             state.starts_seen += 1;
+            is_retiring = state.is_retiring;
         }
-        if !self.is_open() {
+        if !self.is_open() || is_retiring {
             self.report_end(link, start.id, End::NotStarted(Busy::Closing), 0);
             return;
         }
@@ -376,6 +398,19 @@
         }
     }
 
+    fn close_retired(&mut self) {
+        let has_runs = |link: LinkId| !self.runs.orders_of(link).is_empty();
+        let retired = self.links.iter().filter(|(_, link)| link.is_retiring);
+        let done: Vec<LinkId> = retired
+            .map(|(id, _)| *id)
+            .filter(|id| !has_runs(*id))
+            .collect();
+        for link in done {
+            self.links.remove(&link);
+            self.actions.push(AgentAction::Close(link));
+        }
+    }
+
     fn expire_link(&mut self, now_ms: u64, link: LinkId) {
         if let Some(state) = self.links.remove(&link) {
             let silent_ms = now_ms.saturating_sub(state.grant_until_ms);
@@ -452,7 +487,7 @@
                 free,
                 speed_permille,
                 parked: u32::try_from(parked).unwrap_or(u32::MAX),
-                is_open,
+                is_open: is_open && !link.is_retiring,
                 reports,
             };
             self.actions.push(AgentAction::Send(*id, frame));
--- a/crates/dispatch/src/directory.rs
+++ b/crates/dispatch/src/directory.rs
@@ -4,6 +4,14 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
+use gannetvane_wire::Name;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Entries that an agent keeps a link to. Twelve links cost some 20 KB a second
+/// at rest, and at the target size, with 183 entries beside 671 agents, leave
+/// each entry with 44 agents.
+pub const LINKED_ENTRIES: usize = 12;
+
 /// Time without any contact after which an entry is forgotten, in
 /// milliseconds; long enough for a restart and for a cut to heal.
 const FORGET_MS: u64 = 30_000;
@@ -17,6 +25,15 @@
     heard: BTreeMap<SocketAddr, u64>,
     /// When each was last reached from here.
     reached: BTreeMap<SocketAddr, u64>,
+    choice: Option<Choice>,
+}
+
+/// A bound on the entries that are targets.
+#[derive(Clone, Debug)]
+struct Choice {
+    /// Whose choice it is; others choose other entries.
+    chooser: Name,
+    most: usize,
 }
 
 impl Directory {
@@ -29,9 +46,19 @@
             seeds: seeds.into_iter().collect(),
             heard: BTreeMap::new(),
             reached: BTreeMap::new(),
+            choice: None,
         }
     }
 
+    /// The same, with at most this many targets: those that rank highest for
+    /// the chooser, by rendezvous hashing, so that a change of the set moves
+    /// few links.
+    #[must_use]
+    pub fn with_choice(mut self, chooser: Name, most: usize) -> Self {
+        self.choice = Some(Choice { chooser, most });
+        self
+    }
+
     /// Notes addresses that somebody reached; true if one was not a target.
     pub fn learn(&mut self, now_ms: u64, entries: &[SocketAddr]) -> bool {
         let before = self.targets(now_ms).len();
@@ -47,12 +74,24 @@
         self.reached.insert(entry, now_ms);
     }
 
-    /// All entries but this one that are worth a connection.
+    /// The entries, but this one, that are worth a connection.
     #[must_use]
     pub fn targets(&self, now_ms: u64) -> BTreeSet<SocketAddr> {
-        let heard = recent(&self.heard, now_ms);
-        let all = self.seeds.iter().copied().chain(heard);
-        all.filter(|entry| Some(*entry) != self.own).collect()
+        let heard: BTreeSet<SocketAddr> = recent(&self.heard, now_ms).collect();
+        let most = self
+            .choice
+            .as_ref()
+            .map_or(usize::MAX, |choice| choice.most);
+        let mut targets = heard;
+        if targets.len() < most {
+            // Seeds may be long gone, so they do not take the places of others.
+            targets.extend(self.seeds.iter().copied());
+        }
+        targets.retain(|entry| Some(*entry) != self.own);
+        match &self.choice {
+            Some(choice) => choice.highest(targets),
+            None => targets,
+        }
     }
 
     /// What is told to others: this entry and those reached lately. Nobody
@@ -65,6 +104,23 @@
     }
 }
 
+impl Choice {
+    fn highest(&self, entries: BTreeSet<SocketAddr>) -> BTreeSet<SocketAddr> {
+        if entries.len() <= self.most {
+            return entries;
+        }
+        let mut ranked: Vec<SocketAddr> = entries.into_iter().collect();
+        ranked.sort_by_cached_key(|entry| std::cmp::Reverse(self.rank(*entry)));
+        ranked.truncate(self.most);
+        ranked.into_iter().collect()
+    }
+
+    fn rank(&self, entry: SocketAddr) -> u64 {
+        let key = format!("{} {entry}", self.chooser);
+        xxh3_64(key.as_bytes())
+    }
+}
+
 fn recent(times: &BTreeMap<SocketAddr, u64>, now_ms: u64) -> impl Iterator<Item = SocketAddr> {
     let is_recent = move |heard_ms: u64| now_ms < heard_ms + FORGET_MS;
     times
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -427,6 +427,13 @@
         }
     }
 
+    /// Tells one agent of the entries that are known.
+    pub fn tell_entries_to(&mut self, link: LinkId, entries: &[SocketAddr]) {
+        if let Some(agent) = self.agents.get_mut(&link) {
+            agent.outbox.push(Order::Entries(entries.to_vec()));
+        }
+    }
+
     pub(crate) fn event(&mut self, event: &'static str, job: Option<Name>, detail: String) {
         self.actions.push(DispatcherAction::Event(JobEvent {
             event,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -44,6 +44,7 @@
 pub use agent::AgentIdentity;
 pub use agent::AgentNote;
 pub use directory::Directory;
+pub use directory::LINKED_ENTRIES;
 pub use dispatcher::Dispatcher;
 pub use dispatcher::DispatcherAction;
 pub use dispatcher::DispatcherSettings;
--- /dev/null
+++ b/crates/dispatch/tests/links.rs
@@ -0,0 +1,94 @@
+//! Which entries an agent keeps links to, and how it lets others go.
+
+mod session;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+
+use gannetvane_dispatch::Directory;
+use gannetvane_dispatch::JobOutcome;
+use gannetvane_dispatch::LINKED_ENTRIES;
+use session::Session;
+
+const NOW_MS: u64 = 1_000;
+
+fn entry(number: usize) -> SocketAddr {
+    let [.., high, low] = number.to_be_bytes();
+    SocketAddr::from((Ipv4Addr::new(10, 1, high, low), 7_720))
+}
+
+fn entries(count: usize) -> Vec<SocketAddr> {
+    (0..count).map(entry).collect()
+}
+
+fn chosen(agent: usize, entries: &[SocketAddr]) -> BTreeSet<SocketAddr> {
+    let seed = SocketAddr::from((Ipv4Addr::new(10, 9, 9, 9), 7_720));
+    let name = format!("side-{agent}");
+    let mut directory = Directory::new(None, [seed]).with_choice(name.into(), LINKED_ENTRIES);
+    directory.learn(NOW_MS, entries);
+    directory.targets(NOW_MS)
+}
+
+#[test]
+fn while_entries_are_few_all_are_chosen_and_the_seeds_too() {
+    let few = entries(LINKED_ENTRIES - 1);
+    assert_eq!(chosen(1, &few).len(), LINKED_ENTRIES);
+}
+
+#[test]
+fn at_the_target_size_each_entry_is_chosen_by_a_like_number_of_agents() {
+    const AGENTS: usize = 671;
+    let entries = entries(183);
+    let mut counts: BTreeMap<SocketAddr, usize> = BTreeMap::new();
+    for agent in 0..AGENTS {
+        let chosen = chosen(agent, &entries);
+        assert_eq!(chosen.len(), LINKED_ENTRIES);
+        for entry in chosen {
+            *counts.entry(entry).or_default() += 1;
+        }
+    }
+    let mean = AGENTS * LINKED_ENTRIES / entries.len();
+    let least = entries.iter().map(|entry| counts.get(entry).copied());
+    let least = least.map(Option::unwrap_or_default).min();
+    let most = counts.values().max().copied();
+    assert!(least >= Some(mean / 2), "{least:?} of {mean}");
+    assert!(most <= Some(mean * 2), "{most:?} of {mean}");
+}
+
+#[test]
+fn an_entry_that_goes_moves_one_link_of_those_that_chose_it() {
+    let before = entries(60);
+    let after = &before[1..];
+    for agent in 0..50 {
+        let (old, new) = (chosen(agent, &before), chosen(agent, after));
+        let moved = new.difference(&old).count();
+        assert_eq!(moved, usize::from(old.contains(&before[0])));
+    }
+}
+
+#[test]
+fn a_link_that_is_not_chosen_ends_with_its_last_run() {
+    let mut session = Session::new(2, 1);
+    let job = session.submit(0, "a", 4, 400);
+    session.run(100);
+    let kept = session.entry_addr(1);
+    session.agent_mut(0).keep_links(&BTreeSet::from([kept]));
+    session.run(100);
+    assert_eq!(session.dials, 2);
+    session.run_until_answered(job, 1_000);
+    assert_eq!(session.outcome(job), Some(JobOutcome::Completed));
+    session.run(50);
+    assert_eq!(session.dials, 3);
+    let violations = &session.violations;
+    assert!(violations.is_empty(), "{violations:?}");
+}
+
+#[test]
+fn no_link_is_let_go_while_a_chosen_entry_has_none() {
+    let mut session = Session::new(2, 1);
+    session.agent_mut(0).keep_links(&BTreeSet::from([entry(7)]));
+    session.run(200);
+    assert_eq!(session.dials, 2);
+}
--- a/crates/dispatch/tests/session/mod.rs
+++ b/crates/dispatch/tests/session/mod.rs
@@ -38,6 +38,7 @@
 use gannetvane_wire::NodeId;
 
 pub use minion::FakeMinion;
+#[allow(unused_imports, reason = "each test file uses a part")]
 pub use minion::Mood;
 
 pub const SERVICE: &str = "bretti-desk";
@@ -167,6 +168,8 @@
     pub starts: BTreeMap<String, usize>,
     pub violations: Violations,
     dialed_ms: BTreeMap<(usize, usize), u64>,
+    /// Links that were opened; one that is closed is opened anew at once.
+    pub dials: usize,
     draining: BTreeSet<usize>,
     /// The last report of the lifetime that ended last, for each minion.
     last_reports: BTreeMap<usize, MinionReport>,
@@ -197,6 +200,7 @@
             starts: BTreeMap::new(),
             violations: Violations::default(),
             dialed_ms: BTreeMap::new(),
+            dials: 0,
             draining: BTreeSet::new(),
             last_reports: BTreeMap::new(),
         };
@@ -392,6 +396,15 @@
         &self.agents[agent].core
     }
 
+    pub fn agent_mut(&mut self, agent: usize) -> &mut Agent {
+        self.agents[agent].due_ms = self.now_ms;
+        &mut self.agents[agent].core
+    }
+
+    pub fn entry_addr(&self, entry: usize) -> SocketAddr {
+        addr(entry)
+    }
+
     pub fn entry(&mut self, entry: usize) -> &mut Dispatcher {
         &mut self.entries[entry].core
     }
@@ -498,6 +511,7 @@
                     && !self.cuts.contains(&(entry, agent));
                 if !is_linked && is_possible && self.now_ms >= dialed_ms + DIAL_MS {
                     self.dialed_ms.insert((agent, entry), self.now_ms);
+                    self.dials += 1;
                     let id = LinkId(self.next_link);
                     self.next_link += 1;
                     self.links.insert(id, Link { agent, entry });
--- a/crates/node/src/agent_node.rs
+++ b/crates/node/src/agent_node.rs
@@ -15,6 +15,7 @@
 use gannetvane_dispatch::EntryFrame;
 use gannetvane_dispatch::Greeting;
 use gannetvane_dispatch::HoldResult;
+use gannetvane_dispatch::LINKED_ENTRIES;
 use gannetvane_dispatch::LinkId;
 use gannetvane_dispatch::MinionReport;
 use gannetvane_dispatch::RunKey;
@@ -138,7 +139,8 @@
         metrics: Rc<Metrics>,
     ) -> Self {
         let (inputs, queue) = unbounded_channel();
-        let directory = Directory::new(None, settings.seeds.iter().copied());
+        let directory = Directory::new(None, settings.seeds.iter().copied())
+            .with_choice(settings.identity.host.clone(), LINKED_ENTRIES);
         Self {
             agent: Agent::new(settings.identity.clone()),
             settings,
@@ -190,6 +192,8 @@
             if now_ms >= self.refreshed_ms + REFRESH_MS {
                 self.refreshed_ms = now_ms;
                 dialers.refresh();
+                let targets = self.directory.borrow().targets(now_ms);
+                self.agent.keep_links(&targets);
             }
             if self.links.is_empty() && now_ms >= self.searched_ms + SEARCH_MS {
                 self.search(&store);
--- a/crates/node/src/entry_node.rs
+++ b/crates/node/src/entry_node.rs
@@ -345,7 +345,7 @@
                 self.links.insert(link, (sender, reader));
                 self.dispatcher.agent_up(now_ms, link, hello);
                 let entries = self.directory.borrow().news(now_ms);
-                self.dispatcher.tell_entries(&entries);
+                self.dispatcher.tell_entries_to(link, &entries);
             }
             Input::AgentFrame(link, frame) => self.dispatcher.agent_frame(now_ms, link, frame),
             Input::LinkDown(link) => {
