SIGHUP takes over changed settings; settings files are checked

Cause: SIGHUP was logged as ignored, so that a process kept seeds that were long gone and the old time to stop until a restart. Ruled out: reading the file on a timer: the platform sends the signal. Change: seeds, the factor of remote tasks and the time to stop are taken over (Tunables); other changes are told as needing a restart; a file that cannot be used changes nothing and is logged.

--- a/crates/dispatch/src/directory.rs
+++ b/crates/dispatch/src/directory.rs
@@ -59,6 +59,11 @@
         self
     }
 
+    /// Takes over other seeds.
+    pub fn set_seeds(&mut self, seeds: impl IntoIterator<Item = SocketAddr>) {
+        self.seeds = seeds.into_iter().collect();
+    }
+
     /// Notes addresses that somebody reached; true if one was not a target.
     pub fn learn(&mut self, now_ms: u64, entries: &[SocketAddr]) -> bool {
         let before = self.targets(now_ms).len();
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -188,6 +188,11 @@
         true
     }
 
+    /// Takes over another factor for tasks away from their data.
+    pub fn set_remote_factor(&mut self, remote_factor: f64) {
+        self.settings.remote_factor = remote_factor;
+    }
+
     /// Begins a planned stop: jobs that are here are brought to their end.
     pub fn begin_stop(&mut self) {
         self.is_stopping = true;
--- a/crates/node/src/agent_node.rs
+++ b/crates/node/src/agent_node.rs
@@ -34,6 +34,7 @@
 use crate::Clock;
 use crate::Metrics;
 use crate::StoreKeeper;
+use crate::Tunables;
 use crate::links;
 use crate::links::FrameSender;
 use crate::peers::Dialers;
@@ -53,10 +54,8 @@
 pub struct AgentNodeSettings {
     /// Who it is.
     pub identity: AgentIdentity,
-    /// Addresses for the first contact.
-    pub seeds: Vec<SocketAddr>,
-    /// Longest time from the signal to the end, in milliseconds.
-    pub stop_limit_ms: u64,
+    /// What may change while it runs.
+    pub tunables: Tunables,
 }
 
 enum Input {
@@ -69,6 +68,7 @@
     StopDone(Name, RunKey, bool),
     Listed(Name, u64, HoldResult),
     Entries(Vec<SocketAddr>),
+    Reload(Tunables),
     Stop,
 }
 
@@ -97,6 +97,12 @@
         self.inputs.send(Input::Left(instance)).is_ok()
     }
 
+    /// Takes over changed settings.
+    pub fn reload(&self, tunables: Tunables) {
+        // Without a receiver the process is about to end.
+        let _ = self.inputs.send(Input::Reload(tunables));
+    }
+
     /// Begins a planned stop.
     pub fn stop(&self) {
         // Without a receiver the process is about to end.
@@ -139,7 +145,7 @@
         metrics: Rc<Metrics>,
     ) -> Self {
         let (inputs, queue) = unbounded_channel();
-        let directory = Directory::new(None, settings.seeds.iter().copied())
+        let directory = Directory::new(None, settings.tunables.seeds.iter().copied())
             .with_choice(settings.identity.host.clone(), LINKED_ENTRIES);
         Self {
             agent: Agent::new(settings.identity.clone()),
@@ -255,6 +261,12 @@
             Input::Entries(entries) => {
                 self.directory.borrow_mut().learn(now_ms, &entries);
             }
+            Input::Reload(tunables) => {
+                self.directory
+                    .borrow_mut()
+                    .set_seeds(tunables.seeds.iter().copied());
+                self.settings.tunables = tunables;
+            }
             Input::Stop => {
                 if self.stop_ms.is_none() {
                     info!(self.log, "stopping"; "runs" => self.agent.active_runs());
@@ -269,7 +281,7 @@
         let Some(stop_ms) = self.stop_ms else {
             return false;
         };
-        let is_over = self.clock.now_ms() >= stop_ms + self.settings.stop_limit_ms;
+        let is_over = self.clock.now_ms() >= stop_ms + self.settings.tunables.stop_limit_ms;
         is_over || self.agent.may_stop()
     }
 
--- a/crates/node/src/entry_node.rs
+++ b/crates/node/src/entry_node.rs
@@ -45,6 +45,7 @@
 use crate::Metrics;
 use crate::OpenConnections;
 use crate::StoreKeeper;
+use crate::Tunables;
 use crate::links;
 use crate::links::FrameReader;
 use crate::links::FrameSender;
@@ -69,15 +70,11 @@
     pub link_addr: SocketAddr,
     /// Availability zone.
     pub zone: Name,
-    /// Times that a task takes longer away from its data.
-    pub remote_factor: f64,
-    /// Addresses for the first contact.
-    pub seeds: Vec<SocketAddr>,
     /// Time after the signal for which requests are still taken, in
     /// milliseconds: the balancer needs two checks to notice.
     pub stop_notice_ms: u64,
-    /// Longest time from the signal to the end, in milliseconds.
-    pub stop_limit_ms: u64,
+    /// What may change while it runs.
+    pub tunables: Tunables,
 }
 
 enum Input {
@@ -92,6 +89,7 @@
     Configure(RoutingTable),
     Entries(Vec<SocketAddr>),
     Refresh,
+    Reload(Tunables),
     Stop,
 }
 
@@ -192,6 +190,12 @@
         }
     }
 
+    /// Takes over changed settings.
+    pub fn reload(&self, tunables: Tunables) {
+        // Without a receiver the process is about to end.
+        let _ = self.inputs.send(Input::Reload(tunables));
+    }
+
     /// Begins a planned stop.
     pub fn stop(&self) {
         // Without a receiver the process is about to end.
@@ -231,10 +235,10 @@
         let clock = Clock::start();
         let (inputs, queue) = unbounded_channel();
         let own = settings.link_addr;
-        let directory = Directory::new(Some(own), settings.seeds.iter().copied());
+        let directory = Directory::new(Some(own), settings.tunables.seeds.iter().copied());
         let dispatcher_settings = DispatcherSettings {
             zone: settings.zone.clone(),
-            remote_factor: settings.remote_factor,
+            remote_factor: settings.tunables.remote_factor,
             seed: rand::random(),
         };
         let handle = EntryHandle {
@@ -375,6 +379,13 @@
                 self.directory.borrow_mut().learn(now_ms, &entries);
             }
             Input::Refresh => self.spread_entries(now_ms),
+            Input::Reload(tunables) => {
+                self.directory
+                    .borrow_mut()
+                    .set_seeds(tunables.seeds.iter().copied());
+                self.dispatcher.set_remote_factor(tunables.remote_factor);
+                self.settings.tunables = tunables;
+            }
             Input::Stop => self.begin_stop(now_ms),
         }
         self.handle
@@ -423,7 +434,7 @@
         if since_ms >= self.settings.stop_notice_ms && !*self.http_stop.borrow() {
             self.http_stop.send_replace(true);
         }
-        if since_ms + STOP_LAST_JOB_MS >= self.settings.stop_limit_ms {
+        if since_ms + STOP_LAST_JOB_MS >= self.settings.tunables.stop_limit_ms {
             self.dispatcher.begin_stop();
         }
     }
@@ -432,7 +443,7 @@
         let Some(stop_ms) = self.stop_ms else {
             return false;
         };
-        let is_over = self.clock.now_ms() >= stop_ms + self.settings.stop_limit_ms;
+        let is_over = self.clock.now_ms() >= stop_ms + self.settings.tunables.stop_limit_ms;
         let is_served = *self.http_stop.borrow() && self.open.count() == 0;
         is_over || is_served
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -16,6 +16,7 @@
 mod peer_links;
 mod peers;
 pub mod ports;
+mod tunables;
 
 pub use agent_node::AgentHandle;
 pub use agent_node::AgentNode;
@@ -35,3 +36,4 @@
 pub use metrics::Metrics;
 pub use metrics::exported_provider;
 pub use metrics::exported_text;
+pub use tunables::Tunables;
--- a/crates/node/tests/entry.rs
+++ b/crates/node/tests/entry.rs
@@ -24,6 +24,7 @@
 use gannetvane_node::EntryNodeSettings;
 use gannetvane_node::Metrics;
 use gannetvane_node::StoreKeeper;
+use gannetvane_node::Tunables;
 use gannetvane_node::ports::StoreError;
 use gannetvane_node::ports::StorePage;
 use gannetvane_node::ports::StorePort;
@@ -122,10 +123,12 @@
     let settings = EntryNodeSettings {
         link_addr: addr,
         zone: "selfoss".into(),
-        remote_factor: 1.5,
-        seeds,
         stop_notice_ms: 150,
-        stop_limit_ms: 4_000,
+        tunables: Tunables {
+            seeds,
+            remote_factor: 1.5,
+            stop_limit_ms: 4_000,
+        },
     };
     EntryNode::new(settings, log(), Rc::new(Metrics::new()))
 }
@@ -170,6 +173,35 @@
     .await;
 }
 
+#[tokio::test]
+async fn an_entry_finds_the_seeds_of_reloaded_settings() {
+    on_one_thread(async {
+        let (first, second) = (free_addr(), free_addr());
+        let serving = FakeStore {
+            table: RefCell::new(Some(table(7))),
+            ..FakeStore::default()
+        };
+        let refusing = FakeStore {
+            is_down: true,
+            ..FakeStore::default()
+        };
+        let first_handle = start(entry(first, Vec::new()), serving);
+        let second_handle = start(entry(second, Vec::new()), refusing);
+        until("the first's configuration", || {
+            first_handle.table().version == 7
+        })
+        .await;
+        assert_eq!(second_handle.table().version, 0);
+        first_handle.reload(Tunables {
+            seeds: vec![second],
+            remote_factor: 1.5,
+            stop_limit_ms: 4_000,
+        });
+        until("the configuration", || second_handle.table().version == 7).await;
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn an_entry_never_goes_back_to_an_older_configuration() {
     on_one_thread(async {
