Entries connect to eight others and tell members with their age

Cause: every entry told every other its whole list each second: at 300 machines 205 kB/s an entry, growing with the square of their number. Ruled out: asking the store: it keeps no list of live machines, and is away at times. Change: an entry connects to the eight others that rank highest for it and ends other connections; a full list goes out every fifth frame or when the set changes, each entry with the time since anybody reached it. The age grows on its way, so that one that is gone is forgotten everywhere.

--- a/crates/dispatch/src/directory.rs
+++ b/crates/dispatch/src/directory.rs
@@ -7,11 +7,17 @@
 use gannetvane_wire::Name;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::KnownEntry;
+
 /// Entries that an agent keeps a link to. Twelve links cost some 20 KB a second
 /// at rest, and at the target size, with 183 entries beside 671 agents, leave
 /// each entry with 44 agents.
 pub const LINKED_ENTRIES: usize = 12;
 
+/// Other entries that an entry connects to; as many connect to it on average,
+/// so that news reach 183 entries in three steps.
+pub const LINKED_PEERS: usize = 8;
+
 /// Time without any contact after which an entry is forgotten, in
 /// milliseconds; long enough for a restart and for a cut to heal.
 const FORGET_MS: u64 = 30_000;
@@ -23,7 +29,7 @@
     seeds: BTreeSet<SocketAddr>,
     /// When each was last named or reached.
     heard: BTreeMap<SocketAddr, u64>,
-    /// When each was last reached from here.
+    /// When each was last reached, by anybody.
     reached: BTreeMap<SocketAddr, u64>,
     choice: Option<Choice>,
 }
@@ -73,6 +79,18 @@
         self.targets(now_ms).len() > before
     }
 
+    /// Notes entries that others reached, as long ago as they say.
+    pub fn learn_reached(&mut self, now_ms: u64, entries: &[KnownEntry]) {
+        let recent = |entry: &&KnownEntry| u64::from(entry.age_ms) < FORGET_MS;
+        for entry in entries.iter().filter(recent) {
+            let at_ms = now_ms.saturating_sub(u64::from(entry.age_ms));
+            for times in [&mut self.heard, &mut self.reached] {
+                let known_ms = times.entry(entry.addr).or_insert(at_ms);
+                *known_ms = at_ms.max(*known_ms);
+            }
+        }
+    }
+
     /// Notes an entry that was reached just now.
     pub fn reached(&mut self, now_ms: u64, entry: SocketAddr) {
         self.heard.insert(entry, now_ms);
@@ -99,13 +117,28 @@
         }
     }
 
-    /// What is told to others: this entry and those reached lately. Nobody
-    /// tells of an entry that it did not reach, so a dead one is forgotten.
+    /// What is told to agents: this entry and those reached lately.
     #[must_use]
     pub fn news(&self, now_ms: u64) -> Vec<SocketAddr> {
-        let own = self.own.into_iter();
-        let all: BTreeSet<SocketAddr> = own.chain(recent(&self.reached, now_ms)).collect();
-        all.into_iter().collect()
+        let reached = self.known(now_ms);
+        reached.into_iter().map(|entry| entry.addr).collect()
+    }
+
+    /// What is told to other entries: this entry and those reached lately, with
+    /// the time since then. It grows on its way, so that one that is gone is
+    /// forgotten everywhere.
+    #[must_use]
+    pub fn known(&self, now_ms: u64) -> Vec<KnownEntry> {
+        let own = self.own.map(|addr| (addr, now_ms));
+        let recent = self.reached.iter().map(|(addr, at_ms)| (*addr, *at_ms));
+        let others =
+            recent.filter(|(addr, at_ms)| is_recent(now_ms, *at_ms) && Some(*addr) != self.own);
+        let all: BTreeMap<SocketAddr, u64> = own.into_iter().chain(others).collect();
+        let known = all.into_iter().map(|(addr, at_ms)| KnownEntry {
+            addr,
+            age_ms: u32::try_from(now_ms.saturating_sub(at_ms)).unwrap_or(u32::MAX),
+        });
+        known.collect()
     }
 }
 
@@ -126,10 +159,13 @@
     }
 }
 
+fn is_recent(now_ms: u64, at_ms: u64) -> bool {
+    now_ms < at_ms + FORGET_MS
+}
+
 fn recent(times: &BTreeMap<SocketAddr, u64>, now_ms: u64) -> impl Iterator<Item = SocketAddr> {
-    let is_recent = move |heard_ms: u64| now_ms < heard_ms + FORGET_MS;
-    times
+    let recent = times
         .iter()
-        .filter(move |(_, heard_ms)| is_recent(**heard_ms))
-        .map(|(entry, _)| *entry)
+        .filter(move |(_, at_ms)| is_recent(now_ms, **at_ms));
+    recent.map(|(entry, _)| *entry)
 }
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -167,11 +167,20 @@
     OldRun,
 }
 
+/// An entry that somebody reached, and how long ago.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KnownEntry {
+    /// Where it accepts connections.
+    pub addr: SocketAddr,
+    /// Time since it was reached, in milliseconds.
+    pub age_ms: u32,
+}
+
 /// Frame between entries.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PeerFrame {
-    /// Entries that the sender knows.
-    pub entries: Vec<SocketAddr>,
+    /// Entries that the sender knows; empty in most frames.
+    pub entries: Vec<KnownEntry>,
     /// The configuration of the sender, when it changed since the last frame.
     pub table: Option<RoutingTable>,
 }
--- /dev/null
+++ b/crates/dispatch/tests/members.rs
@@ -0,0 +1,119 @@
+//! How entries learn of each other over a few connections each, and forget
+//! those that are gone.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+
+use gannetvane_dispatch::Directory;
+use gannetvane_dispatch::LINKED_PEERS;
+
+/// Entries at the target size.
+const ENTRIES: usize = 183;
+/// Pause between two lists on a connection, in milliseconds.
+const LIST_MS: u64 = 5_000;
+/// Time without contact after which an entry is to be forgotten, and what its
+/// age may lag behind on its way, in milliseconds.
+const FORGOTTEN_WITHIN_MS: u64 = 30_000 + 2 * LIST_MS;
+
+struct Fleet {
+    now_ms: u64,
+    directories: Vec<Directory>,
+    is_up: Vec<bool>,
+}
+
+fn addr(number: usize) -> SocketAddr {
+    let [.., high, low] = number.to_be_bytes();
+    SocketAddr::from((Ipv4Addr::new(10, 1, high, low), 7_720))
+}
+
+impl Fleet {
+    /// Entries that know three seeds.
+    fn new() -> Self {
+        let seeds = [addr(0), addr(1), addr(2)];
+        let directory = |number| {
+            let own = addr(number);
+            Directory::new(Some(own), seeds).with_choice(own.to_string().into(), LINKED_PEERS)
+        };
+        Self {
+            now_ms: 100_000,
+            directories: (0..ENTRIES).map(directory).collect(),
+            is_up: vec![true; ENTRIES],
+        }
+    }
+
+    /// Every entry sends a list to each that it connects to.
+    fn exchange(&mut self) {
+        self.now_ms += LIST_MS;
+        for number in 0..ENTRIES {
+            if !self.is_up[number] {
+                continue;
+            }
+            for target in self.directories[number].targets(self.now_ms) {
+                self.tell(number, target);
+            }
+        }
+    }
+
+    fn tell(&mut self, number: usize, target: SocketAddr) {
+        let Some(other) = (0..ENTRIES).find(|other| addr(*other) == target) else {
+            return;
+        };
+        if !self.is_up[other] {
+            return;
+        }
+        let list = self.directories[number].known(self.now_ms);
+        self.directories[number].reached(self.now_ms, target);
+        self.directories[other].reached(self.now_ms, addr(number));
+        self.directories[other].learn_reached(self.now_ms, &list);
+    }
+
+    fn know(&self, number: usize) -> usize {
+        let up = (0..ENTRIES).filter(|other| self.is_up[*other]);
+        let know = |other: &usize| {
+            self.directories[*other]
+                .news(self.now_ms)
+                .contains(&addr(number))
+        };
+        up.filter(know).count()
+    }
+}
+
+#[test]
+fn all_entries_know_each_other_after_a_few_lists() {
+    let mut fleet = Fleet::new();
+    for _ in 0..4 {
+        fleet.exchange();
+    }
+    for number in 0..ENTRIES {
+        assert_eq!(fleet.know(number), ENTRIES, "of entry {number}");
+        let targets = fleet.directories[number].targets(fleet.now_ms).len();
+        assert_eq!(targets, LINKED_PEERS);
+    }
+}
+
+#[test]
+fn an_entry_that_is_gone_is_forgotten_everywhere() {
+    let mut fleet = Fleet::new();
+    for _ in 0..4 {
+        fleet.exchange();
+    }
+    fleet.is_up[17] = false;
+    let gone_ms = fleet.now_ms;
+    fleet.exchange();
+    assert_eq!(fleet.know(17), ENTRIES - 1);
+    while fleet.now_ms < gone_ms + FORGOTTEN_WITHIN_MS {
+        fleet.exchange();
+    }
+    assert_eq!(fleet.know(17), 0);
+    assert_eq!(fleet.know(18), ENTRIES - 1);
+}
+
+#[test]
+fn what_the_store_tells_is_tried_and_not_passed_on() {
+    let mut directory = Directory::new(Some(addr(1)), []);
+    directory.learn(1_000, &[addr(9)]);
+    assert!(directory.targets(1_000).contains(&addr(9)));
+    assert_eq!(directory.news(1_000), [addr(1)]);
+    directory.reached(1_500, addr(9));
+    assert_eq!(directory.news(1_500), [addr(1), addr(9)]);
+}
--- a/crates/node/src/entry_node.rs
+++ b/crates/node/src/entry_node.rs
@@ -20,6 +20,7 @@
 use gannetvane_dispatch::Job;
 use gannetvane_dispatch::JobEvent;
 use gannetvane_dispatch::JobOutcome;
+use gannetvane_dispatch::LINKED_PEERS;
 use gannetvane_dispatch::LinkId;
 use gannetvane_dispatch::PeerFrame;
 use gannetvane_dispatch::Queue;
@@ -235,7 +236,8 @@
         let clock = Clock::start();
         let (inputs, queue) = unbounded_channel();
         let own = settings.link_addr;
-        let directory = Directory::new(Some(own), settings.tunables.seeds.iter().copied());
+        let directory = Directory::new(Some(own), settings.tunables.seeds.iter().copied())
+            .with_choice(own.to_string().into(), LINKED_PEERS);
         let dispatcher_settings = DispatcherSettings {
             zone: settings.zone.clone(),
             remote_factor: settings.tunables.remote_factor,
@@ -395,7 +397,9 @@
 
     fn peer_frame(&mut self, now_ms: u64, entry: SocketAddr, frame: PeerFrame) {
         self.directory.borrow_mut().reached(now_ms, entry);
-        self.directory.borrow_mut().learn(now_ms, &frame.entries);
+        self.directory
+            .borrow_mut()
+            .learn_reached(now_ms, &frame.entries);
         if let Some(table) = frame.table {
             self.configure(table);
         }
--- a/crates/node/src/peer_links.rs
+++ b/crates/node/src/peer_links.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use gannetvane_dispatch::Greeting;
+use gannetvane_dispatch::KnownEntry;
 use gannetvane_dispatch::PeerAck;
 use gannetvane_dispatch::PeerFrame;
 use gannetvane_dispatch::RoutingTable;
@@ -28,6 +29,10 @@
 /// may be late.
 const SILENCE_MS: u64 = 2_200;
 
+/// Frames from one with all known entries to the next; a change of the set is
+/// told at once. The rest keep the connection alive.
+const FRAMES_A_LIST: u32 = 5;
+
 /// What an entry tells the others.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct PeerNews {
@@ -54,11 +59,12 @@
         return false;
     };
     sender.send(greeting);
-    let mut told_version = 0;
+    let mut teller = Teller::default();
     let mut heard_ms = clock.now_ms();
     let mut was_answered = false;
-    while clock.now_ms() < heard_ms + SILENCE_MS {
-        let frame = next_news(&mut news, &mut told_version);
+    while clock.now_ms() < heard_ms + SILENCE_MS && is_target(entry, &directory, clock) {
+        let known = || directory.borrow().known(clock.now_ms());
+        let frame = teller.next_frame(&news.borrow_and_update(), known);
         let Ok(bytes) = encode(&frame) else {
             return was_answered;
         };
@@ -108,14 +114,38 @@
     }
 }
 
-/// What changed since the last frame; everything in the first one.
-fn next_news(news: &mut watch::Receiver<PeerNews>, told_version: &mut u64) -> PeerFrame {
-    let news = news.borrow_and_update();
-    let is_newer = news.table.version > *told_version;
-    *told_version = news.table.version;
-    PeerFrame {
-        entries: news.entries.clone(),
-        table: is_newer.then(|| (*news.table).clone()),
+fn is_target(entry: SocketAddr, directory: &SharedDirectory, clock: Clock) -> bool {
+    let directory = directory.borrow();
+    directory.targets(clock.now_ms()).contains(&entry)
+}
+
+/// What was told on a connection.
+#[derive(Debug, Default)]
+struct Teller {
+    version: u64,
+    entries: Vec<SocketAddr>,
+    frames_since_list: u32,
+}
+
+impl Teller {
+    /// What changed since the last frame; everything in the first one.
+    fn next_frame(
+        &mut self,
+        news: &PeerNews,
+        known: impl FnOnce() -> Vec<KnownEntry>,
+    ) -> PeerFrame {
+        let is_newer = news.table.version > self.version;
+        self.version = news.table.version;
+        self.frames_since_list += 1;
+        let is_list_due = self.frames_since_list >= FRAMES_A_LIST || self.entries != news.entries;
+        if is_list_due {
+            self.frames_since_list = 0;
+            self.entries.clone_from(&news.entries);
+        }
+        PeerFrame {
+            entries: if is_list_due { known() } else { Vec::new() },
+            table: is_newer.then(|| (*news.table).clone()),
+        }
     }
 }
 
