The soak silences open connections and delivers late reports; its size can be set

Change: the proxies silence the connections that are open; minions let a report of the lifetime before arrive; GANNETVANE_SOAK_SIZE sets entries, agents and clients by hand.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -36,9 +36,13 @@
 use rustix::process::Signal;
 use rustix::process::kill_process;
 
-const ENTRIES: usize = 2;
-const AGENTS: usize = 3;
-const CLIENTS: usize = 6;
+/// Entries, agents and clients of a usual run; `GANNETVANE_SOAK_SIZE=10,40,60`
+/// plays larger ones by hand.
+const USUAL_SIZE: Size = Size {
+    entries: 2,
+    agents: 3,
+    clients: 6,
+};
 /// Tasks of one thousandth of a core times thousand that fit on a minion.
 const ROOM: usize = 8;
 /// Time with faults, and time for the last of them to pass, in milliseconds.
@@ -51,6 +55,25 @@
 /// Seeds that once failed, each with its cause.
 const REGRESSIONS: &[u64] = &[];
 
+#[derive(Clone, Copy, Debug)]
+struct Size {
+    entries: usize,
+    agents: usize,
+    clients: usize,
+}
+
+impl Size {
+    fn named() -> Option<Self> {
+        let text = std::env::var("GANNETVANE_SOAK_SIZE").ok()?;
+        let mut numbers = text.split(',').map(str::parse);
+        Some(Self {
+            entries: numbers.next()?.ok()?,
+            agents: numbers.next()?.ok()?,
+            clients: numbers.next()?.ok()?,
+        })
+    }
+}
+
 /// A program that is started again with the same settings.
 struct Program {
     role: &'static str,
@@ -159,7 +182,7 @@
 }
 
 impl Soak {
-    fn start(seed: u64) -> Self {
+    fn start(seed: u64, size: Size) -> Self {
         let folder =
             std::env::temp_dir().join(format!("gannetvane-soak-{}-{seed}", std::process::id()));
         fs::create_dir_all(&folder).expect("a folder for settings");
@@ -184,11 +207,11 @@
             let [a, b, c, _] = addr.ip().octets();
             SocketAddr::from(([a, b, c, 10 + entry as u8], first.port()))
         };
-        for entry in 0..ENTRIES {
+        for entry in 0..size.entries {
             soak.add_entry(entry, link(entry), link(0));
         }
-        for agent in 0..AGENTS {
-            soak.add_agent(agent, link(0), link(agent % ENTRIES));
+        for agent in 0..size.agents {
+            soak.add_agent(agent, link(0), link(agent % size.entries));
         }
         soak
     }
@@ -254,7 +277,10 @@
     fn disturb(&mut self, rng: &mut ChaCha8Rng) {
         let program = rng.random_range(0..self.programs.len());
         let program = &mut self.programs[program];
-        match rng.random_range(0..16) {
+        let minion = &self.minions[rng.random_range(0..self.minions.len())];
+        let inner = &self.inner[rng.random_range(0..self.inner.len())];
+        let front = &self.fronts[rng.random_range(0..self.fronts.len())];
+        match rng.random_range(0..20) {
             0 | 1 => {
                 program.signal(Signal::STOP);
                 program.plan(rng.random_range(50..2_500), Due::Resume);
@@ -272,16 +298,14 @@
             6 => self.store.set_fault(StoreFault::Refuses(503)),
             7 => self.store.set_fault(StoreFault::Silent),
             8 => self.store.set_fault(StoreFault::None),
-            9 => self.minions[rng.random_range(0..AGENTS)].crash(),
-            10 => {
-                self.minions[rng.random_range(0..AGENTS)].leave_unanswered(rng.random_range(1..6));
-            }
-            11 => {
-                let minion = &self.minions[rng.random_range(0..AGENTS)];
-                minion.set_silent(rng.random());
-            }
-            12 => self.inner[rng.random_range(0..self.inner.len())].reset(),
-            13 => self.fronts[rng.random_range(0..ENTRIES)].reset(),
+            9 => minion.crash(),
+            10 => minion.leave_unanswered(rng.random_range(1..6)),
+            11 => minion.set_silent(rng.random()),
+            12 => inner.reset(),
+            13 => front.reset(),
+            14 | 15 => inner.silence_open(),
+            16 => front.silence_open(),
+            17 => minion.send_late_report(),
             _ => {
                 let fault = match rng.random_range(0..6) {
                     0 => ProxyFault::Delays(rng.random_range(1..150)),
@@ -290,7 +314,7 @@
                     3 => ProxyFault::Silent,
                     _ => ProxyFault::None,
                 };
-                self.inner[rng.random_range(0..self.inner.len())].set_fault(fault);
+                inner.set_fault(fault);
             }
         }
     }
@@ -410,7 +434,8 @@
 
 fn play(seed: u64) -> (usize, usize) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let mut soak = Soak::start(seed);
+    let size = Size::named().unwrap_or(USUAL_SIZE);
+    let mut soak = Soak::start(seed, size);
     soak.wait_served("start");
     let stop = Arc::new(AtomicBool::new(false));
     let fronts: Vec<SocketAddr> = soak.fronts.iter().map(|proxy| proxy.addr).collect();
@@ -423,7 +448,7 @@
         thread::spawn(move || watch(&minions, &violations, &stop))
     };
     let clients_stop = Arc::new(AtomicBool::new(false));
-    let clients: Vec<_> = (0..CLIENTS)
+    let clients: Vec<_> = (0..size.clients)
         .map(|number| {
             let (fronts, jobs, stop) = (
                 fronts.clone(),
