gannetvane explain tells what became of a job from logs

Cause: an on-call engineer had to filter the logs of all processes by hand, and a job whose tasks were on a lost agent had no line that said so. Change: gannetvane explain ID LOG... puts the lines of the job in order, with what its hosts went through meanwhile, and says what the outcome means. Entries log task-orphaned for each task on an agent that is out of reach.

--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,6 +1,8 @@
-//! What the `gannetvane` command does: calls to an entry, and the load tool.
+//! What the `gannetvane` command does: calls to an entry, the load tool, and
+//! the story of a job from logs.
 
 mod client;
+mod explain;
 mod ids;
 mod load;
 mod model;
@@ -12,6 +14,9 @@
 pub use client::CallError;
 pub use client::Client;
 pub use client::Response;
+pub use explain::ExplainError;
+pub use explain::Story;
+pub use explain::explain;
 pub use load::Load;
 pub use load::LoadBuilder;
 pub use load::LoadError;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -8,6 +8,7 @@
 
 use gannetvane::CallError;
 use gannetvane::Client;
+use gannetvane::ExplainError;
 use gannetvane::LoadBuilder;
 use gannetvane::LoadError;
 use gannetvane::PlotError;
@@ -15,6 +16,7 @@
 use gannetvane::Response;
 use gannetvane::Workload;
 use gannetvane::draw;
+use gannetvane::explain;
 use gannetvane_wire::Operation;
 use gannetvane_wire::api::IdsBody;
 use gannetvane_wire::api::PlanBody;
@@ -69,6 +71,18 @@
     Plot(PlotArguments),
     /// check a settings file of gannetvaned
     CheckSettings(CheckArguments),
+    /// tell what became of a job, from log files of all processes
+    Explain(ExplainArguments),
+}
+
+#[derive(Debug, Options)]
+struct ExplainArguments {
+    /// print help
+    #[options(short = "h")]
+    help: bool,
+    /// id of the job, and log files; - reads standard input
+    #[options(free, required)]
+    job_and_logs: Vec<String>,
 }
 
 #[derive(Debug, Options)]
@@ -241,6 +255,10 @@
     Settings(#[from] SettingsError),
     #[error("{path}: {reason}")]
     File { path: String, reason: String },
+    #[error("{0}")]
+    Explain(#[from] ExplainError),
+    #[error("explain: the id of a job and a log file are needed")]
+    NoLogs,
     /// The response was printed already.
     #[error("refused")]
     Refused,
@@ -275,7 +293,9 @@
 fn exit_code(error: &CommandError) -> ExitCode {
     match error {
         CommandError::Call(CallError::Connection { .. }) => ExitCode::from(EXIT_UNREACHABLE),
-        CommandError::Refused | CommandError::Call(_) => ExitCode::from(EXIT_REFUSED),
+        CommandError::Refused | CommandError::Call(_) | CommandError::Explain(_) => {
+            ExitCode::from(EXIT_REFUSED)
+        }
         _ => ExitCode::from(EXIT_USAGE),
     }
 }
@@ -291,6 +311,7 @@
             print(&client.call(Method::DELETE, &path, Vec::new(), WAIT)?)
         }
         Command::Status(arguments) => status(&arguments),
+        Command::Explain(arguments) => tell(&arguments),
         Command::Load(arguments) => load(arguments),
         Command::Plot(arguments) => plot(&arguments),
         Command::CheckSettings(arguments) => {
@@ -415,6 +436,20 @@
     Ok(draw(&reports, &arguments.response, &arguments.messages)?)
 }
 
+fn tell(arguments: &ExplainArguments) -> Result<(), CommandError> {
+    let Some((job, paths)) = arguments.job_and_logs.split_first() else {
+        return Err(CommandError::NoLogs);
+    };
+    if paths.is_empty() {
+        return Err(CommandError::NoLogs);
+    }
+    let logs = paths.iter().map(|path| read(path));
+    let logs: Vec<String> = logs.collect::<Result<_, _>>()?;
+    let lines = logs.iter().flat_map(|log| log.lines());
+    print!("{}", explain(job, lines)?);
+    Ok(())
+}
+
 fn read(path: &str) -> Result<String, CommandError> {
     let mut text = String::new();
     let read = if path == "-" {
--- /dev/null
+++ b/crates/cli/tests/explain.rs
@@ -0,0 +1,26 @@
+//! The story of a job from logs: each `.log` file has a `.txt` file with what
+//! is told.
+
+use gannetvane::explain;
+use yare::parameterized;
+
+const JOB: &str = "ce7e93fa56c79f07";
+
+#[parameterized(
+    refused = { include_str!("explain/refused.log"), include_str!("explain/refused.txt") },
+    failed = { include_str!("explain/failed.log"), include_str!("explain/failed.txt") },
+    lost_agent = { include_str!("explain/lost-agent.log"), include_str!("explain/lost-agent.txt") },
+)]
+fn logs_tell_the_story_of_a_job(log: &str, expected: &str) {
+    let story = explain(JOB, log.lines()).map(|story| story.to_string());
+    assert_eq!(story.unwrap_or_default(), expected);
+}
+
+#[test]
+fn a_job_that_no_line_names_is_told_with_what_was_read() {
+    let log = include_str!("explain/lost-agent.log");
+    let error = explain("ffffffffffffffff", log.lines()).map(|_| ());
+    let error = error.map_err(|error| error.to_string());
+    let expected = "no line names ffffffffffffffff: 8 lines read, 1 of them no log lines";
+    assert_eq!(error, Err(expected.to_owned()));
+}
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -284,6 +284,11 @@
                 job.tasks[state.position].phase = TaskPhase::Orphaned { until_ms };
                 job.has_run = true;
             }
+            let detail = format!(
+                "position={} host={} cause={cause}",
+                state.position, agent.hello.host
+            );
+            self.event("task-orphaned", Some(state.job.clone()), detail);
             self.clear_if_gone(&state.job);
         }
     }
