Starts, an entry's handle and its links in files of their own; one set-up of both programs

Change: starts.rs, entry_handle.rs, agent_links.rs; Process in programs.rs. A greeting that cannot be read is logged now; the pause after a failed accept has a name. Ruled out: one loop for agent_node.rs and entry_node.rs: what is alike is the shape only.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -38,6 +38,7 @@
 mod route;
 mod runs;
 mod runtable;
+mod starts;
 
 pub use agent::Agent;
 pub use agent::AgentAction;
--- a/crates/dispatch/src/minion.rs
+++ b/crates/dispatch/src/minion.rs
@@ -4,15 +4,12 @@
 use crate::AgentAction;
 use crate::AgentHello;
 use crate::AgentIdentity;
-use crate::Busy;
-use crate::End;
 use crate::LinkId;
 use crate::MINION_LEASE_MS;
 use crate::MinionReport;
 use crate::OrderId;
 use crate::Room;
 use crate::RunKey;
-use crate::StartResult;
 use crate::call_loss::CallLoss;
 use crate::lease::STOP_PATIENCE_MS;
 use crate::lifetimes::Candidate;
@@ -37,16 +34,6 @@
 /// two of its reports may be lost.
 const REPORTS_LOST_MS: u64 = 6_000;
 
-/// Starts that are sent before a run without an answer is given up.
-const START_TRIES: u32 = 3;
-/// Copies of a start that are sent at once; the others follow while there is
-/// no answer.
-const START_COPIES: u32 = 2;
-/// Pause before the next copy, in milliseconds; a sound minion on the same host
-/// answers within a few.
-const NEXT_COPY_MS: u64 = 12;
-/// Least time between two starts of a run, in milliseconds.
-const START_RETRY_MS: u64 = 50;
 /// Calls in a row without an answer after which the minion gets no more
 /// starts until it answers again.
 const UNANSWERED: u32 = 3;
@@ -168,7 +155,7 @@
         }
     }
 
-    fn extend_lease(&mut self, now_ms: u64) -> u64 {
+    pub(crate) fn extend_lease(&mut self, now_ms: u64) -> u64 {
         let margin_ms = MINION_LEASE_MS / 50;
         self.lease_until_ms = now_ms + MINION_LEASE_MS + margin_ms;
         self.clock_at(now_ms) + MINION_LEASE_MS
@@ -188,41 +175,6 @@
         })
     }
 
-    pub(crate) fn start_run(&mut self, now_ms: u64, link: LinkId, order: OrderId) {
-        let (Some(minion), Some(run)) = (&mut self.minion, self.runs.get_mut(link, order)) else {
-            return;
-        };
-        run.phase = Phase::Starting;
-        run.repeat_ms = None;
-        run.started_ms = now_ms;
-        run.read_ms = now_ms;
-        run.changed_ms = now_ms;
-        run.refusal = None;
-        run.is_unsure = false;
-        run.copies = 0;
-        for _ in 0..minion.loss.copies().min(START_COPIES) {
-            self.send_start(now_ms, link, order);
-        }
-    }
-
-    /// Sends one copy of a start.
-    fn send_start(&mut self, now_ms: u64, link: LinkId, order: OrderId) {
-        let (Some(minion), Some(run)) = (&mut self.minion, self.runs.get_mut(link, order)) else {
-            return;
-        };
-        run.copies += 1;
-        run.pending += 1;
-        run.sent_ms = now_ms;
-        let deadline_ms = minion.extend_lease(now_ms);
-        self.actions.push(AgentAction::Start {
-            instance: minion.report.instance.clone(),
-            key: run.key.clone(),
-            spec: run.spec.clone(),
-            deadline_ms,
-            epoch: minion.epoch,
-        });
-    }
-
     pub(crate) fn stop_run(&mut self, now_ms: u64, link: LinkId, order: OrderId) {
         let Some(run) = self.runs.get_mut(link, order) else {
             return;
@@ -250,166 +202,6 @@
         }
     }
 
-    /// The minion answered a copy of a start, or did not.
-    pub fn start_answered(
-        &mut self,
-        now_ms: u64,
-        instance: &str,
-        key: &RunKey,
-        result: StartResult,
-    ) {
-        if !self.is_instance(instance) {
-            return;
-        }
-        if result == StartResult::OtherInstance {
-            self.lose_minion(now_ms);
-            return;
-        }
-        if let Some(minion) = &mut self.minion {
-            minion.judge(now_ms, result != StartResult::NoAnswer);
-        }
-        let Some((link, order)) = self.runs.find(key) else {
-            return;
-        };
-        let Some(run) = self.runs.get_mut(link, order) else {
-            return;
-        };
-        run.pending = run.pending.saturating_sub(1);
-        match result {
-            StartResult::Started => {
-                run.was_seen = true;
-                run.confirmed_ms = now_ms;
-                if run.phase == Phase::Starting {
-                    run.phase = Phase::Running;
-                }
-            }
-            StartResult::NoAnswer => run.is_unsure = true,
-            refused => run.refusal = Some(refused),
-        }
-        if run.pending == 0 && run.phase != Phase::Running {
-            self.start_settled(now_ms, link, order);
-        }
-    }
-
-    /// No copy of a start told that the run is there.
-    fn start_settled(&mut self, now_ms: u64, link: LinkId, order: OrderId) {
-        let Some(run) = self.runs.get_mut(link, order) else {
-            return;
-        };
-        let may_be_there = run.is_unsure || run.unanswered > 0;
-        let is_starting = run.phase == Phase::Starting;
-        match run.refusal {
-            Some(StartResult::OldRun) if may_be_there && is_starting => {
-                // An earlier start of it was carried out, and it has ended: the
-                // next listing tells how.
-                run.phase = Phase::Running;
-                run.confirmed_ms = now_ms;
-            }
-            Some(refusal) if !may_be_there || refusal == StartResult::Fenced => {
-                self.start_refused(now_ms, link, order, refusal);
-            }
-            // An earlier start may still be carried out, so it is forbidden.
-            Some(_) if !run.is_unsure && is_starting => self.stop_run(now_ms, link, order),
-            _ if run.is_unsure => self.start_unanswered(now_ms, link, order),
-            _ => {}
-        }
-    }
-
-    /// The same start may be sent again: the minion takes it once.
-    pub(crate) fn start_unanswered(&mut self, now_ms: u64, link: LinkId, order: OrderId) {
-        let Some(run) = self.runs.get_mut(link, order) else {
-            return;
-        };
-        run.unanswered += 1;
-        let job = run.key.task.job.clone();
-        let detail = format!("run={} tries={}", run.key.run, run.unanswered);
-        if run.phase == Phase::Starting && run.unanswered < START_TRIES {
-            run.repeat_ms = Some((run.started_ms + START_RETRY_MS).max(now_ms + 1));
-        } else if run.phase == Phase::Starting {
-            self.stop_run(now_ms, link, order);
-        }
-        self.note("start-unanswered", Some(job), detail);
-    }
-
-    /// When one more copy of a start is sent that has no answer yet.
-    fn next_copy_ms(minion: &Minion, run: &Run) -> Option<u64> {
-        let is_open = run.phase == Phase::Starting && run.pending > 0;
-        let is_useful = run.copies < minion.loss.copies();
-        (is_open && is_useful).then_some(run.sent_ms + NEXT_COPY_MS)
-    }
-
-    /// Sends one more copy of the starts that have no answer yet.
-    pub(crate) fn copy_starts(&mut self, now_ms: u64) {
-        let Some(minion) = &self.minion else {
-            return;
-        };
-        let is_due = |run: &&Run| {
-            let due_ms = Self::next_copy_ms(minion, run);
-            due_ms.is_some_and(|due_ms| now_ms >= due_ms)
-        };
-        let due = self.runs.iter().filter(is_due);
-        let due: Vec<(LinkId, OrderId)> = due.map(|run| (run.link, run.order)).collect();
-        if due.is_empty() || !self.may_extend_lease(now_ms) {
-            return;
-        }
-        for (link, order) in due {
-            self.send_start(now_ms, link, order);
-        }
-    }
-
-    /// Sends starts again that got no answer.
-    pub(crate) fn repeat_starts(&mut self, now_ms: u64) {
-        let is_due = |run: &&Run| {
-            let is_due = run.repeat_ms.is_some_and(|repeat_ms| now_ms >= repeat_ms);
-            is_due && run.phase == Phase::Starting
-        };
-        let due = self.runs.iter().filter(is_due);
-        let due: Vec<(LinkId, OrderId)> = due.map(|run| (run.link, run.order)).collect();
-        if due.is_empty() || !self.may_extend_lease(now_ms) {
-            return;
-        }
-        for (link, order) in due {
-            self.start_run(now_ms, link, order);
-        }
-    }
-
-    pub(crate) fn start_refused(
-        &mut self,
-        now_ms: u64,
-        link: LinkId,
-        order: OrderId,
-        result: StartResult,
-    ) {
-        let Some(run) = self.runs.remove(link, order) else {
-            return;
-        };
-        let busy = match result {
-            StartResult::OldRun => Busy::OldRun,
-            StartResult::NoRoom => Busy::Full,
-            _ => Busy::Unhealthy,
-        };
-        let end = match run.phase {
-            Phase::Stopping { .. } => End::Stopped,
-            _ => End::NotStarted(busy),
-        };
-        self.note(
-            "start-refused",
-            Some(run.key.task.job.clone()),
-            format!(
-                "task={}.{} run={} by={result:?}",
-                run.key.task.step, run.key.task.index, run.key.run
-            ),
-        );
-        self.report_end(link, order, end, 0);
-        if result == StartResult::Fenced
-            && let Some(minion) = &mut self.minion
-        {
-            minion.epoch = 0;
-            minion.is_clean = false;
-        }
-        self.start_parked(now_ms);
-    }
-
     /// The minion answered a stop, or did not.
     pub fn stop_answered(&mut self, now_ms: u64, instance: &str, key: &RunKey, is_done: bool) {
         if !self.is_instance(instance) || !is_done {
--- /dev/null
+++ b/crates/node/src/entry_handle.rs
@@ -0,0 +1,170 @@
+//! How the interface for callers reaches an entry.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use gannetvane_dispatch::AgentFrame;
+use gannetvane_dispatch::AgentHello;
+use gannetvane_dispatch::Caller;
+use gannetvane_dispatch::Job;
+use gannetvane_dispatch::JobOutcome;
+use gannetvane_dispatch::LinkId;
+use gannetvane_dispatch::PeerFrame;
+use gannetvane_dispatch::Queue;
+use gannetvane_dispatch::Refusal;
+use gannetvane_dispatch::RouteError;
+use gannetvane_dispatch::RoutingTable;
+use gannetvane_wire::Name;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::oneshot;
+use tokio::task::AbortHandle;
+
+use crate::Tunables;
+use crate::links::FrameSender;
+
+/// What reaches an entry from its connections and callers.
+pub(crate) enum Input {
+    AgentUp(LinkId, AgentHello, FrameSender, AbortHandle),
+    AgentFrame(LinkId, AgentFrame),
+    LinkDown(LinkId),
+    Peer(SocketAddr, PeerFrame),
+    Submit(Caller, Job, oneshot::Sender<JobOutcome>),
+    Left(Caller),
+    Cancel(Name, oneshot::Sender<bool>),
+    Pending(Name, oneshot::Sender<usize>),
+    Configure(RoutingTable),
+    Entries(Vec<SocketAddr>),
+    Refresh,
+    Reload(Tunables),
+    Stop,
+}
+
+/// How the interface for callers reaches the entry.
+#[derive(Clone, Debug)]
+pub struct EntryHandle {
+    inputs: UnboundedSender<Input>,
+    table: Rc<RefCell<Arc<RoutingTable>>>,
+    is_ready: Rc<Cell<bool>>,
+    next_caller: Rc<Cell<u64>>,
+}
+
+impl std::fmt::Debug for Input {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Input")
+    }
+}
+
+/// Tells the entry when a caller goes away before its answer.
+struct Presence {
+    caller: Caller,
+    inputs: UnboundedSender<Input>,
+    is_answered: bool,
+}
+
+impl Drop for Presence {
+    fn drop(&mut self) {
+        if !self.is_answered {
+            // Without a receiver the process is about to end.
+            let _ = self.inputs.send(Input::Left(self.caller));
+        }
+    }
+}
+
+impl EntryHandle {
+    pub(crate) fn new(inputs: UnboundedSender<Input>) -> Self {
+        Self {
+            inputs,
+            table: Rc::default(),
+            is_ready: Rc::default(),
+            next_caller: Rc::default(),
+        }
+    }
+
+    pub(crate) fn set_table(&self, table: Arc<RoutingTable>) {
+        *self.table.borrow_mut() = table;
+    }
+
+    pub(crate) fn set_ready(&self, is_ready: bool) {
+        self.is_ready.set(is_ready);
+    }
+
+    /// The queue of a request.
+    ///
+    /// # Errors
+    ///
+    /// [`RouteError`] when there is none.
+    pub fn find(&self, host: &str, path: &str) -> Result<Arc<Queue>, RouteError> {
+        self.table.borrow().find(host, path)
+    }
+
+    /// The configuration in force.
+    #[must_use]
+    pub fn table(&self) -> Arc<RoutingTable> {
+        Arc::clone(&self.table.borrow())
+    }
+
+    /// Whether the balancer may send requests here.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.is_ready.get()
+    }
+
+    /// Submits a job and waits for its end. When the caller drops this, the
+    /// job is stopped.
+    pub async fn submit(&self, job: Job) -> JobOutcome {
+        let caller = Caller(self.next_caller.get());
+        self.next_caller.set(caller.0 + 1);
+        let (answer, outcome) = oneshot::channel();
+        let mut presence = Presence {
+            caller,
+            inputs: self.inputs.clone(),
+            is_answered: false,
+        };
+        let stopped = JobOutcome::Refused {
+            reason: Refusal::Stopping,
+            retry_after_ms: 0,
+        };
+        if self
+            .inputs
+            .send(Input::Submit(caller, job, answer))
+            .is_err()
+        {
+            presence.is_answered = true;
+            return stopped;
+        }
+        // The entry answers all jobs before it ends.
+        let outcome = outcome.await.unwrap_or(JobOutcome::TooLate);
+        presence.is_answered = true;
+        outcome
+    }
+
+    /// Cancels a job; false if there is none.
+    pub async fn cancel(&self, job: Name) -> bool {
+        let (answer, is_cancelled) = oneshot::channel();
+        self.inputs.send(Input::Cancel(job, answer)).is_ok() && is_cancelled.await.unwrap_or(false)
+    }
+
+    /// Jobs of a queue of which nothing has started.
+    pub async fn pending(&self, queue: Name) -> usize {
+        let (answer, pending) = oneshot::channel();
+        match self.inputs.send(Input::Pending(queue, answer)) {
+            Ok(()) => pending.await.unwrap_or(0),
+            Err(_) => 0,
+        }
+    }
+
+    /// Takes over changed settings.
+    pub fn reload(&self, tunables: Tunables) {
+        // Without a receiver the process is about to end.
+        let _ = self.inputs.send(Input::Reload(tunables));
+    }
+
+    /// Begins a planned stop.
+    pub fn stop(&self) {
+        // Without a receiver the process is about to end.
+        let _ = self.inputs.send(Input::Stop);
+    }
+}
--- a/crates/node/src/entry_node.rs
+++ b/crates/node/src/entry_node.rs
@@ -1,6 +1,5 @@
 //! The process around an entry's decisions.
 
-use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::future::Future;
@@ -9,32 +8,23 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use gannetvane_dispatch::AgentFrame;
-use gannetvane_dispatch::AgentHello;
 use gannetvane_dispatch::Caller;
 use gannetvane_dispatch::Directory;
 use gannetvane_dispatch::Dispatcher;
 use gannetvane_dispatch::DispatcherAction;
 use gannetvane_dispatch::DispatcherSettings;
-use gannetvane_dispatch::Greeting;
-use gannetvane_dispatch::Job;
 use gannetvane_dispatch::JobEvent;
 use gannetvane_dispatch::JobOutcome;
 use gannetvane_dispatch::LINKED_PEERS;
 use gannetvane_dispatch::LinkId;
 use gannetvane_dispatch::PeerFrame;
-use gannetvane_dispatch::Queue;
-use gannetvane_dispatch::Refusal;
-use gannetvane_dispatch::RouteError;
 use gannetvane_dispatch::RoutingTable;
-use gannetvane_dispatch::decode;
 use gannetvane_dispatch::encode;
 use gannetvane_wire::Name;
 use slog::Logger;
 use slog::info;
 use slog::warn;
 use tokio::net::TcpListener;
-use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::mpsc::unbounded_channel;
@@ -47,8 +37,9 @@
 use crate::OpenConnections;
 use crate::StoreKeeper;
 use crate::Tunables;
-use crate::links;
-use crate::links::FrameReader;
+use crate::agent_links;
+use crate::entry_handle::EntryHandle;
+use crate::entry_handle::Input;
 use crate::links::FrameSender;
 use crate::peer_links;
 use crate::peer_links::PeerNews;
@@ -78,132 +69,6 @@
     pub tunables: Tunables,
 }
 
-enum Input {
-    AgentUp(LinkId, AgentHello, FrameSender, AbortHandle),
-    AgentFrame(LinkId, AgentFrame),
-    LinkDown(LinkId),
-    Peer(SocketAddr, PeerFrame),
-    Submit(Caller, Job, oneshot::Sender<JobOutcome>),
-    Left(Caller),
-    Cancel(Name, oneshot::Sender<bool>),
-    Pending(Name, oneshot::Sender<usize>),
-    Configure(RoutingTable),
-    Entries(Vec<SocketAddr>),
-    Refresh,
-    Reload(Tunables),
-    Stop,
-}
-
-/// How the interface for callers reaches the entry.
-#[derive(Clone, Debug)]
-pub struct EntryHandle {
-    inputs: UnboundedSender<Input>,
-    table: Rc<RefCell<Arc<RoutingTable>>>,
-    is_ready: Rc<Cell<bool>>,
-    next_caller: Rc<Cell<u64>>,
-}
-
-impl std::fmt::Debug for Input {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("Input")
-    }
-}
-
-/// Tells the entry when a caller goes away before its answer.
-struct Presence {
-    caller: Caller,
-    inputs: UnboundedSender<Input>,
-    is_answered: bool,
-}
-
-impl Drop for Presence {
-    fn drop(&mut self) {
-        if !self.is_answered {
-            // Without a receiver the process is about to end.
-            let _ = self.inputs.send(Input::Left(self.caller));
-        }
-    }
-}
-
-impl EntryHandle {
-    /// The queue of a request.
-    ///
-    /// # Errors
-    ///
-    /// [`RouteError`] when there is none.
-    pub fn find(&self, host: &str, path: &str) -> Result<Arc<Queue>, RouteError> {
-        self.table.borrow().find(host, path)
-    }
-
-    /// The configuration in force.
-    #[must_use]
-    pub fn table(&self) -> Arc<RoutingTable> {
-        Arc::clone(&self.table.borrow())
-    }
-
-    /// Whether the balancer may send requests here.
-    #[must_use]
-    pub fn is_ready(&self) -> bool {
-        self.is_ready.get()
-    }
-
-    /// Submits a job and waits for its end. When the caller drops this, the
-    /// job is stopped.
-    pub async fn submit(&self, job: Job) -> JobOutcome {
-        let caller = Caller(self.next_caller.get());
-        self.next_caller.set(caller.0 + 1);
-        let (answer, outcome) = oneshot::channel();
-        let mut presence = Presence {
-            caller,
-            inputs: self.inputs.clone(),
-            is_answered: false,
-        };
-        let stopped = JobOutcome::Refused {
-            reason: Refusal::Stopping,
-            retry_after_ms: 0,
-        };
-        if self
-            .inputs
-            .send(Input::Submit(caller, job, answer))
-            .is_err()
-        {
-            presence.is_answered = true;
-            return stopped;
-        }
-        // The entry answers all jobs before it ends.
-        let outcome = outcome.await.unwrap_or(JobOutcome::TooLate);
-        presence.is_answered = true;
-        outcome
-    }
-
-    /// Cancels a job; false if there is none.
-    pub async fn cancel(&self, job: Name) -> bool {
-        let (answer, is_cancelled) = oneshot::channel();
-        self.inputs.send(Input::Cancel(job, answer)).is_ok() && is_cancelled.await.unwrap_or(false)
-    }
-
-    /// Jobs of a queue of which nothing has started.
-    pub async fn pending(&self, queue: Name) -> usize {
-        let (answer, pending) = oneshot::channel();
-        match self.inputs.send(Input::Pending(queue, answer)) {
-            Ok(()) => pending.await.unwrap_or(0),
-            Err(_) => 0,
-        }
-    }
-
-    /// Takes over changed settings.
-    pub fn reload(&self, tunables: Tunables) {
-        // Without a receiver the process is about to end.
-        let _ = self.inputs.send(Input::Reload(tunables));
-    }
-
-    /// Begins a planned stop.
-    pub fn stop(&self) {
-        // Without a receiver the process is about to end.
-        let _ = self.inputs.send(Input::Stop);
-    }
-}
-
 /// An entry with its connections.
 pub struct EntryNode {
     settings: EntryNodeSettings,
@@ -243,12 +108,7 @@
             remote_factor: settings.tunables.remote_factor,
             seed: rand::random(),
         };
-        let handle = EntryHandle {
-            inputs: inputs.clone(),
-            table: Rc::default(),
-            is_ready: Rc::default(),
-            next_caller: Rc::default(),
-        };
+        let handle = EntryHandle::new(inputs.clone());
         Self {
             dispatcher: Dispatcher::new(dispatcher_settings, clock.now_ms()),
             settings,
@@ -293,7 +153,7 @@
     /// The error of the listener for agents and entries.
     pub async fn run(mut self, store: StoreKeeper) -> std::io::Result<()> {
         let listener = TcpListener::bind(self.settings.link_addr).await?;
-        tokio::task::spawn_local(accept_links(
+        tokio::task::spawn_local(agent_links::accept(
             listener,
             self.inputs.clone(),
             self.log.clone(),
@@ -390,9 +250,8 @@
             }
             Input::Stop => self.begin_stop(now_ms),
         }
-        self.handle
-            .is_ready
-            .set(self.dispatcher.is_ready() && self.stop_ms.is_none());
+        let is_ready = self.dispatcher.is_ready() && self.stop_ms.is_none();
+        self.handle.set_ready(is_ready);
     }
 
     fn peer_frame(&mut self, now_ms: u64, entry: SocketAddr, frame: PeerFrame) {
@@ -408,7 +267,7 @@
     fn configure(&mut self, table: RoutingTable) {
         if self.dispatcher.configure(table) {
             let table = Arc::new(self.dispatcher.table().clone());
-            *self.handle.table.borrow_mut() = Arc::clone(&table);
+            self.handle.set_table(Arc::clone(&table));
             self.news.send_modify(|news| news.table = table);
         }
     }
@@ -544,58 +403,3 @@
         tokio::time::sleep(Duration::from_millis(REFRESH_MS)).await;
     }
 }
-
-async fn accept_links(listener: TcpListener, inputs: UnboundedSender<Input>, log: Logger) {
-    let mut next_link = 1;
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let link = LinkId(next_link);
-                next_link += 1;
-                tokio::task::spawn_local(serve_link(link, stream, inputs.clone()));
-            }
-            Err(error) => {
-                warn!(log, "accept-failed"; "error" => %error);
-                tokio::time::sleep(Duration::from_millis(20)).await;
-            }
-        }
-    }
-}
-
-async fn serve_link(link: LinkId, stream: TcpStream, inputs: UnboundedSender<Input>) {
-    let Ok((mut reader, sender)) = links::split(stream) else {
-        return;
-    };
-    let Some(frame) = links::next_frame(&mut reader).await else {
-        return;
-    };
-    match decode::<Greeting>(&frame) {
-        Ok(Greeting::Agent(hello)) => {
-            let task = tokio::task::spawn_local(read_agent(link, reader, inputs.clone()));
-            let up = Input::AgentUp(link, hello, sender, task.abort_handle());
-            // Without a receiver the process is about to end.
-            let _ = inputs.send(up);
-        }
-        Ok(Greeting::Entry(entry)) => {
-            let received = |frame| {
-                // Without a receiver the process is about to end.
-                let _ = inputs.send(Input::Peer(entry, frame));
-            };
-            peer_links::serve(reader, sender, received).await;
-        }
-        Err(_) => {}
-    }
-}
-
-async fn read_agent(link: LinkId, mut reader: FrameReader, inputs: UnboundedSender<Input>) {
-    while let Some(frame) = links::next_frame(&mut reader).await {
-        let Ok(frame) = decode(&frame) else {
-            break;
-        };
-        if inputs.send(Input::AgentFrame(link, frame)).is_err() {
-            return;
-        }
-    }
-    // Without a receiver the process is about to end.
-    let _ = inputs.send(Input::LinkDown(link));
-}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,9 +4,11 @@
 //! the next thing is due. What speaks to callers, minions and the store of a
 //! deployment implements the traits in [`ports`].
 
+mod agent_links;
 mod agent_node;
 mod clock;
 mod configuration;
+mod entry_handle;
 mod entry_node;
 mod http_client;
 mod http_server;
@@ -23,7 +25,7 @@
 pub use agent_node::AgentNodeSettings;
 pub use clock::Clock;
 pub use configuration::StoreKeeper;
-pub use entry_node::EntryHandle;
+pub use entry_handle::EntryHandle;
 pub use entry_node::EntryNode;
 pub use entry_node::EntryNodeSettings;
 pub use http_client::CallError;
