No job is refused before the agents have told their room

Cause: a test of the whole path failed beside load (two tasks did not come to work): since jobs are refused early, one that came between an agent's greeting and its first news of room, some milliseconds, found a service that seemed full and was refused at once. Change: while an agent of the service has greeted and not told its room, nothing is refused for want of a prospect.

--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -75,6 +75,8 @@
     pub(crate) clock_ms: u64,
     /// Speed of its minion, 1 for the ordinary one.
     pub(crate) speed: f64,
+    /// Whether it has told its room since it greeted.
+    pub(crate) is_room_known: bool,
     free: Room,
     parked: u32,
     is_open: bool,
@@ -89,6 +91,7 @@
         Self {
             clock_ms: hello.clock_ms,
             speed: 1.0,
+            is_room_known: false,
             free: Room::default(),
             parked: 0,
             is_open: false,
@@ -105,6 +108,7 @@
     pub(crate) fn heard(&mut self, now_ms: u64, frame: &AgentFrame) {
         self.heard_ms = now_ms;
         self.clock_ms = frame.clock_ms;
+        self.is_room_known = true;
         self.free = frame.free;
         self.speed = f64::from(frame.speed_permille) / PERMILLE;
         self.parked = frame.parked;
--- a/crates/dispatch/src/overload.rs
+++ b/crates/dispatch/src/overload.rs
@@ -106,7 +106,7 @@
     fn has_no_prospect(&self, now_ms: u64, job: &JobState, wait_ms: f64) -> bool {
         let service = &job.job.queue.service;
         let is_untouched = !job.has_run && job.is_clear();
-        if !is_untouched || !self.has_minions(service) {
+        if !is_untouched || !self.has_minions(service) || self.awaits_room(service) {
             return false;
         }
         let latest_ms = job.latest_start_ms(job.next_step(), &self.estimates);
@@ -122,6 +122,13 @@
         end_ms > job.objective_ms as f64 || (is_lasting && has_waited)
     }
 
+    /// Whether an agent of a service has greeted and not told its room yet: it
+    /// does within a few milliseconds, and may have plenty.
+    fn awaits_room(&self, service: &Name) -> bool {
+        let mut of_service = self.agents.values();
+        of_service.any(|agent| agent.hello.service == *service && !agent.is_room_known)
+    }
+
     /// Work that each service gets through for this entry, in thousandths of a
     /// core: what it started of late, what it has at work, or a share of all
     /// that is in use there, whichever is most.
--- a/crates/dispatch/tests/overload.rs
+++ b/crates/dispatch/tests/overload.rs
@@ -104,7 +104,38 @@
     })
 }
 
-fn agent_up(dispatcher: &mut Dispatcher, now_ms: u64, link: LinkId, service: &str, free: Room) {
+fn dispatcher() -> (Dispatcher, u64) {
+    let settings = DispatcherSettings {
+        zone: "selfoss".into(),
+        remote_factor: 1.5,
+        seed: 7,
+    };
+    let now_ms = 1_000;
+    let mut dispatcher = Dispatcher::new(settings, now_ms);
+    dispatcher.configure(RoutingTable {
+        version: 1,
+        queues: vec![queue("full"), queue("other")],
+        max_body_bytes: 0,
+    });
+    (dispatcher, now_ms)
+}
+
+fn job(number: u64, service: &str, declared_ms: u64) -> Job {
+    Job {
+        id: format!("job-{number}").into(),
+        spec: "".into(),
+        steps: vec![Step {
+            count: 1,
+            needs: TASK_ROOM,
+            declared_ms,
+            ..Step::default()
+        }],
+        queue: queue(service),
+        wait_ms: 6_000,
+    }
+}
+
+fn greet(dispatcher: &mut Dispatcher, now_ms: u64, link: LinkId, service: &str) {
     let hello = AgentHello {
         node: NodeId(link.0),
         host: format!("host-{}", link.0).into(),
@@ -115,10 +146,15 @@
         clock_ms: now_ms,
     };
     dispatcher.agent_up(now_ms, link, hello);
+}
+
+/// An agent without any room greets.
+fn full_agent_up(dispatcher: &mut Dispatcher, now_ms: u64, link: LinkId, service: &str) {
+    greet(dispatcher, now_ms, link, service);
     let frame = AgentFrame {
         clock_ms: now_ms,
         starts_seen: 0,
-        free,
+        free: Room::default(),
         speed_permille: 1_000,
         parked: 2,
         is_open: true,
@@ -127,42 +163,24 @@
     dispatcher.agent_frame(now_ms, link, frame);
 }
 
+#[test]
+fn a_job_is_not_refused_before_the_agents_have_told_their_room() {
+    let (mut dispatcher, now_ms) = dispatcher();
+    greet(&mut dispatcher, now_ms, LinkId(1), "other");
+    dispatcher.submit(now_ms, Caller(1), job(1, "other", 400));
+    dispatcher.tick(now_ms + 10);
+    let answers = dispatcher.take_actions();
+    let is_answer = |action: &DispatcherAction| matches!(action, DispatcherAction::Answer(..));
+    assert!(!answers.iter().any(is_answer), "{answers:?}");
+}
+
 #[test]
 fn a_full_service_does_not_refuse_jobs_of_another() {
-    let settings = DispatcherSettings {
-        zone: "selfoss".into(),
-        remote_factor: 1.5,
-        seed: 7,
-    };
-    let now_ms = 1_000;
-    let mut dispatcher = Dispatcher::new(settings, now_ms);
-    dispatcher.configure(RoutingTable {
-        version: 1,
-        queues: vec![queue("full"), queue("other")],
-        max_body_bytes: 0,
-    });
-    agent_up(&mut dispatcher, now_ms, LinkId(1), "full", Room::default());
+    let (mut dispatcher, now_ms) = dispatcher();
+    full_agent_up(&mut dispatcher, now_ms, LinkId(1), "full");
     for link in 2..6 {
-        agent_up(
-            &mut dispatcher,
-            now_ms,
-            LinkId(link),
-            "other",
-            Room::default(),
-        );
+        full_agent_up(&mut dispatcher, now_ms, LinkId(link), "other");
     }
-    let job = |number: u64, service: &str, declared_ms| Job {
-        id: format!("job-{number}").into(),
-        spec: "".into(),
-        steps: vec![Step {
-            count: 1,
-            needs: TASK_ROOM,
-            declared_ms,
-            ..Step::default()
-        }],
-        queue: queue(service),
-        wait_ms: 6_000,
-    };
     for number in 0..60 {
         dispatcher.submit(now_ms, Caller(number), job(number, "full", 60));
     }
