--- a/crates/dispatch/tests/at_most_once.rs
+++ b/crates/dispatch/tests/at_most_once.rs
@@ -14,7 +14,14 @@
 
 fn assert_clean(session: &Session) {
     let violations = &session.violations;
-    assert!(violations.is_empty(), "{violations:?}");
+    let first = violations.twice.first();
+    assert!(
+        violations.is_empty(),
+        "{} times twice, first {first:?}; {} overloads; refused and run: {:?}",
+        violations.twice.len(),
+        violations.overloads,
+        violations.refused_and_ran
+    );
 }
 
 #[test]
@@ -30,10 +37,11 @@
 #[test]
 fn a_killed_entry_leaves_nothing_running_when_the_job_comes_again() {
     let mut session = Session::new(2, 3);
-    let job = session.submit(0, "a", 8, 900);
+    // They would still be at work when the job comes again.
+    let job = session.submit(0, "a", 8, 1_900);
     session.run(200);
     session.kill_entry(0, 3_000);
-    session.run_until_answered(job, 4_000);
+    session.run_until_answered(job, 6_000);
     assert_eq!(session.outcome(job), Some(JobOutcome::Completed));
     assert_clean(&session);
 }
@@ -150,6 +158,19 @@
     assert_clean(&session);
 }
 
+#[test]
+fn no_lease_is_extended_while_a_stop_has_no_answer() {
+    let mut session = Session::new(2, 1);
+    session.submit(0, "a", 4, 1_800);
+    session.run(100);
+    // Listings are answered, stops are not.
+    session.loses_stops = true;
+    session.kill_entry(0, 10_000);
+    session.run(1_250);
+    assert_eq!(session.minions[0].running().count(), 0);
+    assert_clean(&session);
+}
+
 #[test]
 fn a_crashed_minion_costs_its_runs_only() {
     let mut session = Session::new(1, 3);
@@ -318,3 +339,29 @@
     let share = share_in_time(loss);
     assert!(share >= least, "{share} in time");
 }
+
+#[test]
+fn a_job_that_comes_again_at_once_waits_until_the_first_one_is_gone() {
+    let mut session = Session::new(1, 2);
+    let job = session.submit(0, "a", 12, 600);
+    session.run(100);
+    session.break_caller_and_resend(job);
+    session.run_until_answered(job, 4_000);
+    assert_eq!(session.outcome(job), Some(JobOutcome::Completed));
+    assert_clean(&session);
+}
+
+#[test]
+fn after_a_short_cut_nothing_starts_elsewhere_before_it_is_stopped() {
+    for cut_ms in (380..480).step_by(4) {
+        let mut session = Session::new(1, 2);
+        let job = session.submit(0, "a", 12, 900);
+        session.run(100);
+        session.cut(0, 0);
+        session.run(cut_ms);
+        session.heal();
+        session.run_until_answered(job, 6_000);
+        assert_eq!(session.outcome(job), Some(JobOutcome::Completed));
+        assert_clean(&session);
+    }
+}
--- a/crates/dispatch/tests/interleavings.rs
+++ b/crates/dispatch/tests/interleavings.rs
@@ -8,6 +8,7 @@
 use rand_chacha::ChaCha8Rng;
 use session::Mood;
 use session::Session;
+use yare::parameterized;
 
 const ENTRIES: usize = 2;
 const AGENTS: usize = 4;
@@ -29,7 +30,8 @@
     REGRESSIONS.iter().copied().chain(chosen).collect()
 }
 
-fn play(seed: u64) -> Session {
+/// Plays a seed with tasks that work for less than `longest_ms`.
+fn play(seed: u64, longest_ms: u64) -> Session {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut session = Session::new(ENTRIES, AGENTS);
     for minion in &mut session.minions {
@@ -39,7 +41,7 @@
     for _ in 0..120 {
         for _ in 0..rng.random_range(0..3) {
             let tasks = rng.random_range(1..12);
-            let work_ms = rng.random_range(20..900);
+            let work_ms = rng.random_range(20..longest_ms);
             let entry = rng.random_range(0..ENTRIES);
             session.submit(entry, &format!("job-{jobs}"), tasks, work_ms);
             jobs += 1;
@@ -86,10 +88,15 @@
     }
 }
 
-#[test]
-fn no_interleaving_breaks_a_promise() {
+/// Tasks that are over before a caller sends its job again, and such that an
+/// entry or agent that failed may have left at work by then.
+#[parameterized(
+    short = { 900 },
+    long = { 3_000 },
+)]
+fn no_interleaving_breaks_a_promise(longest_ms: u64) {
     for seed in seeds() {
-        let session = play(seed);
+        let session = play(seed, longest_ms);
         let violations = &session.violations;
         assert!(violations.is_empty(), "seed {seed}: {violations:?}");
         let open = session
--- a/crates/dispatch/tests/session/mod.rs
+++ b/crates/dispatch/tests/session/mod.rs
@@ -50,6 +50,8 @@
 const REPORT_MS: u64 = 1_500;
 /// Pause after which a caller whose connection broke sends its job again.
 const RESEND_MS: u64 = 1_300;
+/// Time after which a lost stop is carried out.
+const LOST_STOP_MS: u64 = 9_000;
 /// Pause of an agent between attempts to connect.
 const DIAL_MS: u64 = 25;
 
@@ -164,6 +166,9 @@
     /// Decides the fate of each order: `None` in time, or after how long it is
     /// carried out without an answer.
     pub fate: Box<dyn FnMut(u64, usize) -> Option<u64>>,
+    /// Whether stops get no answer and are carried out seconds later, while
+    /// other calls are answered.
+    pub loses_stops: bool,
     pub callers: Vec<CallerState>,
     pub starts: BTreeMap<String, usize>,
     pub violations: Violations,
@@ -196,6 +201,7 @@
             cuts: BTreeSet::new(),
             late: Vec::new(),
             fate: Box::new(|_, _| None),
+            loses_stops: false,
             callers: Vec::new(),
             starts: BTreeMap::new(),
             violations: Violations::default(),
@@ -329,6 +335,12 @@
         }
     }
 
+    /// The same, and the job comes again at once.
+    pub fn break_caller_and_resend(&mut self, position: usize) {
+        self.break_caller(position);
+        self.callers[position].resend_at_ms = Some(self.now_ms + 2 * DELAY_MS);
+    }
+
     pub fn freeze_entry(&mut self, entry: usize, for_ms: u64) {
         self.entries[entry].frozen_until_ms = self.now_ms + for_ms;
     }
@@ -599,7 +611,9 @@
     fn agent_action(&mut self, agent: usize, action: AgentAction) {
         match action {
             AgentAction::Start { .. } | AgentAction::Stop { .. } | AgentAction::Hold { .. } => {
+                let is_lost_stop = self.loses_stops && matches!(action, AgentAction::Stop { .. });
                 match (self.fate)(self.now_ms, agent) {
+                    None if is_lost_stop => self.answer_nothing(agent, &action, LOST_STOP_MS),
                     None => self.carry_out(agent, &action, true),
                     Some(late_ms) => self.answer_nothing(agent, &action, late_ms),
                 }
