--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -77,7 +77,6 @@
     pub(crate) speed: f64,
     /// Whether it has told its room since it greeted.
     pub(crate) is_room_known: bool,
-    pub(crate) greeted_ms: u64,
     free: Room,
     parked: u32,
     is_open: bool,
@@ -93,7 +92,6 @@
             clock_ms: hello.clock_ms,
             speed: 1.0,
             is_room_known: false,
-            greeted_ms: now_ms,
             free: Room::default(),
             parked: 0,
             is_open: false,
--- a/crates/dispatch/src/overload.rs
+++ b/crates/dispatch/src/overload.rs
@@ -19,11 +19,6 @@
 /// many parts of its objective. A later refusal is of less use to its caller,
 /// and half of the objective is needed for the work itself.
 const LASTING_WAIT_PART: u64 = 6;
-/// Time for which an agent counts as new, in milliseconds: after a loss of all
-/// power the agents of a site greet within that of each other.
-const GATHERING_MS: u64 = 300;
-/// A service is gathering while one in this many of its agents is new.
-const GATHERING_PART: usize = 4;
 /// Share of a busy service that an entry reckons with at least: as if eight
 /// entries had equal shares.
 const LEAST_SHARE: f64 = 0.125;
@@ -111,7 +106,7 @@
     fn has_no_prospect(&self, now_ms: u64, job: &JobState, wait_ms: f64) -> bool {
         let service = &job.job.queue.service;
         let is_untouched = !job.has_run && job.is_clear();
-        if !is_untouched || !self.has_minions(service) || self.is_gathering(now_ms, service) {
+        if !is_untouched || !self.has_minions(service) || self.awaits_room(service) {
             return false;
         }
         let latest_ms = job.latest_start_ms(job.next_step(), &self.estimates);
@@ -127,21 +122,11 @@
         end_ms > job.objective_ms as f64 || (is_lasting && has_waited)
     }
 
-    /// Whether the agents of a service are still gathering, so that its room is
-    /// not known: one has not told its room yet, which takes it some
-    /// milliseconds, or a good part of them have greeted just now.
-    fn is_gathering(&self, now_ms: u64, service: &Name) -> bool {
-        let of_service = self.agents.values();
-        let of_service = of_service.filter(|agent| agent.hello.service == *service);
-        let (mut all, mut new) = (0, 0);
-        for agent in of_service {
-            if !agent.is_room_known {
-                return true;
-            }
-            all += 1;
-            new += usize::from(now_ms < agent.greeted_ms + GATHERING_MS);
-        }
-        new * GATHERING_PART >= all
+    /// Whether an agent of a service has greeted and not told its room yet: it
+    /// does within a few milliseconds, and may have plenty.
+    fn awaits_room(&self, service: &Name) -> bool {
+        let mut of_service = self.agents.values();
+        of_service.any(|agent| agent.hello.service == *service && !agent.is_room_known)
     }
 
     /// Work that each service gets through for this entry, in thousandths of a
