A run that is being stopped keeps its room though a copy of its start was refused

Cause: found by reading the change: one copy of a start was answered, the run was stopped, and a late refusal of the other copy freed its room and told its end while it was still at work for up to 40 ms: a task could run twice, a minion have more than it has room for. Change: a run that was seen at work is never taken for refused; its listing tells its end.

--- a/crates/dispatch/src/starts.rs
+++ b/crates/dispatch/src/starts.rs
@@ -25,6 +25,7 @@
 const START_RETRY_MS: u64 = 50;
 
 impl Agent {
+    /// Starts a run, or starts it again.
     pub(crate) fn start_run(&mut self, now_ms: u64, link: LinkId, order: OrderId) {
         let (Some(minion), Some(run)) = (&mut self.minion, self.runs.get_mut(link, order)) else {
             return;
@@ -101,12 +102,13 @@
         }
     }
 
-    /// No copy of a start told that the run is there.
+    /// All copies of a start are answered or given up, and the run is not known
+    /// to be at work.
     fn start_settled(&mut self, now_ms: u64, link: LinkId, order: OrderId) {
         let Some(run) = self.runs.get_mut(link, order) else {
             return;
         };
-        let may_be_there = run.is_unsure || run.unanswered > 0;
+        let may_be_there = run.was_seen || run.is_unsure || run.unanswered > 0;
         let is_starting = run.phase == Phase::Starting;
         match run.refusal {
             Some(StartResult::OldRun) if may_be_there && is_starting => {
