check-settings checks the files of the platform's programs too

Cause: an operator could check the files of the own interface only. Change: a file with the table [host] is read as the programs on the platform read it.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -17,6 +17,7 @@
 use gannetvane::Workload;
 use gannetvane::draw;
 use gannetvane::explain;
+use gannetvane_platform::PlatformSettings;
 use gannetvane_wire::Operation;
 use gannetvane_wire::api::IdsBody;
 use gannetvane_wire::api::PlanBody;
@@ -253,6 +254,8 @@
     Plot(#[from] PlotError),
     #[error("{0}")]
     Settings(#[from] SettingsError),
+    #[error("{0}")]
+    PlatformSettings(#[from] gannetvane_platform::SettingsError),
     #[error("{path}: {reason}")]
     File { path: String, reason: String },
     #[error("{0}")]
@@ -314,11 +317,7 @@
         Command::Explain(arguments) => tell(&arguments),
         Command::Load(arguments) => load(arguments),
         Command::Plot(arguments) => plot(&arguments),
-        Command::CheckSettings(arguments) => {
-            Settings::load(&arguments.settings, &arguments.set)?;
-            println!("{}: ok", arguments.settings.display());
-            Ok(())
-        }
+        Command::CheckSettings(arguments) => check_settings(&arguments),
     }
 }
 
@@ -436,6 +435,20 @@
     Ok(draw(&reports, &arguments.response, &arguments.messages)?)
 }
 
+/// Checks a file of either interface: only those of the platform's programs
+/// have the table `host`.
+fn check_settings(arguments: &CheckArguments) -> Result<(), CommandError> {
+    let text = read(&arguments.settings.display().to_string())?;
+    let table: Option<toml::Table> = toml::from_str(&text).ok();
+    if table.is_some_and(|table| table.contains_key("host")) {
+        PlatformSettings::load(&arguments.settings)?;
+    } else {
+        Settings::load(&arguments.settings, &arguments.set)?;
+    }
+    println!("{}: ok", arguments.settings.display());
+    Ok(())
+}
+
 fn tell(arguments: &ExplainArguments) -> Result<(), CommandError> {
     let Some((job, paths)) = arguments.job_and_logs.split_first() else {
         return Err(CommandError::NoLogs);
