--- a/crates/dispatch/src/overload.rs
+++ b/crates/dispatch/src/overload.rs
@@ -1,4 +1,5 @@
-//! Jobs that cannot be of use any more are answered at once.
+//! Jobs that cannot be of use any more are answered at once; those of which
+//! nothing has started are refused as soon as they would be late.
 
 use std::collections::BTreeMap;
 
