A silent connection is found by the time since the last answer

Cause: the test of a silent store took 4.6 of the 5 s that it allows: its first call that timed out had been sent before others were answered, so that idle connections were kept and the next call took a silent one. Ruled out: the store's waiting reads themselves: 2.25 s each, two of them. Change: idle connections are given up when a call times out and nothing was answered for 250 ms (or for as long as the call was given).

--- a/crates/node/src/http_client.rs
+++ b/crates/node/src/http_client.rs
@@ -1,8 +1,8 @@
 //! Calls over HTTP/1.1 on connections that stay open.
 //!
 //! A connection can go silent for good without a reset. When a call times out
-//! and nothing else was answered meanwhile, all idle connections are suspect
-//! and are given up with it, so that the next call opens a new one.
+//! and nothing was answered of late, all idle connections are suspect and are
+//! given up with it, so that the next call opens a new one.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -21,6 +21,7 @@
 use hyper_util::rt::TokioExecutor;
 use hyper_util::rt::TokioTimer;
 use thiserror::Error;
+use tokio::time::Instant;
 
 /// Connections to one address that are kept open without a call.
 const IDLE_CONNECTIONS: usize = 16;
@@ -29,6 +30,10 @@
 /// Largest answer in bytes.
 const MAX_REPLY_BYTES: usize = 8 * 1024 * 1024;
 
+/// Time without any answer after which idle connections are suspect when a call
+/// times out, in milliseconds, or the time of the call if that is less.
+const SUSPECT_MS: u64 = 250;
+
 /// Rounds of the event loop in which an answer that has arrived gets through
 /// the connection's own task to its caller.
 const YIELDS: usize = 6;
@@ -63,8 +68,8 @@
 pub struct HttpCaller {
     addr: SocketAddr,
     client: Rc<RefCell<PooledClient>>,
-    /// Calls that were answered so far.
-    answers: Rc<Cell<u64>>,
+    /// When a call was last answered.
+    answered: Rc<Cell<Option<Instant>>>,
 }
 
 impl HttpCaller {
@@ -74,7 +79,7 @@
         Self {
             addr,
             client: Rc::new(RefCell::new(pooled_client())),
-            answers: Rc::default(),
+            answered: Rc::default(),
         }
     }
 
@@ -101,24 +106,26 @@
             .body(Full::new(Bytes::from(body)))
             .map_err(|error| CallError::Invalid(error.to_string()))?;
         let timeout = Duration::from_millis(timeout_ms);
-        let answers_before = self.answers.get();
         tokio::select! {
             biased;
             reply = self.exchange(request) => {
-                self.answers.set(self.answers.get() + 1);
+                self.answered.set(Some(Instant::now()));
                 reply
             }
             () = time_out(timeout) => {
-                if self.answers.get() == answers_before {
-                    self.drop_idle_connections();
-                }
+                self.suspect_idle_connections(timeout_ms);
                 Err(CallError::TimedOut(timeout_ms))
             }
         }
     }
 
-    fn drop_idle_connections(&self) {
-        *self.client.borrow_mut() = pooled_client();
+    /// Gives up all idle connections unless something was answered of late.
+    fn suspect_idle_connections(&self, timeout_ms: u64) {
+        let of_late = Duration::from_millis(timeout_ms.min(SUSPECT_MS));
+        let answered = self.answered.get();
+        if answered.is_none_or(|answered| answered.elapsed() >= of_late) {
+            *self.client.borrow_mut() = pooled_client();
+        }
     }
 
     async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Reply, CallError> {
