Appends without records take no number; ends beyond the list are not lost

(2) A minion lists 500 ends.

Ruled out for (2): a start by a second owner (one entry only, same epoch).

Test: ends_that_the_minion_does_not_list_are_not_taken_for_lost (fails without it: 29 tasks done twice).

--- a/crates/dispatch/src/ledger.rs
+++ b/crates/dispatch/src/ledger.rs
@@ -474,6 +474,12 @@
         };
         match owned.due_batch(now_ms) {
             Ok(None) => {}
+            Ok(Some(batch)) if batch.records.is_empty() => {
+                // All that it would tell lies in the log.
+                let changes = batch.changes.clone();
+                owned.batch = None;
+                self.in_log(now_ms, partition, changes, dispatcher);
+            }
             Ok(Some(batch)) => {
                 let append = LedgerAction::Append {
                     partition,
--- a/crates/dispatch/src/listings.rs
+++ b/crates/dispatch/src/listings.rs
@@ -24,6 +24,9 @@
 const PAUSE_MS: u64 = 25;
 /// The same while the minion keeps ends: the store takes a record within 10.
 const KEPT_PAUSE_MS: u64 = 8;
+/// Most ends that a minion lists; of later ones nothing is known until some are
+/// acknowledged.
+pub(crate) const ENDS_LISTED: usize = 500;
 /// Percentage of a run that is done.
 const ALL_DONE: u8 = 100;
 
@@ -86,7 +89,7 @@
         }
         minion.acked_through = minion.acked_through.max(hold.acked_through);
         self.take_ends(now_ms, &listing);
-        self.take_running(now_ms, hold.sent_ms, &listing.running);
+        self.take_running(now_ms, hold.sent_ms, &listing);
         self.start_parked(now_ms);
     }
 
@@ -131,10 +134,12 @@
 
     /// Compares the listing with what should run. A listing tells of a run
     /// only if it was asked for after the run's last answer.
-    pub(crate) fn take_running(&mut self, now_ms: u64, asked_ms: u64, running: &[Running]) {
+    pub(crate) fn take_running(&mut self, now_ms: u64, asked_ms: u64, listing: &Listing) {
         let mut gone = Vec::new();
+        let is_whole = listing.finished.len() < ENDS_LISTED;
         for run in self.runs.iter_mut().filter(|run| run.takes_room()) {
-            let listed = running
+            let listed = listing
+                .running
                 .iter()
                 .find(|row| row.key.as_ref() == Some(&run.key));
             if let Some(row) = listed {
@@ -145,14 +150,14 @@
                     run.phase = Phase::Running;
                     run.confirmed_ms = now_ms;
                 }
-            } else if is_surely_gone(run.phase, run.confirmed_ms, asked_ms) {
+            } else if is_whole && is_surely_gone(run.phase, run.confirmed_ms, asked_ms) {
                 gone.push((run.link, run.order));
             }
         }
         for (link, order) in gone {
             self.run_vanished(now_ms, link, order);
         }
-        self.stop_strangers(now_ms, running);
+        self.stop_strangers(now_ms, &listing.running);
     }
 
     pub(crate) fn run_vanished(&mut self, now_ms: u64, link: LinkId, order: OrderId) {
--- a/crates/dispatch/src/minion.rs
+++ b/crates/dispatch/src/minion.rs
@@ -35,6 +35,9 @@
 /// two of its reports may be lost.
 const REPORTS_LOST_MS: u64 = 6_000;
 
+/// Ends without an acknowledgement from which the minion gets no more starts: it
+/// lists 500, and runs far fewer than the rest at a time.
+const ENDS_KEPT: u64 = 400;
 /// Calls in a row without an answer after which the minion gets no more
 /// starts until it answers again.
 const UNANSWERED: u32 = 3;
@@ -106,7 +109,14 @@
     }
 
     pub(crate) fn is_open(&self) -> bool {
-        self.is_clean && !self.report.is_draining && !self.has_left && self.is_answering()
+        let is_serving = self.is_clean && !self.report.is_draining && !self.has_left;
+        is_serving && self.is_answering() && self.has_room_for_ends()
+    }
+
+    /// Whether the minion lists the ends of all that it may still be given.
+    fn has_room_for_ends(&self) -> bool {
+        let kept = self.finished_through.saturating_sub(self.acked_through);
+        kept < ENDS_KEPT
     }
 
     /// Whether calls are answered: some may stay without an answer by chance,
--- a/crates/dispatch/src/partition.rs
+++ b/crates/dispatch/src/partition.rs
@@ -348,7 +348,9 @@
     ) -> Result<(), postcard::Error> {
         let records = self.records(&changes)?;
         let number = self.next_number;
-        self.next_number += 1;
+        if !records.is_empty() {
+            self.next_number += 1;
+        }
         self.batch = Some(Batch {
             epoch: self.epoch,
             number,
--- a/crates/dispatch/tests/session/log.rs
+++ b/crates/dispatch/tests/session/log.rs
@@ -97,6 +97,10 @@
             partition.epoch = append.epoch;
             partition.next_number = None;
         }
+        if append.records.is_empty() {
+            // It sets the epoch and takes no number.
+            return AppendResult::Appended(partition.end);
+        }
         match partition.next_number {
             // A repeat gets its first answer.
             Some(next) if append.number + 1 == next => {
--- a/crates/dispatch/tests/session/minion.rs
+++ b/crates/dispatch/tests/session/minion.rs
@@ -11,6 +11,8 @@
 use gannetvane_dispatch::StartResult;
 use gannetvane_dispatch::TaskId;
 
+/// Most ends of one listing.
+const ENDS_LISTED: usize = 500;
 /// First run number of stored tasks.
 const FIRST_STORED_RUN: u32 = 4_096;
 /// Time that a stop takes, in milliseconds.
@@ -195,7 +197,7 @@
         Listing {
             clock_ms: self.clock_ms(now_ms),
             running: running.collect(),
-            finished: self.finished.clone(),
+            finished: self.finished.iter().take(ENDS_LISTED).cloned().collect(),
         }
     }
 
--- a/crates/dispatch/tests/stored.rs
+++ b/crates/dispatch/tests/stored.rs
@@ -2,7 +2,11 @@
 
 mod session;
 
+use std::collections::BTreeSet;
+
+use gannetvane_dispatch::RunKey;
 use gannetvane_dispatch::StoredEnd;
+use gannetvane_dispatch::TaskId;
 use session::LogFate;
 use session::Mood;
 use session::Session;
@@ -207,6 +211,34 @@
     check(&mut session);
 }
 
+#[test]
+fn ends_that_the_minion_does_not_list_are_not_taken_for_lost() {
+    let mut session = Session::new(1, 1);
+    let warm = session.store("0000000000000001", 1, 10);
+    session.run_until_ended(warm, 5_000);
+    session.run(1_500);
+    // Some ends stay unrecorded, and callers of other jobs come all the while.
+    session.store("00000000000000b1", 4, 100);
+    session.run(60);
+    session.log_fate = Box::new(|_, _| LogFate::Silent);
+    let mut callers = Vec::new();
+    for n in 0..140 {
+        callers.push(session.submit(0, &format!("job-{n}"), 8, 10));
+        session.run(30);
+    }
+    session.log_fate = Box::new(|_, _| LogFate::Served);
+    session.run(3_000);
+    let minion = &session.minions[0];
+    let runs: BTreeSet<&RunKey> = minion.done.iter().collect();
+    let tasks: BTreeSet<&TaskId> = minion.done.iter().map(|key| &key.task).collect();
+    assert_eq!(runs.len(), tasks.len(), "no task was done twice");
+    let answered = callers
+        .iter()
+        .filter(|caller| session.outcome(**caller).is_some());
+    assert_eq!(answered.count(), callers.len());
+    check(&mut session);
+}
+
 #[test]
 fn a_cancelled_job_stays_cancelled_at_the_next_owner() {
     let mut session = Session::new(3, 3);
