Stored jobs are refused at once or not at all; a task that waits has not begun

With free room a second job was refused as overloaded, since the rate of an idle entry is next to nothing.

Ruled out: a shorter time for all calls; questions and cancels are worth waiting for.

Change: a submission looks for an owner for a fifth of its objective; free room admits; shorter times of the group (join each 300 ms, lost after 1.2 s, owner's lease 1.5 s); the owners are read again before counting; patience with a run that stands still is at least 3% of its expected time.

--- a/crates/dispatch/src/ends.rs
+++ b/crates/dispatch/src/ends.rs
@@ -37,8 +37,11 @@
 /// Speeds of minions whose run times are learned from: the kinds on the
 /// users' sheets, not those that have become slow.
 const SOUND_SPEEDS: std::ops::Range<f64> = 0.6..1.8;
-/// Speed below which all runs on a minion stand still.
+/// Speed below which all runs on a minion stand still, and the share of its
+/// expected time for which a run must then have made no progress: minions tell
+/// progress in hundredths.
 const STALLED_SPEED: f64 = 0.3;
+const STALLED_SHARE: f64 = 0.03;
 
 impl Dispatcher {
     pub(crate) fn ended(
@@ -66,6 +69,7 @@
         };
         let is_open = job.is_open();
         job.has_run |= !matches!(end, End::NotStarted(_));
+        job.was_seen |= job.has_run;
         let queue = Arc::clone(&job.job.queue);
         if let Some(number) = kept {
             self.stored_events.push(StoredEvent::TaskEnded {
@@ -271,6 +275,9 @@
         let Some(agent) = self.agents.get(&state.link) else {
             return;
         };
+        if let Some(job) = self.jobs.get_mut(&state.job) {
+            job.was_seen = true;
+        }
         if state.is_stop_sent || !self.jobs.get(&state.job).is_some_and(JobState::is_open) {
             return;
         }
@@ -284,8 +291,9 @@
             .is_some_and(|job| job.tasks[state.position].moves >= MOVES);
         let elapsed_ms = f64::from(elapsed_ms);
         let patience_ms = HANG_MS.max(state.expected_ms * HANG_SHARE);
+        let stalled_ms = HANG_MS.max(state.expected_ms * STALLED_SHARE);
         let is_hanging = f64::from(idle_ms) > patience_ms
-            || (f64::from(idle_ms) > HANG_MS && speed < STALLED_SPEED);
+            || (f64::from(idle_ms) > stalled_ms && speed < STALLED_SPEED);
         let (remaining_ms, work_ms) = if is_hanging {
             (f64::INFINITY, state.expected_ms)
         } else if percent > 0 {
--- a/crates/dispatch/src/jobs.rs
+++ b/crates/dispatch/src/jobs.rs
@@ -100,6 +100,8 @@
     /// Whether it is kept in the job log: it has no callers, is never given up,
     /// and its ends are recorded.
     pub(crate) is_stored: bool,
+    /// Whether a minion was seen to run some of it.
+    pub(crate) was_seen: bool,
     /// Whether nothing more of it is started here.
     pub(crate) is_held: bool,
 }
@@ -170,6 +172,7 @@
             first_start_ms: None,
             last_end: String::new(),
             is_stored: false,
+            was_seen: false,
             is_held: false,
         }
     }
@@ -248,6 +251,14 @@
         self.tasks.iter().filter(waiting).map(work).sum()
     }
 
+    /// Thousandths of a core that the tasks that wait need together.
+    pub(crate) fn waiting_milli(&self) -> f64 {
+        let waiting = |task: &&TaskState| task.phase == TaskPhase::Waiting;
+        let waiting = self.tasks.iter().filter(waiting);
+        let needs = waiting.map(|task| self.job.steps[task.step].needs.cpu_milli);
+        needs.map(f64::from).sum()
+    }
+
     /// Whether it is unlikely to be in time when it starts now.
     pub(crate) fn is_late(&self, now_ms: u64, step: usize, estimates: &Estimates) -> bool {
         let latest_ms = self.latest_start_ms(step, estimates);
--- a/crates/dispatch/src/ledger.rs
+++ b/crates/dispatch/src/ledger.rs
@@ -33,14 +33,15 @@
 
 /// Time for which an owner runs tasks after the store last listed a partition
 /// as its own, in milliseconds: five joins, one of them may take long.
-pub const OWNER_LEASE_MS: u64 = 2_000;
+pub const OWNER_LEASE_MS: u64 = 1_500;
 /// Time without a join after which the store gives an entry's partitions to
 /// others, in milliseconds: three joins may be lost.
-pub const MEMBER_TTL_MS: u64 = 1_500;
-/// Least pause between two joins while calls wait for one, in milliseconds.
+pub const MEMBER_TTL_MS: u64 = 1_200;
+/// Least pause between two joins, in milliseconds: while calls wait for one, and
+/// after the group changed, since it often does so again.
 const LEAST_JOIN_MS: u64 = 100;
 /// Pause between two joins, in milliseconds.
-const JOIN_MS: u64 = 400;
+const JOIN_MS: u64 = 300;
 
 /// Settings of a ledger.
 #[derive(Clone, Debug)]
@@ -194,6 +195,9 @@
         // A partition may have gone to another entry and come back only if there
         // was more than one change.
         let has_gap = membership.generation > self.generation + 1;
+        if membership.generation != self.generation {
+            self.join_soon(now_ms);
+        }
         self.generation = membership.generation;
         let epoch = u32::try_from(self.generation).unwrap_or(u32::MAX);
         let owned: Vec<Partition> = self.partitions.keys().copied().collect();
--- a/crates/dispatch/src/rounds.rs
+++ b/crates/dispatch/src/rounds.rs
@@ -122,6 +122,15 @@
         free / all
     }
 
+    /// Thousandths of a core of a service that are free, as far as is known.
+    pub(crate) fn free_milli(&self, service: &Name) -> f64 {
+        let of_service = self.agents.values();
+        let of_service = of_service.filter(|agent| agent.hello.service == *service);
+        of_service
+            .map(|agent| f64::from(agent.free().cpu_milli))
+            .sum()
+    }
+
     pub(crate) fn waiting_by_urgency(&self, now_ms: u64) -> Vec<Name> {
         let waiting = self
             .jobs
--- a/crates/dispatch/src/stored.rs
+++ b/crates/dispatch/src/stored.rs
@@ -65,6 +65,22 @@
 }
 
 impl StoredJob {
+    /// Time from its submission within which it should have ended, in
+    /// milliseconds, by the run times that its caller declared.
+    #[must_use]
+    pub fn objective_ms(&self) -> u64 {
+        let mut ends_ms: Vec<u64> = Vec::with_capacity(self.steps.len());
+        for step in &self.steps {
+            let earlier = step.after.iter();
+            let earlier = earlier.filter_map(|before| ends_ms.get(*before as usize));
+            let begins_ms = earlier.max().copied().unwrap_or(0);
+            ends_ms.push(begins_ms.saturating_add(step.declared_ms));
+        }
+        let chain_ms = ends_ms.iter().max().copied().unwrap_or(0);
+        let stretched_ms = (chain_ms as f64 * self.queue.stretch) as u64;
+        stretched_ms.saturating_add(self.queue.target_latency_ms)
+    }
+
     /// The position of a task, counted over all steps.
     pub(crate) fn position(&self, task: &TaskId) -> Option<u32> {
         let step = usize::try_from(task.step).ok()?;
--- a/crates/dispatch/src/stored_runs.rs
+++ b/crates/dispatch/src/stored_runs.rs
@@ -11,6 +11,7 @@
 use crate::Order;
 use crate::Refusal;
 use crate::Settlement;
+use crate::Step;
 use crate::StoredJob;
 use crate::jobs::JobState;
 use crate::jobs::TaskPhase;
@@ -19,8 +20,11 @@
 use crate::stored::StoredEvent;
 
 /// A stored job is refused when all that waits before it takes longer than
-/// this, in milliseconds: twice the longest time limit on the users' sheets.
+/// this, in milliseconds, and than its whole objective twice: a job is of use
+/// until three times its objective. Twice the longest time limit on the users'
+/// sheets.
 const LONGEST_BACKLOG_MS: f64 = 3_000.0;
+const BACKLOG_OBJECTIVES: f64 = 2.0;
 
 impl Dispatcher {
     /// What happened to stored jobs since the last call.
@@ -40,12 +44,18 @@
             let is_waiting = job.is_open() && job.has_waiting();
             is_waiting && job.job.queue.service == *service
         });
-        let ahead: f64 = of_service
-            .map(|job| job.waiting_work(&self.estimates))
-            .sum();
+        let (mut ahead, mut needed_milli) = (0.0, first_needs_milli(&job));
+        for waiting in of_service {
+            ahead += waiting.waiting_work(&self.estimates);
+            needed_milli += waiting.waiting_milli();
+        }
+        if needed_milli <= self.free_milli(service) {
+            return Ok(());
+        }
         let rate = self.drain_rates().get(service).copied();
         let wait_ms = rate.map_or(0.0, |rate| ahead / rate);
-        if wait_ms > LONGEST_BACKLOG_MS {
+        let longest_ms = stored.objective_ms() as f64 * BACKLOG_OBJECTIVES;
+        if wait_ms > longest_ms.max(LONGEST_BACKLOG_MS) {
             return Err(Refusal::Overloaded);
         }
         Ok(())
@@ -97,10 +107,11 @@
         self.jobs.get(id).is_none_or(JobState::is_clear)
     }
 
-    /// Whether something of a stored job has been started here.
+    /// Whether something of a stored job is known to have begun here; a task
+    /// that waits at an agent has not.
     pub(crate) fn has_stored_begun(&self, id: &Name) -> bool {
         let job = self.jobs.get(id);
-        job.is_some_and(|job| job.first_start_ms.is_some())
+        job.is_some_and(|job| job.was_seen)
     }
 
     /// An agent offers ends that wait for an owner.
@@ -164,6 +175,17 @@
     }
 }
 
+/// What the tasks of a job need that can start at once, in thousandths of a
+/// core.
+fn first_needs_milli(job: &Job) -> f64 {
+    let first = job.steps.iter().filter(|step| step.after.is_empty());
+    first.map(needs_milli).sum()
+}
+
+fn needs_milli(step: &Step) -> f64 {
+    f64::from(step.count) * f64::from(step.needs.cpu_milli)
+}
+
 fn executable(stored: &StoredJob) -> Job {
     Job {
         id: stored.id.clone(),
--- a/crates/dispatch/src/unsettled.rs
+++ b/crates/dispatch/src/unsettled.rs
@@ -21,8 +21,8 @@
 use crate::stored::RUNS_PER_EPOCH;
 
 /// Time for which an end is offered, in milliseconds: the store gives a lost
-/// owner's partitions away after 1.5 s, and the next owner starts tasks anew
-/// 3.2 s after that.
+/// owner's partitions away after 1.2 s, and the next owner starts tasks anew
+/// 2.7 s after that.
 const KEEP_MS: u64 = 6_000;
 
 /// Ends, by their number in the minion's lifetime.
--- a/crates/dispatch/tests/stored.rs
+++ b/crates/dispatch/tests/stored.rs
@@ -12,8 +12,8 @@
 use session::Session;
 use yare::parameterized;
 
-/// Time in which the next owner of a partition gets a job to its end: 1.5 s
-/// until the log gives it away, 3.2 s for the last owner's runs, and the work.
+/// Time in which the next owner of a partition gets a job to its end: 1.2 s
+/// until the log gives it away, 2.7 s for the last owner's runs, and the work.
 const TAKEOVER_MS: u64 = 7_000;
 /// Time after which all ends are settled and all callers know.
 const CALM_MS: u64 = 9_000;
--- a/crates/node/src/entry_handle.rs
+++ b/crates/node/src/entry_handle.rs
@@ -178,13 +178,12 @@
     /// Submits a job that is to be kept until it has ended; the answer comes
     /// when it lies in the job log, or is refused.
     pub async fn store(&self, job: StoredJob, wait_ms: u64) -> StoredAnswer {
-        if !self.has_stored_jobs.get() {
+        let is_first = !self.has_stored_jobs.get();
+        if is_first {
             // Without a receiver the process is about to end.
             let _ = self.inputs.send(Input::FirstStoredJob);
         }
-        let id = job.id.clone();
-        let call = StoredCall::Submit(job);
-        self.stored_calls.ask(&id, call, wait_ms).await
+        self.stored_calls.submit(job, wait_ms, is_first).await
     }
 
     /// How far a stored job is.
--- a/crates/node/src/stored_calls.rs
+++ b/crates/node/src/stored_calls.rs
@@ -14,6 +14,7 @@
 use gannetvane_dispatch::Partition;
 use gannetvane_dispatch::StoredAnswer;
 use gannetvane_dispatch::StoredCall;
+use gannetvane_dispatch::StoredJob;
 use gannetvane_dispatch::StoredReply;
 use gannetvane_dispatch::StoredRequest;
 use gannetvane_dispatch::decode;
@@ -33,14 +34,24 @@
 use crate::links::FrameSender;
 use crate::ports::JobLogPort;
 
-/// Longest time that a call is tried for, in milliseconds: the store gives the
-/// partitions of a lost owner away after 1.5 s, and a claim takes some more.
+/// Longest time that a call waits for its answer, in milliseconds.
 const PATIENCE_MS: u64 = 2_500;
+/// Longest time for which an owner is looked for, in milliseconds: the store
+/// gives the partitions of a lost one away after 1.2 s, and a claim takes some
+/// more. A submission has less: it is refused while it can still be of use
+/// elsewhere.
+const SEARCH_MS: u64 = 2_000;
 /// Time after which an owner's connection is given up with the calls on it, in
 /// milliseconds: the store may be 60 times slower than its usual 4 ms.
 const ATTEMPT_MS: u64 = 700;
+/// A submission looks for an owner for one in this many parts of its objective;
+/// what is refused later counts as held back.
+const SEARCH_PART: u64 = 5;
 /// Pause between two attempts, in milliseconds.
-const RETRY_MS: u64 = 50;
+const RETRY_MS: u64 = 20;
+/// Greatest age of the list of owners when jobs are counted at all of them, in
+/// milliseconds; a count may be 2 s old.
+const COUNTED_AGE_MS: u64 = 1_000;
 /// Least age at which the list of owners is read anew, in milliseconds.
 const OWNERS_AGE_MS: u64 = 150;
 
@@ -53,6 +64,8 @@
     log: Logger,
     owners: RefCell<BTreeMap<Partition, SocketAddr>>,
     read_at: Cell<Option<Instant>>,
+    /// Whether the store answered when it was last asked for the owners.
+    is_store_telling: Cell<bool>,
     peers: RefCell<BTreeMap<SocketAddr, Rc<Peer>>>,
 }
 
@@ -80,14 +93,44 @@
             log,
             owners: RefCell::default(),
             read_at: Cell::default(),
+            is_store_telling: Cell::new(true),
             peers: RefCell::default(),
         }
     }
 
+    /// Submits a job; the first ones wait until there are owners at all.
+    pub(crate) async fn submit(
+        &self,
+        job: StoredJob,
+        wait_ms: u64,
+        is_first: bool,
+    ) -> StoredAnswer {
+        let search_ms = if is_first {
+            SEARCH_MS
+        } else {
+            job.objective_ms() / SEARCH_PART
+        };
+        let id = job.id.clone();
+        let call = StoredCall::Submit(job);
+        self.ask_within(&id, call, wait_ms, search_ms).await
+    }
+
     /// Asks the owner of a job's partition, for at most `wait_ms`.
     pub(crate) async fn ask(&self, id: &Name, call: StoredCall, wait_ms: u64) -> StoredAnswer {
+        self.ask_within(id, call, wait_ms, SEARCH_MS).await
+    }
+
+    async fn ask_within(
+        &self,
+        id: &Name,
+        call: StoredCall,
+        wait_ms: u64,
+        search_ms: u64,
+    ) -> StoredAnswer {
         let partition = Partition::of(id, self.partitions);
-        let end = Instant::now() + Duration::from_millis(wait_ms.min(PATIENCE_MS));
+        let start = Instant::now();
+        let end = start + Duration::from_millis(wait_ms.min(PATIENCE_MS));
+        let search_end = end.min(start + Duration::from_millis(search_ms.min(SEARCH_MS)));
         let mut is_unsure = false;
         loop {
             match self.attempt(partition, &call, end).await {
@@ -95,9 +138,9 @@
                 Ok(StoredAnswer::Unsure) | Err(Missed::NoAnswer) => is_unsure = true,
                 Ok(answer) => return answer,
             }
-            let is_known = self.read_owners().await;
+            let is_known = self.read_owners(search_end).await;
             let next = Instant::now() + Duration::from_millis(RETRY_MS);
-            if next >= end || !is_known {
+            if next >= search_end || !is_known {
                 return if is_unsure {
                     StoredAnswer::Unsure
                 } else {
@@ -110,11 +153,13 @@
 
     /// Jobs of a queue of which nothing has started, at all owners that answer.
     pub(crate) async fn pending(&self, queue: &Name) -> usize {
-        if self.owners.borrow().is_empty() {
-            self.read_owners().await;
+        let end = Instant::now() + Duration::from_millis(ATTEMPT_MS);
+        let read_at = self.read_at.get();
+        let is_old = |at: Instant| at.elapsed() >= Duration::from_millis(COUNTED_AGE_MS);
+        if read_at.is_none_or(is_old) {
+            self.read_owners(end).await;
         }
         let owners: BTreeSet<SocketAddr> = self.owners.borrow().values().copied().collect();
-        let end = Instant::now() + Duration::from_millis(ATTEMPT_MS);
         let mut sum = 0;
         for owner in owners {
             let call = StoredCall::Pending(queue.clone());
@@ -143,7 +188,8 @@
         end: Instant,
     ) -> Result<StoredAnswer, Missed> {
         if owner != self.own {
-            let peer = self.peer(owner).await.ok_or(Missed::NotSent)?;
+            let peer = timeout_at(end, self.peer(owner)).await;
+            let peer = peer.ok().flatten().ok_or(Missed::NotSent)?;
             return peer.ask(call, end).await;
         }
         let (answer, answered) = oneshot::channel();
@@ -166,22 +212,28 @@
         Some(peer)
     }
 
-    /// Reads who owns what, unless that was done just now; `false` when nobody
-    /// is known.
-    async fn read_owners(&self) -> bool {
+    /// Reads who owns what, unless that was done just now; `false` when the
+    /// store cannot tell.
+    async fn read_owners(&self, end: Instant) -> bool {
         let is_fresh = |at: Instant| at.elapsed() < Duration::from_millis(OWNERS_AGE_MS);
         if !self.read_at.get().is_some_and(is_fresh) {
             self.read_at.set(Some(Instant::now()));
-            match self.job_log.owners().await {
-                Ok(owners) => *self.owners.borrow_mut() = owners,
-                Err(error) => {
+            let owners = timeout_at(end, self.job_log.owners()).await;
+            let is_told = match owners {
+                Ok(Ok(owners)) => {
+                    *self.owners.borrow_mut() = owners;
+                    true
+                }
+                Ok(Err(error)) => {
                     warn!(self.log, "store-lost"; "call" => "owners", "error" => %error);
-                    return !self.owners.borrow().is_empty();
+                    false
                 }
-            }
+                Err(_) => false,
+            };
+            self.is_store_telling.set(is_told);
         }
         // A group that has just come into being has no owners yet.
-        true
+        self.is_store_telling.get()
     }
 }
 
