--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -28,7 +28,9 @@
 use gannetvane_platform_standins::StoreStandIn;
 use gannetvane_platform_standins::free_addr;
 use gannetvane_platform_standins::post_job;
+use gannetvane_platform_standins::post_stored_job;
 use gannetvane_platform_standins::settings;
+use gannetvane_platform_standins::stored_state;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -48,6 +50,8 @@
 /// Time with faults, and time for the last of them to pass, in milliseconds.
 const FAULTS_MS: u64 = 7_000;
 const SETTLE_MS: u64 = 5_000;
+/// One client in this many sends jobs that are stored.
+const STORING_PART: usize = 3;
 /// Pause before a client sends a job again whose answer did not come.
 const RESEND_MS: u64 = 1_300;
 /// Seeds that every run plays.
@@ -167,6 +171,8 @@
 struct JobLog {
     tasks: usize,
     statuses: Vec<u16>,
+    /// Whether it is stored.
+    is_accepted: bool,
     is_completed: bool,
 }
 
@@ -296,7 +302,14 @@
             }
             5 => program.signal(Signal::HUP),
             6 => self.store.set_fault(StoreFault::Refuses(503)),
-            7 => self.store.set_fault(StoreFault::Silent),
+            7 => self.store.set_fault(match rng.random_range(0..3) {
+                0 => StoreFault::Silent,
+                1 => StoreFault::LosesAnswers,
+                _ => {
+                    self.store.rebalance();
+                    StoreFault::None
+                }
+            }),
             8 => self.store.set_fault(StoreFault::None),
             9 => minion.crash(),
             10 => minion.leave_unanswered(rng.random_range(1..6)),
@@ -338,6 +351,22 @@
         self.programs.iter_mut().for_each(Program::carry_out_due);
     }
 
+    /// Waits until every stored job is told as complete by any entry.
+    fn wait_stored(&self) {
+        let jobs = self.jobs.lock().expect("no panic").clone();
+        let end = Instant::now() + Duration::from_secs(30);
+        for (id, _) in jobs.iter().filter(|(_, job)| job.is_accepted) {
+            let is_completed = |front: &Proxy| stored_state(front.addr, id).1.contains("completed");
+            while !self.fronts.iter().all(is_completed) {
+                if Instant::now() > end {
+                    self.violate(format!("stored job {id} has not ended"));
+                    return;
+                }
+                thread::sleep(Duration::from_millis(20));
+            }
+        }
+    }
+
     /// What callers were told, against what the minions did.
     fn check_answers(&self) {
         let jobs = self.jobs.lock().expect("no panic");
@@ -375,6 +404,45 @@
     }
 }
 
+/// Sends stored jobs one after the other, each again until it is accepted or
+/// refused, and asks for each until it has ended.
+fn run_storing_client(
+    number: usize,
+    seed: u64,
+    fronts: &[SocketAddr],
+    jobs: &Mutex<BTreeMap<String, JobLog>>,
+    stop: &AtomicBool,
+) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed * 1_000 + number as u64);
+    let mut sent = 0;
+    while !stop.load(Ordering::Relaxed) {
+        sent += 1;
+        let id = format!("{number:04x}{:04x}{sent:08x}", seed & 0xffff);
+        let tasks = rng.random_range(1..6);
+        let work_ms = rng.random_range(10..500);
+        let mut log = JobLog {
+            tasks,
+            ..JobLog::default()
+        };
+        while !stop.load(Ordering::Relaxed) && !log.is_accepted {
+            let front = fronts[rng.random_range(0..fronts.len())];
+            let (status, _) = post_stored_job(front, &id, tasks, work_ms);
+            log.statuses.push(status);
+            log.is_accepted = status == 200;
+            if matches!(status, 422 | 429 | 503) && log.statuses.len() == 1 {
+                break;
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+        while !stop.load(Ordering::Relaxed) && log.is_accepted && !log.is_completed {
+            let front = fronts[rng.random_range(0..fronts.len())];
+            log.is_completed = stored_state(front, &id).1.contains("completed");
+            thread::sleep(Duration::from_millis(20));
+        }
+        jobs.lock().expect("no panic").insert(id, log);
+    }
+}
+
 /// Sends jobs one after the other, each again when no answer came.
 fn run_client(
     number: usize,
@@ -455,7 +523,11 @@
                 Arc::clone(&soak.jobs),
                 Arc::clone(&clients_stop),
             );
-            thread::spawn(move || run_client(number, seed, &fronts, &jobs, &stop))
+            let run = match number % STORING_PART {
+                0 => run_storing_client,
+                _ => run_client,
+            };
+            thread::spawn(move || run(number, seed, &fronts, &jobs, &stop))
         })
         .collect();
     let faults_end = Instant::now() + Duration::from_millis(FAULTS_MS);
@@ -482,6 +554,7 @@
         program.start();
     }
     soak.wait_served("after the faults");
+    soak.wait_stored();
     stop.store(true, Ordering::Relaxed);
     watcher.join().expect("no panic");
     soak.check_answers();
--- a/crates/dispatch/src/minion.rs
+++ b/crates/dispatch/src/minion.rs
@@ -29,7 +29,12 @@
 const HOLD_PATIENCE_MS: u64 = 40;
 /// Pause before a stop without an answer is sent again, in milliseconds.
 pub(crate) const STOP_RETRY_MS: u64 = 60;
-/// Time without an answer after which the minion gets no more starts.
+/// Time without an answer after which the lease is not extended any more, in
+/// milliseconds: longer than a listing may wait and calls of a third of a second
+/// be lost. The minion is given up when the lease is over.
+const LEASED_SILENCE_MS: u64 = 600;
+/// Time without an answer after which a minion without a lease is given up, in
+/// milliseconds.
 const SILENCE_MS: u64 = 250;
 /// Time without a report of the minion after which it gets no more starts:
 /// two of its reports may be lost.
@@ -308,7 +313,9 @@
             (true, true, true) => HOLD_WAIT_STOPPING_MS,
             _ => 0,
         };
-        let is_leased = has_runs && may_extend && minion.epoch > 0;
+        // A minion that is gone would keep its runs for ever with its lease.
+        let is_silent = now_ms > minion.answered_ms + LEASED_SILENCE_MS;
+        let is_leased = has_runs && may_extend && minion.epoch > 0 && !is_silent;
         let deadline_ms = is_leased.then(|| minion.extend_lease(now_ms));
         for _ in waiting..copies {
             let call = self.next_call;
--- a/crates/dispatch/tests/stored.rs
+++ b/crates/dispatch/tests/stored.rs
@@ -239,6 +239,20 @@
     check(&mut session);
 }
 
+#[test]
+fn tasks_of_a_minion_that_is_lost_for_good_run_elsewhere() {
+    let mut session = Session::new(2, 3);
+    let warm = session.store("0000000000000001", 1, 10);
+    session.run_until_ended(warm, 5_000);
+    session.run(1_500);
+    let job = session.store("00000000000000b1", 6, 600);
+    session.run(150);
+    // No call to the first minion is answered any more, and none carried out.
+    session.fate = Box::new(|_, agent| (agent == 0).then_some(u64::MAX / 2));
+    session.run_until_ended(job, 3_000);
+    assert_eq!(session.stored[job].end, Some(StoredEnd::Completed));
+}
+
 #[test]
 fn a_cancelled_job_stays_cancelled_at_the_next_owner() {
     let mut session = Session::new(3, 3);
