No entry denies a job that it cannot know; counts are whole or refused

Change: an entry asks the store whether there are stored jobs before it says that there is none of that id, and says 503 when it cannot learn it; a count names the partitions that it covers, and 503 is the answer unless that is all. Partitions that are handed over go on taking jobs; appends keep to four fifths of the store's rate; submissions wait while the group forms.

Test: an_entry_that_cannot_learn_whether_jobs_are_stored_denies_none.

--- a/crates/dispatch/src/ledger.rs
+++ b/crates/dispatch/src/ledger.rs
@@ -37,6 +37,9 @@
 /// Time without a join after which the store gives an entry's partitions to
 /// others, in milliseconds: three joins may be lost.
 pub const MEMBER_TTL_MS: u64 = 1_200;
+/// Part of the store's rate that job records may take; the rest is left for
+/// joins, repeats and what else is written.
+const WRITES_SHARE: f64 = 0.8;
 /// Least pause between two joins, in milliseconds: while calls wait for one, and
 /// after the group changed, since it often does so again.
 const LEAST_JOIN_MS: u64 = 100;
@@ -48,6 +51,17 @@
 pub struct LedgerSettings {
     /// Parts of the job log.
     pub partitions: u32,
+    /// Appends that the store takes each second, from all entries together.
+    pub store_writes_per_s: u32,
+}
+
+impl LedgerSettings {
+    /// Pause between two appends to a partition, in milliseconds, with which
+    /// all partitions together stay below what the store takes.
+    fn append_pause_ms(&self) -> u64 {
+        let rate_per_s = f64::from(self.store_writes_per_s.max(1)) * WRITES_SHARE;
+        (f64::from(self.partitions) * 1_000.0 / rate_per_s).ceil() as u64
+    }
 }
 
 /// The partitions that the store lists as ours.
@@ -226,7 +240,8 @@
         };
         // The last owner was listed before this answer was made.
         let settled_ms = now_ms + OWNER_LEASE_MS + SAFE_AFTER_MS;
-        let owned = OwnedPartition::claim(epoch, sent_ms, settled_ms, first);
+        let mut owned = OwnedPartition::claim(epoch, sent_ms, settled_ms, first);
+        owned.append_pause_ms = self.settings.append_pause_ms();
         self.partitions.insert(partition, owned);
         self.event(
             "partition-claimed",
@@ -248,7 +263,7 @@
                     dispatcher.hold_stored(id);
                 }
             }
-            Stage::Releasing { .. } | Stage::Leaving => {}
+            Stage::Releasing { .. } | Stage::Flushing | Stage::Leaving => {}
         }
     }
 
@@ -518,10 +533,7 @@
             self.actions.push(LedgerAction::Leave);
             return;
         }
-        let is_releasing = self
-            .partitions
-            .values()
-            .any(|owned| matches!(owned.stage, Stage::Releasing { .. } | Stage::Leaving));
+        let is_releasing = self.partitions.values().any(OwnedPartition::is_leaving);
         if !is_releasing {
             // What is no longer listed may go to others now.
             self.accepted_generation = self.generation;
--- a/crates/dispatch/src/ledger_calls.rs
+++ b/crates/dispatch/src/ledger_calls.rs
@@ -139,7 +139,9 @@
         dispatcher: &Dispatcher,
     ) -> Option<StoredAnswer> {
         let id = job.id.clone();
-        let Some(owned) = self.served(&id) else {
+        let partition = self.partition_of(&id);
+        let owned = self.partitions.get_mut(&partition);
+        let Some(owned) = owned.filter(|owned| owned.takes_jobs()) else {
             return Some(StoredAnswer::Elsewhere);
         };
         match owned.jobs.get(&id) {
@@ -245,7 +247,8 @@
     }
 
     fn pending(&self, queue: &Name, dispatcher: &Dispatcher) -> StoredAnswer {
-        let jobs = self.partitions.values().flat_map(|owned| &owned.jobs);
+        let served = || self.partitions.values().filter(|owned| owned.takes_jobs());
+        let jobs = served().flat_map(|owned| &owned.jobs);
         let is_pending = |(id, entry): &(&Name, &JobEntry)| {
             let of_queue = entry
                 .job
@@ -253,7 +256,9 @@
                 .is_some_and(|job| job.queue.name == *queue);
             of_queue && entry.is_accepted && entry.is_open() && !dispatcher.has_stored_begun(id)
         };
-        let count = jobs.filter(is_pending).count();
-        StoredAnswer::Pending(u32::try_from(count).unwrap_or(u32::MAX))
+        StoredAnswer::Pending {
+            jobs: u32::try_from(jobs.filter(is_pending).count()).unwrap_or(u32::MAX),
+            partitions: u32::try_from(served().count()).unwrap_or(u32::MAX),
+        }
     }
 }
--- a/crates/dispatch/src/ledger_jobs.rs
+++ b/crates/dispatch/src/ledger_jobs.rs
@@ -122,23 +122,27 @@
                 for id in owned.jobs.keys().filter(|_| is_over) {
                     dispatcher.drop_stored(id);
                 }
-                let is_clear = owned.jobs.keys().all(|id| dispatcher.is_stored_clear(id));
-                if is_clear && owned.is_flushed() && !owned.is_settled(now_ms) {
-                    // Runs of an earlier owner may be left.
-                    self.lose(partition, "released-unsettled", dispatcher);
-                } else if is_clear && owned.is_flushed() {
-                    for id in owned.jobs.keys() {
-                        dispatcher.drop_stored(id);
-                    }
-                    owned.stage = Stage::Leaving;
-                    owned.push(now_ms, Change::Release);
+                if is_clear(owned, dispatcher) {
+                    owned.stage = Stage::Flushing;
                 }
             }
+            Stage::Flushing if !owned.is_flushed() => {}
+            Stage::Flushing if owned.is_settled(now_ms) => {
+                owned.stage = Stage::Leaving;
+                owned.push(now_ms, Change::Release);
+            }
+            // Runs of an earlier owner may be left.
+            Stage::Flushing => self.lose(partition, "released-unsettled", dispatcher),
             _ => {}
         }
     }
 }
 
+/// Whether nothing of the partition's jobs can be running here.
+fn is_clear(owned: &OwnedPartition, dispatcher: &Dispatcher) -> bool {
+    owned.jobs.keys().all(|id| dispatcher.is_stored_clear(id))
+}
+
 /// Runs a job of which nothing has run anywhere.
 pub(crate) fn start_if_new(
     now_ms: u64,
--- a/crates/dispatch/src/partition.rs
+++ b/crates/dispatch/src/partition.rs
@@ -55,11 +55,13 @@
     /// Jobs are run; whether another entry has owned it meanwhile, and taken
     /// jobs, is being found out.
     Verifying,
-    /// It goes to another owner: nothing is started any more.
+    /// It goes to another owner: jobs are taken, and nothing is started.
     Releasing {
         /// Since when.
         since_ms: u64,
     },
+    /// What is known is being written before it goes.
+    Flushing,
     /// The word that nothing is left behind is on its way.
     Leaving,
 }
@@ -192,6 +194,9 @@
     pub(crate) jobs: BTreeMap<Name, JobEntry>,
     waiting: Vec<Change>,
     gather_until_ms: u64,
+    /// Least pause between two appends, and when the next may be sent.
+    pub(crate) append_pause_ms: u64,
+    paced_ms: u64,
 }
 
 impl OwnedPartition {
@@ -213,6 +218,8 @@
             jobs: BTreeMap::new(),
             waiting: vec![Change::Claim],
             gather_until_ms: 0,
+            append_pause_ms: 0,
+            paced_ms: 0,
         }
     }
 
@@ -229,6 +236,19 @@
         self.stage == Stage::Serving
     }
 
+    /// Whether jobs are taken here; the log refuses them if that is not so.
+    pub(crate) fn takes_jobs(&self) -> bool {
+        matches!(self.stage, Stage::Serving | Stage::Releasing { .. })
+    }
+
+    /// Whether it is on its way to another owner.
+    pub(crate) fn is_leaving(&self) -> bool {
+        matches!(
+            self.stage,
+            Stage::Releasing { .. } | Stage::Flushing | Stage::Leaving
+        )
+    }
+
     /// Whether the store has not taken the last records at once.
     pub(crate) fn is_held_up(&self) -> bool {
         let batch = self.batch.as_ref();
@@ -332,7 +352,7 @@
             let end = self.end;
             return self.set_batch(now_ms, vec![Change::Verify], end);
         }
-        if self.waiting.is_empty() || now_ms < self.gather_until_ms {
+        if self.waiting.is_empty() || now_ms < self.gather_until_ms.max(self.paced_ms) {
             return Ok(());
         }
         let rest = self.waiting.split_off(self.waiting.len().min(MAX_CHANGES));
@@ -347,6 +367,7 @@
         expected_end: Option<u64>,
     ) -> Result<(), postcard::Error> {
         let records = self.records(&changes)?;
+        self.paced_ms = now_ms + self.append_pause_ms;
         let number = self.next_number;
         if !records.is_empty() {
             self.next_number += 1;
@@ -369,7 +390,7 @@
             Some(batch) => batch.retry_ms,
             None if self.newer_epoch.is_some() => Some(0),
             None if self.waiting.is_empty() => None,
-            None => Some(self.gather_until_ms),
+            None => Some(self.gather_until_ms.max(self.paced_ms)),
         }
     }
 
--- a/crates/dispatch/src/stored.rs
+++ b/crates/dispatch/src/stored.rs
@@ -133,7 +133,12 @@
     /// There is no such job.
     Unknown,
     /// Jobs of which nothing has started.
-    Pending(u32),
+    Pending {
+        /// How many.
+        jobs: u32,
+        /// In how many partitions they were counted.
+        partitions: u32,
+    },
     /// This entry does not serve the partition now; nothing was done.
     Elsewhere,
     /// It cannot be told whether the call was carried out.
--- a/crates/dispatch/tests/session/mod.rs
+++ b/crates/dispatch/tests/session/mod.rs
@@ -272,6 +272,7 @@
         dispatcher.configure(table(1));
         let mut ledger = Ledger::new(LedgerSettings {
             partitions: PARTITIONS,
+            store_writes_per_s: 800,
         });
         if !self.stored.is_empty() {
             ledger.activate(self.now_ms);
--- a/crates/node/src/entry_handle.rs
+++ b/crates/node/src/entry_handle.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use gannetvane_dispatch::AgentFrame;
 use gannetvane_dispatch::AgentHello;
@@ -28,11 +29,16 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
+use tokio::time::Instant;
 
 use crate::Tunables;
 use crate::links::FrameSender;
 use crate::stored_calls::StoredCalls;
 
+/// Time in which the entries divide the job log for the first time, in
+/// milliseconds: 12 entries that learn of it within half a second, on the bench.
+const GROUP_FORMS_MS: u64 = 2_000;
+
 /// What reaches an entry from its connections and callers.
 pub(crate) enum Input {
     AgentUp(LinkId, AgentHello, FrameSender, AbortHandle),
@@ -68,8 +74,8 @@
     table: Rc<RefCell<Arc<RoutingTable>>>,
     is_ready: Rc<Cell<bool>>,
     next_caller: Rc<Cell<u64>>,
-    /// Whether there are stored jobs, as far as is known.
-    has_stored_jobs: Rc<Cell<bool>>,
+    /// Since when it is known that there are stored jobs.
+    has_stored_jobs: Rc<Cell<Option<Instant>>>,
     stored_calls: Rc<StoredCalls>,
 }
 
@@ -114,7 +120,7 @@
     }
 
     pub(crate) fn set_has_stored_jobs(&self) {
-        self.has_stored_jobs.set(true);
+        self.has_stored_jobs.set(Some(Instant::now()));
     }
 
     pub(crate) fn set_table(&self, table: Arc<RoutingTable>) {
@@ -178,18 +184,20 @@
     /// Submits a job that is to be kept until it has ended; the answer comes
     /// when it lies in the job log, or is refused.
     pub async fn store(&self, job: StoredJob, wait_ms: u64) -> StoredAnswer {
-        let is_first = !self.has_stored_jobs.get();
-        if is_first {
+        let known_since = self.has_stored_jobs.get();
+        if known_since.is_none() {
             // Without a receiver the process is about to end.
             let _ = self.inputs.send(Input::FirstStoredJob);
         }
-        self.stored_calls.submit(job, wait_ms, is_first).await
+        let formed = Duration::from_millis(GROUP_FORMS_MS);
+        let is_forming = known_since.is_none_or(|since| since.elapsed() < formed);
+        self.stored_calls.submit(job, wait_ms, is_forming).await
     }
 
     /// How far a stored job is.
     pub async fn state(&self, job: Name, wait_ms: u64) -> StoredAnswer {
-        if !self.has_stored_jobs.get() {
-            return StoredAnswer::Unknown;
+        if let Some(answer) = self.answer_unused().await {
+            return answer;
         }
         let call = StoredCall::State(job.clone());
         self.stored_calls.ask(&job, call, wait_ms).await
@@ -202,26 +210,43 @@
         if is_sent && is_cancelled.await.unwrap_or(false) {
             return StoredAnswer::Cancelled;
         }
-        if !self.has_stored_jobs.get() {
-            return StoredAnswer::Unknown;
+        if let Some(answer) = self.answer_unused().await {
+            return answer;
         }
         let call = StoredCall::Cancel(job.clone());
         self.stored_calls.ask(&job, call, wait_ms).await
     }
 
+    /// The answer about any job where no job is stored, or that cannot be told.
+    async fn answer_unused(&self) -> Option<StoredAnswer> {
+        if self.has_stored_jobs.get().is_some() {
+            return None;
+        }
+        match self.stored_calls.is_in_use().await {
+            Some(true) => {
+                // Without a receiver the process is about to end.
+                let _ = self.inputs.send(Input::StoredJobsKnown);
+                None
+            }
+            Some(false) => Some(StoredAnswer::Unknown),
+            None => Some(StoredAnswer::Elsewhere),
+        }
+    }
+
     /// Jobs of a queue of which nothing has started: those whose callers wait
-    /// here, and stored ones anywhere.
-    pub async fn pending(&self, queue: Name) -> usize {
+    /// here, and stored ones anywhere. `None` when those cannot be counted.
+    pub async fn pending(&self, queue: Name) -> Option<usize> {
         let (answer, pending) = oneshot::channel();
         let is_sent = self.inputs.send(Input::Pending(queue.clone(), answer));
         let waited_for = match is_sent {
             Ok(()) => pending.await.unwrap_or(0),
             Err(_) => 0,
         };
-        if !self.has_stored_jobs.get() {
-            return waited_for;
+        if self.has_stored_jobs.get().is_none() {
+            return Some(waited_for);
         }
-        waited_for + self.stored_calls.pending(&queue).await
+        let stored = self.stored_calls.pending(&queue).await;
+        stored.map(|stored| waited_for + stored)
     }
 
     /// Takes over changed settings.
--- a/crates/node/src/entry_node.rs
+++ b/crates/node/src/entry_node.rs
@@ -75,6 +75,8 @@
     pub stop_notice_ms: u64,
     /// Parts of the job log.
     pub partitions: u32,
+    /// Appends that the store takes each second.
+    pub store_writes_per_s: u32,
     /// What may change while it runs.
     pub tunables: Tunables,
 }
@@ -138,6 +140,7 @@
         let handle = EntryHandle::new(inputs.clone(), stored_calls);
         let ledger = Ledger::new(LedgerSettings {
             partitions: settings.partitions,
+            store_writes_per_s: settings.store_writes_per_s,
         });
         let job_log = JobLogCalls::new(job_log, inputs.clone(), clock, log.clone());
         Self {
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -130,6 +130,8 @@
 /// owner among the entries.
 #[async_trait(?Send)]
 pub trait JobLogPort {
+    /// Whether there are stored jobs in this deployment.
+    async fn is_in_use(&self) -> Result<bool, StoreError>;
     /// Joins the group of owners, or stays in it; `generation` is the last one
     /// that was taken over.
     async fn join(&self, generation: u64) -> Result<Membership, StoreError>;
--- a/crates/node/src/stored_calls.rs
+++ b/crates/node/src/stored_calls.rs
@@ -49,6 +49,9 @@
 const SEARCH_PART: u64 = 5;
 /// Pause between two attempts, in milliseconds.
 const RETRY_MS: u64 = 20;
+/// Greatest age of the store's word that there are no stored jobs, in
+/// milliseconds; entries tell each other of the first one within a second.
+const UNUSED_AGE_MS: u64 = 1_000;
 /// Greatest age of the list of owners when jobs are counted at all of them, in
 /// milliseconds; a count may be 2 s old.
 const COUNTED_AGE_MS: u64 = 1_000;
@@ -64,6 +67,8 @@
     log: Logger,
     owners: RefCell<BTreeMap<Partition, SocketAddr>>,
     read_at: Cell<Option<Instant>>,
+    /// When the store told that there are no stored jobs.
+    unused_at: Cell<Option<Instant>>,
     /// Whether the store answered when it was last asked for the owners.
     is_store_telling: Cell<bool>,
     peers: RefCell<BTreeMap<SocketAddr, Rc<Peer>>>,
@@ -93,19 +98,20 @@
             log,
             owners: RefCell::default(),
             read_at: Cell::default(),
+            unused_at: Cell::default(),
             is_store_telling: Cell::new(true),
             peers: RefCell::default(),
         }
     }
 
-    /// Submits a job; the first ones wait until there are owners at all.
+    /// Submits a job; while the group of owners forms, it waits for one.
     pub(crate) async fn submit(
         &self,
         job: StoredJob,
         wait_ms: u64,
-        is_first: bool,
+        is_forming: bool,
     ) -> StoredAnswer {
-        let search_ms = if is_first {
+        let search_ms = if is_forming {
             SEARCH_MS
         } else {
             job.objective_ms() / SEARCH_PART
@@ -151,8 +157,28 @@
         }
     }
 
-    /// Jobs of a queue of which nothing has started, at all owners that answer.
-    pub(crate) async fn pending(&self, queue: &Name) -> usize {
+    /// Whether there are stored jobs; `None` when the store cannot tell.
+    pub(crate) async fn is_in_use(&self) -> Option<bool> {
+        let is_fresh = |at: Instant| at.elapsed() < Duration::from_millis(UNUSED_AGE_MS);
+        if self.unused_at.get().is_some_and(is_fresh) {
+            return Some(false);
+        }
+        match self.job_log.is_in_use().await {
+            Ok(true) => Some(true),
+            Ok(false) => {
+                self.unused_at.set(Some(Instant::now()));
+                Some(false)
+            }
+            Err(error) => {
+                warn!(self.log, "store-lost"; "call" => "announced", "error" => %error);
+                None
+            }
+        }
+    }
+
+    /// Jobs of a queue of which nothing has started, at all owners; `None` while
+    /// some partition has none that answers.
+    pub(crate) async fn pending(&self, queue: &Name) -> Option<usize> {
         let end = Instant::now() + Duration::from_millis(ATTEMPT_MS);
         let read_at = self.read_at.get();
         let is_old = |at: Instant| at.elapsed() >= Duration::from_millis(COUNTED_AGE_MS);
@@ -160,14 +186,16 @@
             self.read_owners(end).await;
         }
         let owners: BTreeSet<SocketAddr> = self.owners.borrow().values().copied().collect();
-        let mut sum = 0;
+        let (mut sum, mut counted) = (0, 0);
         for owner in owners {
             let call = StoredCall::Pending(queue.clone());
-            if let Ok(StoredAnswer::Pending(count)) = self.ask_owner(owner, &call, end).await {
-                sum += count as usize;
+            let answer = self.ask_owner(owner, &call, end).await;
+            if let Ok(StoredAnswer::Pending { jobs, partitions }) = answer {
+                sum += jobs as usize;
+                counted += partitions;
             }
         }
-        sum
+        (counted >= self.partitions).then_some(sum)
     }
 
     async fn attempt(
--- a/crates/node/tests/entry.rs
+++ b/crates/node/tests/entry.rs
@@ -22,6 +22,7 @@
 use gannetvane_dispatch::PeerFrame;
 use gannetvane_dispatch::Queue;
 use gannetvane_dispatch::RoutingTable;
+use gannetvane_dispatch::StoredAnswer;
 use gannetvane_dispatch::decode;
 use gannetvane_dispatch::encode;
 use gannetvane_node::EntryHandle;
@@ -99,6 +100,10 @@
 
 #[async_trait(?Send)]
 impl JobLogPort for NoJobLog {
+    async fn is_in_use(&self) -> Result<bool, StoreError> {
+        Err(StoreError::Refused(503))
+    }
+
     async fn join(&self, _: u64) -> Result<Membership, StoreError> {
         Err(StoreError::Refused(503))
     }
@@ -166,6 +171,7 @@
         zone: "selfoss".into(),
         stop_notice_ms: 150,
         partitions: 4,
+        store_writes_per_s: 800,
         tunables: Tunables {
             seeds,
             remote_factor: 1.5,
@@ -371,3 +377,16 @@
     })
     .await;
 }
+
+#[tokio::test]
+async fn an_entry_that_cannot_learn_whether_jobs_are_stored_denies_none() {
+    on_one_thread(async {
+        let entry = start(entry(free_addr(), Vec::new()), FakeStore::default());
+        let id: gannetvane_wire::Name = "00000000000000e1".into();
+        let state = entry.state(id.clone(), 300).await;
+        assert_eq!(state, StoredAnswer::Elsewhere);
+        let cancelled = entry.cancel(id, 300).await;
+        assert_eq!(cancelled, StoredAnswer::Elsewhere);
+    })
+    .await;
+}
