--- a/crates/dispatch/tests/interleavings.rs
+++ b/crates/dispatch/tests/interleavings.rs
@@ -120,6 +120,10 @@
             let position = rng.random_range(0..session.stored.len());
             session.cancel_stored(position);
         }
+        if rng.random_range(0..6) == 0 && !session.stored.is_empty() {
+            let position = rng.random_range(0..session.stored.len());
+            session.stored[position].sends_again = true;
+        }
         disturb(&mut session, &mut rng);
         disturb_log(&mut session, &mut rng);
         session.run(rng.random_range(10..150));
--- a/crates/dispatch/tests/session/minion.rs
+++ b/crates/dispatch/tests/session/minion.rs
@@ -52,6 +52,8 @@
     pub done: Vec<RunKey>,
     /// Runs of stored tasks that were started, and when.
     pub started: Vec<(RunKey, u64)>,
+    /// Runs whose start was carried out late.
+    pub started_late: Vec<RunKey>,
     /// Done runs of stored tasks whose end counts, and when they ended.
     pub noted: Vec<(RunKey, u64)>,
     /// Ends without an acknowledgement, and whether the lease lapsed since.
@@ -76,6 +78,7 @@
             overloads: 0,
             done: Vec::new(),
             started: Vec::new(),
+            started_late: Vec::new(),
             noted: Vec::new(),
             unnoted: BTreeMap::new(),
             born_ms: now_ms,
--- a/crates/dispatch/tests/session/mod.rs
+++ b/crates/dispatch/tests/session/mod.rs
@@ -755,6 +755,9 @@
                 } else {
                     StartResult::OtherInstance
                 };
+                if !is_answered {
+                    minion.started_late.push(key.clone());
+                }
                 if result == StartResult::Started {
                     *self.starts.entry(instance.to_string()).or_default() += 1;
                 }
--- a/crates/dispatch/tests/session/stored.rs
+++ b/crates/dispatch/tests/session/stored.rs
@@ -34,6 +34,9 @@
 const LOG_TIMEOUT_MS: u64 = 500;
 /// Time after which a caller asks again.
 const ASK_TIMEOUT_MS: u64 = 700;
+/// Time in which an owner that does not know yet of the next one may go on, by
+/// the platform's rules.
+const CANCEL_MS: u64 = 3_000;
 /// Pause of a caller between two questions.
 const ASK_PAUSE_MS: u64 = 60;
 
@@ -49,6 +52,10 @@
     is_unsure: bool,
     pub wants_cancel: bool,
     pub is_cancelled: bool,
+    /// When a cancel, or the word that there is no such job, was answered.
+    cancelled_ms: Option<u64>,
+    /// Whether the caller sends the job once more although it was accepted.
+    pub sends_again: bool,
     pub end: Option<StoredEnd>,
     pub ended_ms: Option<u64>,
     next_ms: u64,
@@ -67,6 +74,8 @@
             is_unsure: false,
             wants_cancel: false,
             is_cancelled: false,
+            cancelled_ms: None,
+            sends_again: false,
             end: None,
             ended_ms: None,
             next_ms: self.now_ms,
@@ -120,7 +129,7 @@
             return;
         }
         let id: Arc<str> = state.id.as_str().into();
-        let call = if !state.is_accepted {
+        let call = if !state.is_accepted || state.sends_again {
             StoredCall::Submit(StoredJob {
                 id: Arc::clone(&id),
                 spec: format!("work_ms={}", state.work_ms).into(),
@@ -165,9 +174,15 @@
         state.waits_for = None;
         state.next_ms = now_ms + ASK_PAUSE_MS;
         match answer {
-            StoredAnswer::Accepted => state.is_accepted = true,
+            StoredAnswer::Accepted => {
+                state.is_accepted = true;
+                state.sends_again = false;
+            }
             StoredAnswer::Refused(_) => state.refusals += 1,
-            StoredAnswer::Cancelled => state.is_cancelled = true,
+            StoredAnswer::Cancelled => {
+                state.is_cancelled = true;
+                state.cancelled_ms.get_or_insert(now_ms);
+            }
             StoredAnswer::State(StoredState::Ended(end)) => {
                 state.end = Some(end);
                 state.ended_ms = Some(now_ms);
@@ -278,7 +293,7 @@
             }
         }
         let minions = self.past_minions.iter().chain(&self.minions);
-        let done = minions.flat_map(|minion| &minion.done);
+        let done = minions.clone().flat_map(|minion| &minion.done);
         let done: BTreeSet<&TaskId> = done.map(|key| &key.task).collect();
         for state in &self.stored {
             let of_job = done.iter().filter(|task| *task.job == *state.id).count();
@@ -287,6 +302,16 @@
                 let what = format!("{}: {of_job} of {} done", state.id, state.tasks);
                 self.violations.lost.push(what);
             }
+            let starts = minions.clone().flat_map(|minion| {
+                let in_time = |(key, _): &&(RunKey, u64)| !minion.started_late.contains(key);
+                minion.started.iter().filter(in_time)
+            });
+            let mut of_job = starts.filter(|(key, _)| *key.task.job == *state.id);
+            let is_late = |at_ms: u64| state.cancelled_ms.is_some_and(|ms| at_ms > ms + CANCEL_MS);
+            if let Some((key, at_ms)) = of_job.find(|(_, at_ms)| is_late(*at_ms)) {
+                let what = format!("{key:?} at {at_ms}, cancelled at {:?}", state.cancelled_ms);
+                self.violations.twice.push(what);
+            }
             if state.is_accepted && state.end.is_none() {
                 self.violations
                     .lost
