The ledger's exchange with the log, records and the entry's stored inputs in files of their own

Ruled out: splitting by size alone; each new file has one job. Change: ledger_log.rs, partition_records.rs, entry_stored.rs, ClientJob; code is moved, not changed.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -404,6 +404,30 @@
     }
 }
 
+/// A job that a client makes up.
+struct ClientJob {
+    id: String,
+    tasks: usize,
+    work_ms: u64,
+}
+
+impl ClientJob {
+    fn draw(client: usize, seed: u64, sent: u32, rng: &mut ChaCha8Rng) -> Self {
+        Self {
+            id: format!("{client:04x}{:04x}{sent:08x}", seed & 0xffff),
+            tasks: rng.random_range(1..6),
+            work_ms: rng.random_range(10..500),
+        }
+    }
+
+    fn log(&self) -> JobLog {
+        JobLog {
+            tasks: self.tasks,
+            ..JobLog::default()
+        }
+    }
+}
+
 /// Sends stored jobs one after the other, each again until it is accepted or
 /// refused, and asks for each until it has ended.
 fn run_storing_client(
@@ -417,16 +441,11 @@
     let mut sent = 0;
     while !stop.load(Ordering::Relaxed) {
         sent += 1;
-        let id = format!("{number:04x}{:04x}{sent:08x}", seed & 0xffff);
-        let tasks = rng.random_range(1..6);
-        let work_ms = rng.random_range(10..500);
-        let mut log = JobLog {
-            tasks,
-            ..JobLog::default()
-        };
+        let job = ClientJob::draw(number, seed, sent, &mut rng);
+        let mut log = job.log();
         while !stop.load(Ordering::Relaxed) && !log.is_accepted {
             let front = fronts[rng.random_range(0..fronts.len())];
-            let (status, _) = post_stored_job(front, &id, tasks, work_ms);
+            let (status, _) = post_stored_job(front, &job.id, job.tasks, job.work_ms);
             log.statuses.push(status);
             log.is_accepted = status == 200;
             if matches!(status, 422 | 429 | 503) && log.statuses.len() == 1 {
@@ -436,10 +455,10 @@
         }
         while !stop.load(Ordering::Relaxed) && log.is_accepted && !log.is_completed {
             let front = fronts[rng.random_range(0..fronts.len())];
-            log.is_completed = stored_state(front, &id).1.contains("completed");
+            log.is_completed = stored_state(front, &job.id).1.contains("completed");
             thread::sleep(Duration::from_millis(20));
         }
-        jobs.lock().expect("no panic").insert(id, log);
+        jobs.lock().expect("no panic").insert(job.id, log);
     }
 }
 
@@ -455,16 +474,11 @@
     let mut sent = 0;
     while !stop.load(Ordering::Relaxed) {
         sent += 1;
-        let id = format!("{number:04x}{:04x}{sent:08x}", seed & 0xffff);
-        let tasks = rng.random_range(1..6);
-        let work_ms = rng.random_range(10..500);
-        let mut log = JobLog {
-            tasks,
-            ..JobLog::default()
-        };
+        let job = ClientJob::draw(number, seed, sent, &mut rng);
+        let mut log = job.log();
         for _ in 0..3 {
             let front = fronts[rng.random_range(0..fronts.len())];
-            let (status, body) = post_job(front, &id, tasks, work_ms);
+            let (status, body) = post_job(front, &job.id, job.tasks, job.work_ms);
             log.statuses.push(status);
             log.is_completed = status == 200 && body.contains("completed");
             if matches!(status, 200 | 422 | 429 | 503 | 504) {
@@ -472,7 +486,7 @@
             }
             thread::sleep(Duration::from_millis(RESEND_MS));
         }
-        jobs.lock().expect("no panic").insert(id, log);
+        jobs.lock().expect("no panic").insert(job.id, log);
     }
 }
 
--- a/crates/dispatch/src/ledger.rs
+++ b/crates/dispatch/src/ledger.rs
@@ -25,8 +25,6 @@
 use crate::ledger_calls::Doubt;
 use crate::ledger_calls::Watcher;
 use crate::ledger_jobs::Offer;
-use crate::ledger_jobs::start_if_new;
-use crate::partition::AppendResult;
 use crate::partition::Change;
 use crate::partition::OwnedPartition;
 use crate::partition::Stage;
@@ -124,7 +122,7 @@
     /// The newest generation, and the last one taken over.
     generation: u64,
     accepted_generation: u64,
-    next_load: u64,
+    pub(crate) next_load: u64,
     last_join_ms: u64,
     pub(crate) watchers: Vec<Watcher>,
     pub(crate) doubts: Vec<Doubt>,
@@ -298,157 +296,6 @@
         self.event("partition-left", None, detail);
     }
 
-    /// The store answered an append, or did not.
-    pub fn appended(
-        &mut self,
-        now_ms: u64,
-        partition: Partition,
-        epoch: u32,
-        number: u64,
-        result: AppendResult,
-        dispatcher: &mut Dispatcher,
-    ) {
-        let Some(owned) = self.partitions.get_mut(&partition) else {
-            return;
-        };
-        let is_ours = owned.epoch == epoch;
-        let is_awaited = owned
-            .batch
-            .as_ref()
-            .is_some_and(|batch| batch.number == number);
-        if !is_ours || !is_awaited {
-            return;
-        }
-        match result {
-            AppendResult::Appended(end) => {
-                owned.end = Some(end);
-                if let Some(batch) = owned.batch.take() {
-                    self.in_log(now_ms, partition, batch.changes, dispatcher);
-                }
-            }
-            AppendResult::Fenced => self.lose(partition, "fenced", dispatcher),
-            AppendResult::Moved => self.lose(partition, "overtaken", dispatcher),
-            AppendResult::OtherNumber(expected) => {
-                let is_unsure = owned.batch.as_ref().is_some_and(|batch| batch.is_unsure);
-                if is_unsure || expected == number {
-                    self.lose(partition, "number", dispatcher);
-                } else {
-                    owned.renumber(now_ms, expected);
-                }
-            }
-            AppendResult::Refused => self.held_up(now_ms, partition, false),
-            AppendResult::NoAnswer => self.held_up(now_ms, partition, true),
-        }
-    }
-
-    /// The store did not take the records: the append is sent again, and jobs
-    /// that were not sent yet are refused.
-    fn held_up(&mut self, now_ms: u64, partition: Partition, is_unsure: bool) {
-        let Some(owned) = self.partitions.get_mut(&partition) else {
-            return;
-        };
-        owned.retry(now_ms, is_unsure);
-        for (id, callers) in owned.withdraw_accepts() {
-            self.refused(&id, &callers, Refusal::NotStorable);
-        }
-    }
-
-    /// Changes lie in the log: those who wait for them are told.
-    fn in_log(
-        &mut self,
-        now_ms: u64,
-        partition: Partition,
-        changes: Vec<Change>,
-        dispatcher: &mut Dispatcher,
-    ) {
-        let is_released = changes.contains(&Change::Release);
-        for change in changes {
-            let Some(owned) = self.partitions.get_mut(&partition) else {
-                return;
-            };
-            match change {
-                Change::Claim => {
-                    owned.stage = Stage::Loading;
-                    self.load(partition);
-                }
-                Change::Verify => {
-                    if owned.stage == Stage::Verifying {
-                        owned.stage = Stage::Serving;
-                    }
-                }
-                Change::Reopen => owned.reopened(),
-                // What follows it in the batch lies in the log as well.
-                Change::Release => {}
-                Change::Accept(id, callers) => {
-                    if let Some(entry) = owned.jobs.get_mut(&id) {
-                        entry.is_accepted = true;
-                    }
-                    start_if_new(now_ms, owned, &id, dispatcher);
-                    self.event("accepted", Some(id), format!("partition={}", partition.0));
-                    self.answer_all(&callers, StoredAnswer::Accepted);
-                }
-                Change::TaskEnd(_, link, number) => {
-                    dispatcher.settle_end(link, number, Settlement::Recorded);
-                }
-                Change::RunLost(id, position) => dispatcher.run_noted(&id, position),
-                Change::JobEnd(id, end, callers) => {
-                    if let Some(entry) = owned.jobs.get_mut(&id) {
-                        entry.end = Some((end, now_ms));
-                        entry.job = None;
-                    }
-                    self.event("recorded", Some(id), format!("end={end:?}"));
-                    self.answer_all(&callers, StoredAnswer::Cancelled);
-                }
-                Change::Forget(id) => {
-                    owned.jobs.remove(&id);
-                }
-            }
-        }
-        if is_released {
-            self.lose(partition, "released", dispatcher);
-        }
-    }
-
-    /// The records of a partition were read, or could not be.
-    pub fn loaded(
-        &mut self,
-        now_ms: u64,
-        partition: Partition,
-        load: u64,
-        records: Option<&[LogRecord]>,
-    ) {
-        let owned = self.partitions.get_mut(&partition);
-        let Some(owned) = owned.filter(|owned| owned.load == load) else {
-            return;
-        };
-        let Some(records) = records else {
-            self.load(partition);
-            return;
-        };
-        let errors = owned.load(now_ms, records);
-        owned.stage = Stage::Serving;
-        let open = owned.jobs.values().filter(|entry| entry.is_open()).count();
-        let detail = format!(
-            "partition={} epoch={} jobs={} open={open}",
-            partition.0,
-            owned.epoch,
-            owned.jobs.len()
-        );
-        for error in errors {
-            self.event("record-malformed", None, error.to_string());
-        }
-        self.event("partition-served", None, detail);
-    }
-
-    fn load(&mut self, partition: Partition) {
-        if let Some(owned) = self.partitions.get_mut(&partition) {
-            owned.load = self.next_load;
-            self.next_load += 1;
-            let load = owned.load;
-            self.actions.push(LedgerAction::Load { partition, load });
-        }
-    }
-
     /// Does what is due; returns when to call again at the latest. Call it
     /// before [`Dispatcher::tick`], so that an owner that stood still stops its
     /// runs before it grants them more time.
@@ -486,36 +333,6 @@
         }
     }
 
-    /// Sends what is due to the log.
-    fn flush(&mut self, now_ms: u64, partition: Partition, dispatcher: &mut Dispatcher) {
-        let Some(owned) = self.partitions.get_mut(&partition) else {
-            return;
-        };
-        match owned.due_batch(now_ms) {
-            Ok(None) => {}
-            Ok(Some(batch)) if batch.records.is_empty() => {
-                // All that it would tell lies in the log.
-                let changes = batch.changes.clone();
-                owned.batch = None;
-                self.in_log(now_ms, partition, changes, dispatcher);
-            }
-            Ok(Some(batch)) => {
-                let append = LedgerAction::Append {
-                    partition,
-                    epoch: batch.epoch,
-                    number: batch.number,
-                    expected_end: batch.expected_end,
-                    records: batch.records.clone(),
-                };
-                self.actions.push(append);
-            }
-            Err(error) => {
-                self.event("record-malformed", None, error.to_string());
-                self.lose(partition, "record-malformed", dispatcher);
-            }
-        }
-    }
-
     /// Brings the next join forward, unless one is under way.
     pub(crate) fn join_soon(&mut self, now_ms: u64) {
         let soon_ms = now_ms.max(self.last_join_ms + LEAST_JOIN_MS);
@@ -574,7 +391,7 @@
         self.actions.extend(answers);
     }
 
-    fn event(&mut self, event: &'static str, job: Option<Name>, detail: String) {
+    pub(crate) fn event(&mut self, event: &'static str, job: Option<Name>, detail: String) {
         self.actions.push(LedgerAction::Event(JobEvent {
             event,
             job,
--- /dev/null
+++ b/crates/dispatch/src/ledger_log.rs
@@ -0,0 +1,198 @@
+//! What a ledger exchanges with the job log: appends, what follows when they lie
+//! in the log, and the first read of a partition.
+
+use crate::AppendResult;
+use crate::Dispatcher;
+use crate::Ledger;
+use crate::LedgerAction;
+use crate::LogRecord;
+use crate::Partition;
+use crate::Refusal;
+use crate::Settlement;
+use crate::StoredAnswer;
+use crate::ledger_jobs::start_if_new;
+use crate::partition::Change;
+use crate::partition::Stage;
+
+impl Ledger {
+    /// The store answered an append, or did not.
+    pub fn appended(
+        &mut self,
+        now_ms: u64,
+        partition: Partition,
+        epoch: u32,
+        number: u64,
+        result: AppendResult,
+        dispatcher: &mut Dispatcher,
+    ) {
+        let Some(owned) = self.partitions.get_mut(&partition) else {
+            return;
+        };
+        let is_ours = owned.epoch == epoch;
+        let is_awaited = owned
+            .batch
+            .as_ref()
+            .is_some_and(|batch| batch.number == number);
+        if !is_ours || !is_awaited {
+            return;
+        }
+        match result {
+            AppendResult::Appended(end) => {
+                owned.end = Some(end);
+                if let Some(batch) = owned.batch.take() {
+                    self.in_log(now_ms, partition, batch.changes, dispatcher);
+                }
+            }
+            AppendResult::Fenced => self.lose(partition, "fenced", dispatcher),
+            AppendResult::Moved => self.lose(partition, "overtaken", dispatcher),
+            AppendResult::OtherNumber(expected) => {
+                let is_unsure = owned.batch.as_ref().is_some_and(|batch| batch.is_unsure);
+                if is_unsure || expected == number {
+                    self.lose(partition, "number", dispatcher);
+                } else {
+                    owned.renumber(now_ms, expected);
+                }
+            }
+            AppendResult::Refused => self.held_up(now_ms, partition, false),
+            AppendResult::NoAnswer => self.held_up(now_ms, partition, true),
+        }
+    }
+
+    /// The store did not take the records: the append is sent again, and jobs
+    /// that were not sent yet are refused.
+    fn held_up(&mut self, now_ms: u64, partition: Partition, is_unsure: bool) {
+        let Some(owned) = self.partitions.get_mut(&partition) else {
+            return;
+        };
+        owned.retry(now_ms, is_unsure);
+        for (id, callers) in owned.withdraw_accepts() {
+            self.refused(&id, &callers, Refusal::NotStorable);
+        }
+    }
+
+    /// Changes lie in the log: those who wait for them are told.
+    fn in_log(
+        &mut self,
+        now_ms: u64,
+        partition: Partition,
+        changes: Vec<Change>,
+        dispatcher: &mut Dispatcher,
+    ) {
+        let is_released = changes.contains(&Change::Release);
+        for change in changes {
+            let Some(owned) = self.partitions.get_mut(&partition) else {
+                return;
+            };
+            match change {
+                Change::Claim => {
+                    owned.stage = Stage::Loading;
+                    self.load(partition);
+                }
+                Change::Verify => {
+                    if owned.stage == Stage::Verifying {
+                        owned.stage = Stage::Serving;
+                    }
+                }
+                Change::Reopen => owned.reopened(),
+                // What follows it in the batch lies in the log as well.
+                Change::Release => {}
+                Change::Accept(id, callers) => {
+                    if let Some(entry) = owned.jobs.get_mut(&id) {
+                        entry.is_accepted = true;
+                    }
+                    start_if_new(now_ms, owned, &id, dispatcher);
+                    self.event("accepted", Some(id), format!("partition={}", partition.0));
+                    self.answer_all(&callers, StoredAnswer::Accepted);
+                }
+                Change::TaskEnd(_, link, number) => {
+                    dispatcher.settle_end(link, number, Settlement::Recorded);
+                }
+                Change::RunLost(id, position) => dispatcher.run_noted(&id, position),
+                Change::JobEnd(id, end, callers) => {
+                    if let Some(entry) = owned.jobs.get_mut(&id) {
+                        entry.end = Some((end, now_ms));
+                        entry.job = None;
+                    }
+                    self.event("recorded", Some(id), format!("end={end:?}"));
+                    self.answer_all(&callers, StoredAnswer::Cancelled);
+                }
+                Change::Forget(id) => {
+                    owned.jobs.remove(&id);
+                }
+            }
+        }
+        if is_released {
+            self.lose(partition, "released", dispatcher);
+        }
+    }
+
+    /// The records of a partition were read, or could not be.
+    pub fn loaded(
+        &mut self,
+        now_ms: u64,
+        partition: Partition,
+        load: u64,
+        records: Option<&[LogRecord]>,
+    ) {
+        let owned = self.partitions.get_mut(&partition);
+        let Some(owned) = owned.filter(|owned| owned.load == load) else {
+            return;
+        };
+        let Some(records) = records else {
+            self.load(partition);
+            return;
+        };
+        let errors = owned.load(now_ms, records);
+        owned.stage = Stage::Serving;
+        let open = owned.jobs.values().filter(|entry| entry.is_open()).count();
+        let detail = format!(
+            "partition={} epoch={} jobs={} open={open}",
+            partition.0,
+            owned.epoch,
+            owned.jobs.len()
+        );
+        for error in errors {
+            self.event("record-malformed", None, error.to_string());
+        }
+        self.event("partition-served", None, detail);
+    }
+
+    fn load(&mut self, partition: Partition) {
+        if let Some(owned) = self.partitions.get_mut(&partition) {
+            owned.load = self.next_load;
+            self.next_load += 1;
+            let load = owned.load;
+            self.actions.push(LedgerAction::Load { partition, load });
+        }
+    }
+
+    /// Sends what is due to the log.
+    pub(crate) fn flush(&mut self, now_ms: u64, partition: Partition, dispatcher: &mut Dispatcher) {
+        let Some(owned) = self.partitions.get_mut(&partition) else {
+            return;
+        };
+        match owned.due_batch(now_ms) {
+            Ok(None) => {}
+            Ok(Some(batch)) if batch.records.is_empty() => {
+                // All that it would tell lies in the log.
+                let changes = batch.changes.clone();
+                owned.batch = None;
+                self.in_log(now_ms, partition, changes, dispatcher);
+            }
+            Ok(Some(batch)) => {
+                let append = LedgerAction::Append {
+                    partition,
+                    epoch: batch.epoch,
+                    number: batch.number,
+                    expected_end: batch.expected_end,
+                    records: batch.records.clone(),
+                };
+                self.actions.push(append);
+            }
+            Err(error) => {
+                self.event("record-malformed", None, error.to_string());
+                self.lose(partition, "record-malformed", dispatcher);
+            }
+        }
+    }
+}
--- a/crates/dispatch/src/partition.rs
+++ b/crates/dispatch/src/partition.rs
@@ -1,7 +1,6 @@
 //! One partition of the job log, at the entry that owns it.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 
 use gannetvane_wire::Name;
 
@@ -10,11 +9,7 @@
 use crate::StoredCaller;
 use crate::StoredEnd;
 use crate::StoredJob;
-use crate::stored::Entry;
-use crate::stored::JobRecord;
 use crate::stored::Progress;
-use crate::stored::RELEASED_KEY;
-use crate::stored::progress_key;
 
 /// Pause before an append without an answer is sent again, in milliseconds: the
 /// store usually answers within 4.
@@ -97,7 +92,7 @@
         }
     }
 
-    fn ended(end: StoredEnd, done: BTreeMap<u32, u32>, now_ms: u64) -> Self {
+    pub(crate) fn ended(end: StoredEnd, done: BTreeMap<u32, u32>, now_ms: u64) -> Self {
         let progress = Progress {
             done,
             ..Progress::default()
@@ -411,96 +406,4 @@
             self.next_number = expected + 1;
         }
     }
-
-    /// Records for the changes: one for each job and key, as it stands now.
-    fn records(&mut self, changes: &[Change]) -> Result<Vec<LogRecord>, postcard::Error> {
-        let closing = changes.iter().filter_map(|change| match change {
-            Change::JobEnd(id, ..) => Some(id),
-            _ => None,
-        });
-        let closing: BTreeSet<&Name> = closing.collect();
-        let mut records: BTreeMap<Name, LogRecord> = BTreeMap::new();
-        let mut add = |record: LogRecord| records.insert(record.key.clone(), record);
-        for change in changes {
-            match change {
-                Change::Claim | Change::Verify => {
-                    add(LogRecord::owner(self.epoch));
-                }
-                Change::Reopen => {
-                    add(LogRecord::drop_key(RELEASED_KEY.into()));
-                    add(LogRecord::started(self.epoch));
-                }
-                Change::Release => {
-                    add(LogRecord::released());
-                }
-                Change::Accept(id, _) => {
-                    let job = self.jobs.get(id).and_then(|entry| entry.job.clone());
-                    if let Some(job) = job {
-                        add(LogRecord::job(id, &JobRecord::Open(job))?);
-                    }
-                }
-                Change::TaskEnd(id, ..) | Change::RunLost(id, _) if closing.contains(id) => {}
-                Change::TaskEnd(id, ..) | Change::RunLost(id, _) => {
-                    let entry = self.jobs.get_mut(id);
-                    if let Some(entry) = entry.filter(|entry| entry.end.is_none()) {
-                        entry.has_progress_record = true;
-                        add(LogRecord::progress(id, &entry.progress)?);
-                    }
-                }
-                Change::JobEnd(id, end, _) => {
-                    let entry = self.jobs.get(id);
-                    let done = entry.map(|entry| entry.progress.done.clone());
-                    let ended = JobRecord::Ended {
-                        end: *end,
-                        done: done.unwrap_or_default(),
-                    };
-                    add(LogRecord::job(id, &ended)?);
-                    if entry.is_some_and(|entry| entry.has_progress_record) {
-                        add(LogRecord::drop_key(progress_key(id)));
-                    }
-                }
-                Change::Forget(id) => {
-                    add(LogRecord::drop_key(id.clone()));
-                    add(LogRecord::drop_key(progress_key(id)));
-                }
-            }
-        }
-        Ok(records.into_values().collect())
-    }
-
-    /// Takes over what the log holds; records that cannot be read are returned.
-    pub(crate) fn load(&mut self, now_ms: u64, records: &[LogRecord]) -> Vec<crate::RecordError> {
-        if records.iter().all(LogRecord::is_claim) {
-            // Nobody has owned it before.
-            self.settled_ms = now_ms;
-        }
-        let mut errors = Vec::new();
-        let mut progress = BTreeMap::new();
-        for record in records.iter().filter(|record| !record.value.is_empty()) {
-            match record.entry() {
-                Ok(Entry::Job(id, JobRecord::Open(job))) => {
-                    let mut entry = JobEntry::new(job);
-                    entry.is_accepted = true;
-                    self.jobs.insert(id, entry);
-                }
-                Ok(Entry::Job(id, JobRecord::Ended { end, done })) => {
-                    self.jobs.insert(id, JobEntry::ended(end, done, now_ms));
-                }
-                Ok(Entry::Progress(id, of_job)) => {
-                    progress.insert(id, of_job);
-                }
-                Ok(Entry::Owner) => {}
-                Ok(Entry::Released) => self.reopen(now_ms),
-                Ok(Entry::Started(epoch)) => self.started_epoch = epoch,
-                Err(error) => errors.push(error),
-            }
-        }
-        for (id, of_job) in progress {
-            if let Some(entry) = self.jobs.get_mut(&id) {
-                entry.progress = of_job;
-                entry.has_progress_record = true;
-            }
-        }
-        errors
-    }
 }
--- a/crates/node/src/entry_handle.rs
+++ b/crates/node/src/entry_handle.rs
@@ -9,14 +9,10 @@
 
 use gannetvane_dispatch::AgentFrame;
 use gannetvane_dispatch::AgentHello;
-use gannetvane_dispatch::AppendResult;
 use gannetvane_dispatch::Caller;
 use gannetvane_dispatch::Job;
 use gannetvane_dispatch::JobOutcome;
 use gannetvane_dispatch::LinkId;
-use gannetvane_dispatch::LogRecord;
-use gannetvane_dispatch::Membership;
-use gannetvane_dispatch::Partition;
 use gannetvane_dispatch::PeerFrame;
 use gannetvane_dispatch::Queue;
 use gannetvane_dispatch::Refusal;
@@ -32,6 +28,7 @@
 use tokio::time::Instant;
 
 use crate::Tunables;
+use crate::entry_stored::StoredInput;
 use crate::links::FrameSender;
 use crate::stored_calls::StoredCalls;
 
@@ -52,17 +49,7 @@
     Configure(RoutingTable),
     Entries(Vec<SocketAddr>),
     Refresh,
-    Stored(StoredCall, oneshot::Sender<StoredAnswer>),
-    FirstStoredJob,
-    StoredJobsKnown,
-    Joined(u64, Option<Membership>),
-    Appended {
-        partition: Partition,
-        epoch: u32,
-        number: u64,
-        result: AppendResult,
-    },
-    Loaded(Partition, u64, Option<Vec<LogRecord>>),
+    Stored(StoredInput),
     Reload(Tunables),
     Stop,
 }
@@ -187,7 +174,7 @@
         let known_since = self.has_stored_jobs.get();
         if known_since.is_none() {
             // Without a receiver the process is about to end.
-            let _ = self.inputs.send(Input::FirstStoredJob);
+            let _ = self.inputs.send(Input::Stored(StoredInput::First));
         }
         let formed = Duration::from_millis(GROUP_FORMS_MS);
         let is_forming = known_since.is_none_or(|since| since.elapsed() < formed);
@@ -225,7 +212,7 @@
         match self.stored_calls.is_in_use().await {
             Some(true) => {
                 // Without a receiver the process is about to end.
-                let _ = self.inputs.send(Input::StoredJobsKnown);
+                let _ = self.inputs.send(Input::Stored(StoredInput::Known));
                 None
             }
             Some(false) => Some(StoredAnswer::Unknown),
--- a/crates/node/src/entry_node.rs
+++ b/crates/node/src/entry_node.rs
@@ -17,7 +17,6 @@
 use gannetvane_dispatch::JobOutcome;
 use gannetvane_dispatch::LINKED_PEERS;
 use gannetvane_dispatch::Ledger;
-use gannetvane_dispatch::LedgerAction;
 use gannetvane_dispatch::LedgerSettings;
 use gannetvane_dispatch::LinkId;
 use gannetvane_dispatch::PeerFrame;
@@ -45,6 +44,7 @@
 use crate::agent_links;
 use crate::entry_handle::EntryHandle;
 use crate::entry_handle::Input;
+use crate::entry_stored::StoredInput;
 use crate::job_log::JobLogCalls;
 use crate::links::FrameSender;
 use crate::peer_links;
@@ -84,22 +84,22 @@
 /// An entry with its connections.
 pub struct EntryNode {
     settings: EntryNodeSettings,
-    dispatcher: Dispatcher,
-    clock: Clock,
-    log: Logger,
+    pub(crate) dispatcher: Dispatcher,
+    pub(crate) clock: Clock,
+    pub(crate) log: Logger,
     metrics: Rc<Metrics>,
-    inputs: UnboundedSender<Input>,
+    pub(crate) inputs: UnboundedSender<Input>,
     queue: UnboundedReceiver<Input>,
     links: BTreeMap<LinkId, (FrameSender, AbortHandle)>,
     callers: BTreeMap<Caller, oneshot::Sender<JobOutcome>>,
     directory: SharedDirectory,
-    news: watch::Sender<PeerNews>,
-    handle: EntryHandle,
-    ledger: Ledger,
-    job_log: JobLogCalls,
-    stored_callers: BTreeMap<StoredCaller, oneshot::Sender<StoredAnswer>>,
-    next_stored_caller: u64,
-    is_announcing: bool,
+    pub(crate) news: watch::Sender<PeerNews>,
+    pub(crate) handle: EntryHandle,
+    pub(crate) ledger: Ledger,
+    pub(crate) job_log: JobLogCalls,
+    pub(crate) stored_callers: BTreeMap<StoredCaller, oneshot::Sender<StoredAnswer>>,
+    pub(crate) next_stored_caller: u64,
+    pub(crate) is_announcing: bool,
     http_stop: watch::Sender<bool>,
     open: OpenConnections,
     stop_ms: Option<u64>,
@@ -290,32 +290,7 @@
                 self.directory.borrow_mut().learn(now_ms, &entries);
             }
             Input::Refresh => self.spread_entries(now_ms),
-            Input::Stored(call, answer) => {
-                let caller = StoredCaller(self.next_stored_caller);
-                self.next_stored_caller += 1;
-                self.stored_callers.insert(caller, answer);
-                self.ledger.call(now_ms, caller, call, &mut self.dispatcher);
-            }
-            Input::FirstStoredJob => self.announce_stored_jobs(store),
-            Input::StoredJobsKnown => self.take_part(now_ms),
-            Input::Joined(sent_ms, membership) => {
-                self.ledger
-                    .joined(now_ms, sent_ms, membership, &mut self.dispatcher);
-            }
-            Input::Appended {
-                partition,
-                epoch,
-                number,
-                result,
-            } => {
-                let dispatcher = &mut self.dispatcher;
-                self.ledger
-                    .appended(now_ms, partition, epoch, number, result, dispatcher);
-            }
-            Input::Loaded(partition, load, records) => {
-                self.ledger
-                    .loaded(now_ms, partition, load, records.as_deref());
-            }
+            Input::Stored(stored) => self.stored_input(now_ms, stored, store),
             Input::Reload(tunables) => {
                 self.directory
                     .borrow_mut()
@@ -339,31 +314,6 @@
         }
     }
 
-    /// Takes part in serving stored jobs, and lets others know of them.
-    fn take_part(&mut self, now_ms: u64) {
-        if self.ledger.activate(now_ms) {
-            info!(self.log, "stored-jobs-known");
-            self.handle.set_has_stored_jobs();
-            self.news.send_modify(|news| news.has_stored_jobs = true);
-        }
-    }
-
-    /// Announces the first stored job, before it is taken: otherwise nobody
-    /// would look for it if all entries were restarted.
-    fn announce_stored_jobs(&mut self, store: &StoreKeeper) {
-        if self.ledger.is_active() || self.is_announcing {
-            return;
-        }
-        self.is_announcing = true;
-        let store = store.clone();
-        let inputs = self.inputs.clone();
-        tokio::task::spawn_local(async move {
-            store.announce_stored_jobs().await;
-            // Without a receiver the process is about to end.
-            let _ = inputs.send(Input::StoredJobsKnown);
-        });
-    }
-
     fn configure(&mut self, table: RoutingTable) {
         if self.dispatcher.configure(table) {
             let table = Arc::new(self.dispatcher.table().clone());
@@ -412,21 +362,6 @@
         is_over || is_served && self.ledger.may_stop()
     }
 
-    fn carry_out_stored(&mut self) {
-        for action in self.ledger.take_actions() {
-            match action {
-                LedgerAction::Answer(caller, stored) => {
-                    if let Some(answer) = self.stored_callers.remove(&caller) {
-                        // A caller that left needs no answer.
-                        let _ = answer.send(stored);
-                    }
-                }
-                LedgerAction::Event(event) => self.event(&event),
-                call => self.job_log.begin(call),
-            }
-        }
-    }
-
     fn carry_out(&mut self) {
         for action in self.dispatcher.take_actions() {
             match action {
@@ -454,7 +389,7 @@
         }
     }
 
-    fn event(&self, event: &JobEvent) {
+    pub(crate) fn event(&self, event: &JobEvent) {
         match (&event.job, event.took_ms) {
             (Some(job), Some(took_ms)) => {
                 self.metrics.job(event.event, event.reason, took_ms);
@@ -511,7 +446,7 @@
     let _ = inputs.send(Input::Entries(announced.entries));
     if announced.has_stored_jobs {
         // Without a receiver the process is about to end.
-        let _ = inputs.send(Input::StoredJobsKnown);
+        let _ = inputs.send(Input::Stored(StoredInput::Known));
     }
     if !is_known {
         store.announce(own).await;
--- a/crates/node/src/job_log.rs
+++ b/crates/node/src/job_log.rs
@@ -12,6 +12,7 @@
 
 use crate::Clock;
 use crate::entry_handle::Input;
+use crate::entry_stored::StoredInput;
 use crate::ports::AppendCall;
 use crate::ports::JobLogPort;
 
@@ -78,7 +79,7 @@
                 }
             };
             // Without a receiver the process is about to end.
-            let _ = inputs.send(Input::Joined(sent_ms, membership));
+            let _ = inputs.send(Input::Stored(StoredInput::Joined(sent_ms, membership)));
         });
     }
 
@@ -99,12 +100,12 @@
         tokio::task::spawn_local(async move {
             let result = job_log.append(&call).await;
             // Without a receiver the process is about to end.
-            let _ = inputs.send(Input::Appended {
+            let _ = inputs.send(Input::Stored(StoredInput::Appended {
                 partition: call.partition,
                 epoch: call.epoch,
                 number: call.number,
                 result,
-            });
+            }));
         });
     }
 
@@ -122,7 +123,7 @@
                 }
             };
             // Without a receiver the process is about to end.
-            let _ = inputs.send(Input::Loaded(partition, load, records));
+            let _ = inputs.send(Input::Stored(StoredInput::Loaded(partition, load, records)));
         });
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,6 +10,7 @@
 mod configuration;
 mod entry_handle;
 mod entry_node;
+mod entry_stored;
 mod http_client;
 mod http_server;
 mod job_log;
--- a/crates/node/src/stored_calls.rs
+++ b/crates/node/src/stored_calls.rs
@@ -29,6 +29,7 @@
 use tokio::time::timeout_at;
 
 use crate::entry_handle::Input;
+use crate::entry_stored::StoredInput;
 use crate::links;
 use crate::links::FrameReader;
 use crate::links::FrameSender;
@@ -221,7 +222,7 @@
             return peer.ask(call, end).await;
         }
         let (answer, answered) = oneshot::channel();
-        let input = Input::Stored(call.clone(), answer);
+        let input = Input::Stored(StoredInput::Call(call.clone(), answer));
         self.inputs.send(input).map_err(|_| Missed::NotSent)?;
         match timeout_at(end, answered).await {
             Ok(Ok(answer)) => Ok(answer),
@@ -346,7 +347,8 @@
             return;
         };
         let (answer, answered) = oneshot::channel();
-        if inputs.send(Input::Stored(request.call, answer)).is_err() {
+        let input = Input::Stored(StoredInput::Call(request.call, answer));
+        if inputs.send(input).is_err() {
             return;
         }
         let sender = sender.clone();
