--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -29,6 +29,9 @@
     },
 }
 
+/// Event of the line that tells that the end of a stored job lies in the log.
+const RECORDED: &str = "recorded";
+
 /// What a log line holds; fields that are not named here are left out.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 struct LogLine {
@@ -122,6 +125,11 @@
 impl Story {
     /// What the last line that names an outcome means.
     fn verdict(&self) -> String {
+        let is_recorded = |line: &&LogLine| is_about(line, &self.job) && line.event == RECORDED;
+        if let Some(line) = self.lines.iter().rfind(is_recorded) {
+            let end = line.values("end").next().unwrap_or_default();
+            return format!("stored, and recorded as {end}: every entry tells it so");
+        }
         let outcome = |line: &&LogLine| is_about(line, &self.job) && line.took_ms.is_some();
         let Some(line) = self.lines.iter().rfind(outcome) else {
             return "no outcome was logged: the process ended first, or lines were dropped"
@@ -145,6 +153,8 @@
         ("refused", "no-minion") => "no minion of its service was in reach",
         ("refused", "never-fits") => "no minion is large enough for one of its tasks",
         ("refused", "stopping") => "the entry was about to end",
+        ("refused", "not-storable") => "the store did not take it, so that it never runs",
+        ("refused", "overloaded") => "too much waited before it; it was not stored and never runs",
         ("refused", _) => "nothing of it had started",
         ("too-late", _) => "a part of it ran, and the rest would have come too late to be of use",
         ("cancelled", "caller-left") => "its caller closed the connection",
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -9,6 +9,7 @@
 #[parameterized(
     refused = { include_str!("explain/refused.log"), include_str!("explain/refused.txt") },
     failed = { include_str!("explain/failed.log"), include_str!("explain/failed.txt") },
+    stored = { include_str!("explain/stored.log"), include_str!("explain/stored.txt") },
     lost_agent = { include_str!("explain/lost-agent.log"), include_str!("explain/lost-agent.txt") },
 )]
 fn logs_tell_the_story_of_a_job(log: &str, expected: &str) {
