--- a/crates/dispatch/tests/interleavings.rs
+++ b/crates/dispatch/tests/interleavings.rs
@@ -105,6 +105,8 @@
 /// Plays a seed with stored jobs and a job log that fails.
 fn play_stored(seed: u64) -> Session {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    // Apart, so that seeds that once failed play as they did then.
+    let mut repeats = ChaCha8Rng::seed_from_u64(!seed);
     let mut session = Session::new(STORED_ENTRIES, AGENTS);
     for minion in &mut session.minions {
         minion.clock_rate = rng.random_range(0.98..1.02);
@@ -120,8 +122,8 @@
             let position = rng.random_range(0..session.stored.len());
             session.cancel_stored(position);
         }
-        if rng.random_range(0..6) == 0 && !session.stored.is_empty() {
-            let position = rng.random_range(0..session.stored.len());
+        if repeats.random_range(0..6) == 0 && !session.stored.is_empty() {
+            let position = repeats.random_range(0..session.stored.len());
             session.stored[position].sends_again = true;
         }
         disturb(&mut session, &mut rng);
