Entries that become known are told of and dialed at once

Change: the directory counts entries that become known, and both look at once when the number rises. Measured: the test fails without the change (no word of the newcomer in two frames).

--- a/crates/dispatch/src/directory.rs
+++ b/crates/dispatch/src/directory.rs
@@ -32,6 +32,8 @@
     /// When each was last reached, by anybody.
     reached: BTreeMap<SocketAddr, u64>,
     choice: Option<Choice>,
+    /// Times that an entry was named or reached which was not known before.
+    gains: u64,
 }
 
 /// A bound on the entries that are targets.
@@ -53,6 +55,7 @@
             heard: BTreeMap::new(),
             reached: BTreeMap::new(),
             choice: None,
+            gains: 0,
         }
     }
 
@@ -74,7 +77,7 @@
     pub fn learn(&mut self, now_ms: u64, entries: &[SocketAddr]) -> bool {
         let before = self.targets(now_ms).len();
         for entry in entries {
-            self.heard.insert(*entry, now_ms);
+            self.gains += u64::from(note(&mut self.heard, now_ms, *entry, now_ms));
         }
         self.targets(now_ms).len() > before
     }
@@ -85,16 +88,24 @@
         for entry in entries.iter().filter(recent) {
             let at_ms = now_ms.saturating_sub(u64::from(entry.age_ms));
             for times in [&mut self.heard, &mut self.reached] {
-                let known_ms = times.entry(entry.addr).or_insert(at_ms);
-                *known_ms = at_ms.max(*known_ms);
+                self.gains += u64::from(note(times, now_ms, entry.addr, at_ms));
             }
         }
     }
 
     /// Notes an entry that was reached just now.
     pub fn reached(&mut self, now_ms: u64, entry: SocketAddr) {
-        self.heard.insert(entry, now_ms);
-        self.reached.insert(entry, now_ms);
+        for times in [&mut self.heard, &mut self.reached] {
+            self.gains += u64::from(note(times, now_ms, entry, now_ms));
+        }
+    }
+
+    /// A number that rises when an entry becomes known, so that it is dialed
+    /// and told of at once: after a start of all processes, waiting for the next
+    /// look kept an entry without agents for up to half a second.
+    #[must_use]
+    pub fn gains(&self) -> u64 {
+        self.gains
     }
 
     /// The entries, but this one, that are worth a connection.
@@ -159,6 +170,13 @@
     }
 }
 
+/// Notes the time of a contact; whether the entry was not known.
+fn note(times: &mut BTreeMap<SocketAddr, u64>, now_ms: u64, entry: SocketAddr, at_ms: u64) -> bool {
+    let known_ms = times.get(&entry).copied();
+    times.insert(entry, at_ms.max(known_ms.unwrap_or(0)));
+    known_ms.is_none_or(|known_ms| !is_recent(now_ms, known_ms))
+}
+
 fn is_recent(now_ms: u64, at_ms: u64) -> bool {
     now_ms < at_ms + FORGET_MS
 }
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -233,7 +233,7 @@
 }
 
 /// Frame between entries.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct PeerFrame {
     /// Entries that the sender knows; empty in most frames.
     pub entries: Vec<KnownEntry>,
--- a/crates/node/src/agent_node.rs
+++ b/crates/node/src/agent_node.rs
@@ -124,6 +124,8 @@
     directory: SharedDirectory,
     stop_ms: Option<u64>,
     refreshed_ms: u64,
+    /// Gains of the directory when it was last looked at for entries to dial.
+    dialed_gains: u64,
     searched_ms: u64,
 }
 
@@ -160,6 +162,7 @@
             directory: Rc::new(RefCell::new(directory)),
             stop_ms: None,
             refreshed_ms: 0,
+            dialed_gains: 0,
             searched_ms: 0,
         }
     }
@@ -195,7 +198,9 @@
             let now_ms = self.clock.now_ms();
             due_ms = self.agent.tick(now_ms);
             self.carry_out();
-            if now_ms >= self.refreshed_ms + REFRESH_MS {
+            let gains = self.directory.borrow().gains();
+            if now_ms >= self.refreshed_ms + REFRESH_MS || gains != self.dialed_gains {
+                self.dialed_gains = gains;
                 self.refreshed_ms = now_ms;
                 dialers.refresh();
                 let targets = self.directory.borrow().targets(now_ms);
--- a/crates/node/src/entry_node.rs
+++ b/crates/node/src/entry_node.rs
@@ -93,6 +93,8 @@
     links: BTreeMap<LinkId, (FrameSender, AbortHandle)>,
     callers: BTreeMap<Caller, oneshot::Sender<JobOutcome>>,
     directory: SharedDirectory,
+    /// Gains of the directory that agents and entries were told of.
+    told_gains: u64,
     pub(crate) news: watch::Sender<PeerNews>,
     pub(crate) handle: EntryHandle,
     pub(crate) ledger: Ledger,
@@ -154,6 +156,7 @@
             links: BTreeMap::new(),
             callers: BTreeMap::new(),
             directory: Rc::new(RefCell::new(directory)),
+            told_gains: 0,
             news: watch::Sender::default(),
             handle,
             ledger,
@@ -218,7 +221,10 @@
             while let Ok(input) = self.queue.try_recv() {
                 self.input(input, &store);
             }
-            dialers.refresh_if_changed();
+            dialers.refresh_if_due();
+            if self.has_met_others() {
+                dialers.refresh();
+            }
             let now_ms = self.clock.now_ms();
             let ledger_due_ms = self.ledger.tick(now_ms, &mut self.dispatcher);
             due_ms = self.dispatcher.tick(now_ms);
@@ -322,6 +328,18 @@
         }
     }
 
+    /// Tells of entries that became known since the last call; whether there
+    /// are any.
+    fn has_met_others(&mut self) -> bool {
+        let gains = self.directory.borrow().gains();
+        let is_gain = gains != self.told_gains;
+        self.told_gains = gains;
+        if is_gain {
+            self.spread_entries(self.clock.now_ms());
+        }
+        is_gain
+    }
+
     /// Tells entries and agents when the set of entries changed.
     fn spread_entries(&mut self, now_ms: u64) {
         let entries = self.directory.borrow().news(now_ms);
@@ -422,7 +440,7 @@
         self.dialers.refresh();
     }
 
-    fn refresh_if_changed(&mut self) {
+    fn refresh_if_due(&mut self) {
         if self.clock.now_ms() >= self.refreshed_ms + REFRESH_MS {
             self.refresh();
         }
--- a/crates/node/tests/entry.rs
+++ b/crates/node/tests/entry.rs
@@ -13,14 +13,18 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
+use gannetvane_dispatch::AgentHello;
 use gannetvane_dispatch::AppendResult;
+use gannetvane_dispatch::EntryFrame;
 use gannetvane_dispatch::Greeting;
 use gannetvane_dispatch::LogRecord;
 use gannetvane_dispatch::Membership;
+use gannetvane_dispatch::Order;
 use gannetvane_dispatch::Partition;
 use gannetvane_dispatch::PeerAck;
 use gannetvane_dispatch::PeerFrame;
 use gannetvane_dispatch::Queue;
+use gannetvane_dispatch::Room;
 use gannetvane_dispatch::RoutingTable;
 use gannetvane_dispatch::StoredAnswer;
 use gannetvane_dispatch::decode;
@@ -38,6 +42,7 @@
 use gannetvane_node::ports::StorePage;
 use gannetvane_node::ports::StorePort;
 use gannetvane_node::serve_http;
+use gannetvane_wire::NodeId;
 use http_body_util::Full;
 use hyper::Response;
 use slog::Discard;
@@ -317,20 +322,64 @@
     .await;
 }
 
+async fn connect(addr: SocketAddr) -> TcpStream {
+    let mut stream = None;
+    until("an open port", || {
+        stream = std::net::TcpStream::connect(addr).ok();
+        stream.is_some()
+    })
+    .await;
+    let stream = stream.expect("just connected");
+    stream.set_nonblocking(true).expect("a socket");
+    TcpStream::from_std(stream).expect("a socket")
+}
+
+fn hello() -> AgentHello {
+    AgentHello {
+        node: NodeId(1),
+        host: "host-1".into(),
+        zone: "selfoss".into(),
+        service: "desk".into(),
+        labels: Vec::new(),
+        capacity: Room::default(),
+        clock_ms: 1,
+        kept: Vec::new(),
+    }
+}
+
+#[tokio::test]
+async fn an_entry_tells_its_agents_at_once_of_an_entry_that_came() {
+    on_one_thread(async {
+        let (addr, newcomer) = (free_addr(), free_addr());
+        let _entry = start(entry(addr, Vec::new()), FakeStore::default());
+        let mut agent = connect(addr).await;
+        write_frame(&mut agent, &Greeting::Agent(hello())).await;
+        read_frame(&mut agent).await;
+        let mut peer = connect(addr).await;
+        write_frame(&mut peer, &Greeting::Entry(newcomer)).await;
+        write_frame(&mut peer, &PeerFrame::default()).await;
+        assert!(decode::<PeerAck>(&read_frame(&mut peer).await).is_ok());
+        // Frames without news come each 100 ms, looks at all entries each 500.
+        let mut told = Vec::new();
+        for _ in 0..2 {
+            let frame = decode::<EntryFrame>(&read_frame(&mut agent).await).expect("a frame");
+            told.extend(frame.orders);
+        }
+        let names_newcomer = |order: &Order| match order {
+            Order::Entries(entries) => entries.contains(&newcomer),
+            _ => false,
+        };
+        assert!(told.iter().any(names_newcomer), "{told:?}");
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn an_entry_answers_its_peers_and_ends_a_connection_that_went_silent() {
     on_one_thread(async {
         let addr = free_addr();
         let entry = start(entry(addr, Vec::new()), FakeStore::default());
-        let mut peer = None;
-        until("an open port", || {
-            peer = std::net::TcpStream::connect(addr).ok();
-            peer.is_some()
-        })
-        .await;
-        let peer = peer.expect("just connected");
-        peer.set_nonblocking(true).expect("a socket");
-        let mut peer = TcpStream::from_std(peer).expect("a socket");
+        let mut peer = connect(addr).await;
         write_frame(&mut peer, &Greeting::Entry(free_addr())).await;
         let frame = PeerFrame {
             entries: Vec::new(),
