--- a/crates/dispatch/tests/session/mod.rs
+++ b/crates/dispatch/tests/session/mod.rs
@@ -493,6 +493,13 @@
         self.callers[position].resend_at_ms = Some(self.now_ms + 2 * DELAY_MS);
     }
 
+    /// A caller neither waits any more nor comes again.
+    pub fn forget_caller(&mut self, position: usize) {
+        let state = &mut self.callers[position];
+        state.caller = None;
+        state.resend_at_ms = None;
+    }
+
     pub fn freeze_entry(&mut self, entry: usize, for_ms: u64) {
         self.entries[entry].frozen_until_ms = self.now_ms + for_ms;
     }
