--- /dev/null
+++ b/crates/dispatch/src/agent_links.rs
@@ -0,0 +1,263 @@
+//! The connections of an agent to entries: greeting, frames, reports, and what
+//! becomes of the runs of one that is gone.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use crate::Agent;
+use crate::AgentAction;
+use crate::AgentFrame;
+use crate::Demand;
+use crate::End;
+use crate::KEEPALIVE_MS;
+use crate::KeptEnd;
+use crate::LinkId;
+use crate::OrderId;
+use crate::Report;
+use crate::Room;
+use crate::runtable::Phase;
+
+/// Shortest pause between frames that only tell of changed room, in
+/// milliseconds. Room changes about a hundred times a second at full load.
+const ROOM_NEWS_MS: u64 = 20;
+/// Entries for which [`ROOM_NEWS_MS`] is meant; with more of them the pause
+/// grows, so that news cost an agent and its entries no more in a larger fleet.
+const ENTRIES_AT_FULL_RATE: u64 = 3;
+
+/// One connection to an entry.
+#[derive(Debug)]
+pub(crate) struct Link {
+    addr: SocketAddr,
+    pub(crate) grant_until_ms: u64,
+    pub(crate) is_greeted: bool,
+    /// Whether it takes no more starts and ends with its last run.
+    pub(crate) is_retiring: bool,
+    pub(crate) starts_seen: u64,
+    reports: Vec<Report>,
+    pub(crate) last_sent_ms: u64,
+    last_free: Room,
+    /// What the entry told of its demand.
+    pub(crate) demand: Demand,
+}
+
+impl Agent {
+    /// Connections to entries that may order starts.
+    #[must_use]
+    pub fn greeted_links(&self) -> usize {
+        self.links.values().filter(|link| link.is_greeted).count()
+    }
+
+    /// A connection to an entry is open.
+    pub fn link_up(&mut self, now_ms: u64, link: LinkId, addr: SocketAddr) {
+        let state = Link {
+            addr,
+            grant_until_ms: now_ms + crate::GRANT_MS,
+            is_greeted: false,
+            is_retiring: false,
+            starts_seen: 0,
+            reports: Vec::new(),
+            last_sent_ms: now_ms,
+            last_free: Room::default(),
+            demand: Demand::default(),
+        };
+        self.links.insert(link, state);
+        self.greet_links(now_ms);
+    }
+
+    /// A connection to an entry broke: what the entry ordered is stopped.
+    pub fn link_down(&mut self, now_ms: u64, link: LinkId) {
+        if self.links.remove(&link).is_some() {
+            self.abandon(now_ms, link, "link-broken");
+        }
+    }
+
+    /// Keeps links to these entries only: once each of them has one, the others
+    /// take no more starts and are closed when nothing of theirs runs.
+    pub fn keep_links(&mut self, entries: &BTreeSet<SocketAddr>) {
+        let linked: BTreeSet<SocketAddr> = self.links.values().map(|link| link.addr).collect();
+        if !entries.is_subset(&linked) {
+            return;
+        }
+        let extra = self.links.values_mut();
+        let extra = extra.filter(|link| !entries.contains(&link.addr) && !link.is_retiring);
+        let retired = extra.map(|link| link.is_retiring = true).count();
+        if retired > 0 {
+            self.note("links-retired", None, format!("links={retired}"));
+        }
+    }
+
+    /// Stops all that came over a link that is gone.
+    fn abandon(&mut self, now_ms: u64, link: LinkId, cause: &'static str) {
+        self.keep_ends(now_ms, link);
+        let orders = self.runs.orders_of(link);
+        if !orders.is_empty() {
+            self.note(
+                "runs-abandoned",
+                None,
+                format!("cause={cause} runs={}", orders.len()),
+            );
+        }
+        for order in orders {
+            let is_parked = self
+                .runs
+                .get(link, order)
+                .is_some_and(|run| run.phase == Phase::Parked);
+            if is_parked {
+                self.runs.remove(link, order);
+            } else {
+                self.stop_run(now_ms, link, order);
+            }
+        }
+    }
+
+    pub(crate) fn expire_links(&mut self, now_ms: u64) {
+        let is_expired = |link: &Link| link.is_greeted && link.grant_until_ms < now_ms;
+        let expired: Vec<LinkId> = self
+            .links
+            .iter()
+            .filter(|(_, link)| is_expired(link))
+            .map(|(id, _)| *id)
+            .collect();
+        for link in expired {
+            self.expire_link(now_ms, link);
+        }
+    }
+
+    pub(crate) fn close_retired(&mut self) {
+        let minion = self.minion.as_ref();
+        let awaits = |link: LinkId| minion.is_some_and(|minion| minion.unsettled.awaits(link));
+        let has_runs = |link: LinkId| !self.runs.orders_of(link).is_empty() || awaits(link);
+        let retired = self.links.iter().filter(|(_, link)| link.is_retiring);
+        let done: Vec<LinkId> = retired
+            .map(|(id, _)| *id)
+            .filter(|id| !has_runs(*id))
+            .collect();
+        for link in done {
+            self.links.remove(&link);
+            self.actions.push(AgentAction::Close(link));
+        }
+    }
+
+    pub(crate) fn expire_link(&mut self, now_ms: u64, link: LinkId) {
+        if let Some(state) = self.links.remove(&link) {
+            let silent_ms = now_ms.saturating_sub(state.grant_until_ms);
+            self.note(
+                "grant-expired",
+                None,
+                format!("entry={} late_ms={silent_ms}", state.addr),
+            );
+            self.actions.push(AgentAction::Close(link));
+            self.abandon(now_ms, link, "grant-expired");
+        }
+    }
+
+    /// Closes all links, since the minion they were greeted for is gone.
+    pub(crate) fn close_links(&mut self, now_ms: u64) {
+        let links: Vec<LinkId> = self.links.keys().copied().collect();
+        for link in links {
+            self.links.remove(&link);
+            self.actions.push(AgentAction::Close(link));
+            self.abandon(now_ms, link, "minion-gone");
+        }
+    }
+
+    /// Greets the entries of which nothing earlier is left here.
+    pub(crate) fn greet_links(&mut self, now_ms: u64) {
+        let Some(minion) = self.minion.as_ref().filter(|minion| minion.is_clean()) else {
+            return;
+        };
+        let hello = minion.hello(&self.identity, now_ms);
+        let closed = self
+            .runs
+            .iter()
+            .filter(|run| !self.links.contains_key(&run.link));
+        let has_leftovers = closed.count() > 0;
+        if has_leftovers {
+            return;
+        }
+        for (id, link) in &mut self.links {
+            if !link.is_greeted {
+                link.is_greeted = true;
+                link.grant_until_ms = now_ms + crate::GRANT_MS;
+                self.actions.push(AgentAction::Greet(*id, hello.clone()));
+            }
+        }
+    }
+
+    pub(crate) fn send_frames(&mut self, now_ms: u64) {
+        let Some(minion) = &self.minion else {
+            return;
+        };
+        let free = minion.capacity().minus(&self.runs.promised());
+        let parked = self.runs.parked_by_urgency().len();
+        let is_open = self.is_open();
+        let entries = self.links.len() as u64;
+        let news_ms = ROOM_NEWS_MS * entries.div_ceil(ENTRIES_AT_FULL_RATE).max(1);
+        let speed_permille = self.pace.permille(now_ms);
+        let demands = self.links.values().map(|link| link.demand);
+        let demand = demands.fold(Demand::default(), Demand::plus);
+        for (id, link) in &mut self.links {
+            let pause_ms = now_ms.saturating_sub(link.last_sent_ms);
+            let is_keepalive = pause_ms >= KEEPALIVE_MS;
+            let has_news = free != link.last_free && pause_ms >= news_ms;
+            let is_due = !link.reports.is_empty() || has_news || is_keepalive;
+            if !link.is_greeted || !is_due {
+                continue;
+            }
+            let mut reports = std::mem::take(&mut link.reports);
+            if is_keepalive {
+                reports.extend(self.runs.progress(*id));
+            }
+            link.last_sent_ms = now_ms;
+            link.last_free = free;
+            let frame = AgentFrame {
+                clock_ms: now_ms,
+                starts_seen: link.starts_seen,
+                free,
+                speed_permille,
+                parked: u32::try_from(parked).unwrap_or(u32::MAX),
+                is_open: is_open && !link.is_retiring,
+                demand,
+                reports,
+            };
+            self.actions.push(AgentAction::Send(*id, frame));
+        }
+    }
+
+    /// Tells the entry how a run ended, if its link is still open.
+    pub(crate) fn report_end(&mut self, link: LinkId, order: OrderId, end: End, ran_ms: u64) {
+        if let Some(state) = self.links.get_mut(&link) {
+            state.reports.push(Report::Ended {
+                order,
+                end,
+                ran_ms: u32::try_from(ran_ms).unwrap_or(u32::MAX),
+                kept: None,
+            });
+        }
+    }
+
+    /// Tells the entry of the end of a stored run, which the minion keeps.
+    pub(crate) fn report_kept_end(
+        &mut self,
+        link: LinkId,
+        order: OrderId,
+        end: &KeptEnd,
+        ran_ms: u64,
+    ) {
+        if let Some(state) = self.links.get_mut(&link) {
+            state.reports.push(Report::Ended {
+                order,
+                end: if end.is_done { End::Done } else { End::Failed },
+                ran_ms: u32::try_from(ran_ms).unwrap_or(u32::MAX),
+                kept: Some(end.number),
+            });
+        }
+    }
+
+    /// Tells all entries something.
+    pub(crate) fn report_to_all(&mut self, report: &Report) {
+        for link in self.links.values_mut().filter(|link| link.is_greeted) {
+            link.reports.push(report.clone());
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/intake.rs
@@ -0,0 +1,119 @@
+//! Jobs come in, and their callers leave or cancel them.
+
+use gannetvane_wire::Name;
+
+use crate::Caller;
+use crate::Job;
+use crate::JobOutcome;
+use crate::Refusal;
+use crate::dispatcher::Dispatcher;
+use crate::dispatcher::DispatcherAction;
+use crate::dispatcher::JobEvent;
+use crate::jobs::JobState;
+use crate::policy::placement;
+
+/// When to come back after a refusal that room would not mend, in milliseconds:
+/// an entry that starts has its configuration and its agents by then.
+const RETRY_AFTER_MS: u64 = 1_000;
+
+impl Dispatcher {
+    /// A caller submits a job.
+    pub fn submit(&mut self, now_ms: u64, caller: Caller, job: Job) {
+        self.callers.insert(caller, job.id.clone());
+        if let Some(earlier) = self.jobs.get_mut(&job.id) {
+            if earlier.is_open() {
+                earlier.callers.push(caller);
+            } else {
+                earlier.next = Some((caller, job, now_ms));
+            }
+            return;
+        }
+        self.admit(caller, job, now_ms);
+    }
+
+    /// A caller has gone away.
+    pub fn caller_left(&mut self, now_ms: u64, caller: Caller) {
+        let Some(id) = self.callers.remove(&caller) else {
+            return;
+        };
+        let Some(state) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        state.callers.retain(|other| *other != caller);
+        if state
+            .next
+            .as_ref()
+            .is_some_and(|(next, ..)| *next == caller)
+        {
+            state.next = None;
+        }
+        if state.callers.is_empty() && state.is_open() {
+            self.finish(now_ms, &id, JobOutcome::Cancelled, "caller-left");
+        }
+    }
+
+    /// A caller cancels a job; `false` if there is none.
+    pub fn cancel(&mut self, now_ms: u64, id: &Name) -> bool {
+        let is_waited_for = |job: &JobState| job.is_open() && !job.is_stored;
+        let is_open = self.jobs.get(id).is_some_and(is_waited_for);
+        if is_open {
+            self.finish(now_ms, id, JobOutcome::Cancelled, "cancelled");
+        }
+        is_open
+    }
+
+    pub(crate) fn admit(&mut self, caller: Caller, job: Job, received_ms: u64) {
+        if let Err(reason) = self.check(&job) {
+            let retry_after_ms = RETRY_AFTER_MS;
+            let detail = format!("reason={} queue={}", reason.name(), job.queue.name);
+            self.actions.push(DispatcherAction::Event(JobEvent {
+                event: "refused",
+                job: Some(job.id.clone()),
+                detail,
+                reason: reason.name(),
+                took_ms: Some(0),
+            }));
+            self.callers.remove(&caller);
+            let outcome = JobOutcome::Refused {
+                reason,
+                retry_after_ms,
+            };
+            self.actions.push(DispatcherAction::Answer(caller, outcome));
+            return;
+        }
+        let id = job.id.clone();
+        let now_ms = self.ticked_ms.max(received_ms);
+        let state = JobState::new(received_ms, caller, job, &self.estimates);
+        let is_taken = self.takes_in(now_ms, &state);
+        self.jobs.insert(id.clone(), state);
+        if !is_taken {
+            self.refuse_overloaded(now_ms, &id, "over-share");
+        }
+    }
+
+    pub(crate) fn check(&self, job: &Job) -> Result<(), Refusal> {
+        if self.is_stopping {
+            return Err(Refusal::Stopping);
+        }
+        let service = &job.queue.service;
+        if !self.has_minions(service) {
+            return Ok(());
+        }
+        let fits = |step| placement::fits_somewhere(&self.agents, service, step);
+        if !job.steps.iter().all(fits) {
+            return Err(Refusal::NeverFits);
+        }
+        Ok(())
+    }
+
+    pub(crate) fn has_minions(&self, service: &Name) -> bool {
+        self.minions(service) > 0
+    }
+
+    pub(crate) fn minions(&self, service: &Name) -> usize {
+        let agents = self.agents.values();
+        agents
+            .filter(|agent| agent.hello.service == *service)
+            .count()
+    }
+}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -16,12 +16,14 @@
 //! ```
 
 mod agent;
+mod agent_links;
 mod call_loss;
 mod directory;
 mod dispatcher;
 mod ends;
 mod estimate;
 mod fleet;
+mod intake;
 mod job;
 mod jobs;
 mod lease;
--- a/crates/dispatch/src/lifetimes.rs
+++ b/crates/dispatch/src/lifetimes.rs
@@ -161,7 +161,7 @@
             instance: candidate.report.instance.clone(),
             // Only the clock is asked for: nothing is ordered yet.
             epoch: 0,
-            acked_through: 0,
+            acknowledged_through: 0,
             deadline_ms: None,
             wait_ms: 0,
         });
--- a/crates/dispatch/src/listings.rs
+++ b/crates/dispatch/src/listings.rs
@@ -87,7 +87,7 @@
             self.hold_if_due(now_ms);
             return;
         }
-        minion.acked_through = minion.acked_through.max(hold.acked_through);
+        minion.acknowledged_through = minion.acknowledged_through.max(hold.acknowledged_through);
         self.take_ends(now_ms, &listing);
         self.take_running(now_ms, hold.sent_ms, &listing);
         self.start_parked(now_ms);
--- a/crates/dispatch/src/minion.rs
+++ b/crates/dispatch/src/minion.rs
@@ -64,7 +64,7 @@
     /// Latest end of the lease that any call asked for, on our clock.
     pub(crate) lease_until_ms: u64,
     pub(crate) finished_through: u64,
-    pub(crate) acked_through: u64,
+    pub(crate) acknowledged_through: u64,
     /// Whether nothing of an earlier agent is left.
     pub(crate) is_clean: bool,
     pub(crate) has_left: bool,
@@ -86,7 +86,7 @@
     pub(crate) call: u64,
     pub(crate) sent_ms: u64,
     pub(crate) overdue_ms: u64,
-    pub(crate) acked_through: u64,
+    pub(crate) acknowledged_through: u64,
 }
 
 impl Minion {
@@ -100,7 +100,7 @@
             answered_ms: now_ms,
             lease_until_ms: now_ms,
             finished_through: 0,
-            acked_through: 0,
+            acknowledged_through: 0,
             is_clean: false,
             has_left: false,
             holds: Vec::new(),
@@ -120,7 +120,9 @@
 
     /// Whether the minion lists the ends of all that it may still be given.
     fn has_room_for_ends(&self) -> bool {
-        let kept = self.finished_through.saturating_sub(self.acked_through);
+        let kept = self
+            .finished_through
+            .saturating_sub(self.acknowledged_through);
         kept < ENDS_KEPT
     }
 
@@ -299,7 +301,7 @@
             return;
         };
         let acknowledgeable = minion.acknowledgeable();
-        let has_ends = acknowledgeable > minion.acked_through;
+        let has_ends = acknowledgeable > minion.acknowledged_through;
         let is_wanted = has_runs || has_ends || !minion.is_clean || !minion.is_answering();
         let copies = minion.loss.copies().min(HOLD_COPIES) as usize;
         let is_waiting = |hold: &&HoldCall| now_ms < hold.overdue_ms;
@@ -324,13 +326,13 @@
                 call,
                 sent_ms: now_ms,
                 overdue_ms: now_ms + wait_ms + HOLD_PATIENCE_MS,
-                acked_through: acknowledgeable,
+                acknowledged_through: acknowledgeable,
             });
             self.actions.push(AgentAction::Hold {
                 call,
                 instance: minion.report.instance.clone(),
                 epoch: minion.epoch,
-                acked_through: acknowledgeable,
+                acknowledged_through: acknowledgeable,
                 deadline_ms,
                 wait_ms,
             });
--- a/crates/dispatch/tests/session/minion.rs
+++ b/crates/dispatch/tests/session/minion.rs
@@ -184,7 +184,7 @@
         &mut self,
         now_ms: u64,
         epoch: u64,
-        acked_through: u64,
+        acknowledged_through: u64,
         deadline_ms: Option<u64>,
     ) {
         self.tick(now_ms);
@@ -196,8 +196,8 @@
             self.lease_until_ms = self.lease_until_ms.max(deadline_ms);
         }
         self.finished
-            .retain(|finished| finished.number > acked_through);
-        let unnoted = self.unnoted.split_off(&(acked_through + 1));
+            .retain(|finished| finished.number > acknowledged_through);
+        let unnoted = self.unnoted.split_off(&(acknowledged_through + 1));
         for (_, (key, ended_ms, is_lapsed)) in std::mem::replace(&mut self.unnoted, unnoted) {
             if !is_lapsed {
                 self.noted.push((key, ended_ms));
--- a/crates/dispatch/tests/session/mod.rs
+++ b/crates/dispatch/tests/session/mod.rs
@@ -905,7 +905,7 @@
             AgentAction::Hold {
                 call,
                 epoch,
-                acked_through,
+                acknowledged_through,
                 deadline_ms,
                 wait_ms,
                 ..
@@ -918,7 +918,7 @@
                     }
                     return;
                 }
-                minion.extend(now_ms, *epoch, *acked_through, *deadline_ms);
+                minion.extend(now_ms, *epoch, *acknowledged_through, *deadline_ms);
                 if is_answered {
                     // Without waiting, the listing is made now and is told as
                     // late as one that waits a little.
--- a/crates/node/src/agent_node.rs
+++ b/crates/node/src/agent_node.rs
@@ -315,7 +315,7 @@
                     call,
                     instance,
                     epoch,
-                    acked_through,
+                    acknowledged_through,
                     deadline_ms,
                     wait_ms,
                 } => self.hold(
@@ -323,7 +323,7 @@
                     HoldCall {
                         instance,
                         epoch,
-                        acked_through,
+                        acknowledged_through,
                         deadline_ms,
                         wait_ms,
                     },
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -50,7 +50,7 @@
     /// The agent's epoch; 0 before it has one.
     pub epoch: u64,
     /// Ends up to this number may be forgotten.
-    pub acked_through: u64,
+    pub acknowledged_through: u64,
     /// New end of the lease on the minion's clock, in milliseconds.
     pub deadline_ms: Option<u64>,
     /// Longest time that the answer may wait for an end, in milliseconds.
