--- a/crates/dispatch/src/jobs.rs
+++ b/crates/dispatch/src/jobs.rs
@@ -259,7 +259,6 @@
     /// What the policy sees of it.
     pub(crate) fn waiting(&self, estimates: &Estimates) -> WaitingJob {
         WaitingJob {
-            received_ms: self.received_ms,
             objective_ms: self.objective_ms,
             rest_ms: chain_from_ms(&self.job, self.next_step(), estimates),
             has_begun: self.first_start_ms.is_some(),
--- a/crates/dispatch/src/overload.rs
+++ b/crates/dispatch/src/overload.rs
@@ -114,6 +114,6 @@
             return false;
         }
         let waiting = job.waiting(&self.estimates);
-        !self.policy.has_prospect(now_ms, service, &waiting, wait_ms)
+        !self.policy.has_prospect(now_ms, &waiting, wait_ms)
     }
 }
--- a/crates/dispatch/src/policy/fair_share.rs
+++ b/crates/dispatch/src/policy/fair_share.rs
@@ -35,10 +35,6 @@
 /// Credit of a queue at the start and at most, in jobs.
 const FIRST_CREDIT: f64 = 0.5;
 const MOST_CREDIT: f64 = 1.5;
-/// While an overload lasts, a job waits for its first start for one in this
-/// many parts of its objective. A later refusal is of less use to its caller,
-/// and half of the objective is needed for the work itself.
-const LASTING_WAIT_PART: u64 = 6;
 /// Time until the next try of a caller when there is no backlog, in
 /// milliseconds: a burst of sub-second tasks is worked off in that.
 const LEAST_RETRY_MS: f64 = 500.0;
@@ -109,14 +105,8 @@
         load.pressure.refused(now_ms);
     }
 
-    fn has_prospect(&self, now_ms: u64, service: &Name, job: &WaitingJob, wait_ms: f64) -> bool {
-        let load = self.services.get(service);
-        let is_lasting = load.is_some_and(|load| load.pressure.is_lasting(now_ms));
-        let waited_ms = now_ms.saturating_sub(job.received_ms);
-        let objective_ms = job.objective_ms.saturating_sub(job.received_ms);
-        let has_waited = waited_ms * LASTING_WAIT_PART > objective_ms;
-        let is_late = order::is_late_after(now_ms, job, wait_ms);
-        !is_late && (!is_lasting || !has_waited)
+    fn has_prospect(&self, now_ms: u64, job: &WaitingJob, wait_ms: f64) -> bool {
+        !order::is_late_after(now_ms, job, wait_ms)
     }
 
     fn rank(&self, now_ms: u64, job: &WaitingJob) -> Rank {
--- a/crates/dispatch/src/policy/mod.rs
+++ b/crates/dispatch/src/policy/mod.rs
@@ -35,8 +35,6 @@
 /// A job that waits for room.
 #[derive(Clone, Copy, Debug)]
 pub struct WaitingJob {
-    /// When it came.
-    pub received_ms: u64,
     /// When it should be complete.
     pub objective_ms: u64,
     /// Expected time from the next start to its end, in milliseconds.
@@ -73,7 +71,7 @@
 
     /// Whether a job of which nothing has started is of use when all of its
     /// tasks start within `wait_ms`.
-    fn has_prospect(&self, now_ms: u64, service: &Name, job: &WaitingJob, wait_ms: f64) -> bool;
+    fn has_prospect(&self, now_ms: u64, job: &WaitingJob, wait_ms: f64) -> bool;
 
     /// The place of a job among those that wait; the least goes first.
     fn rank(&self, now_ms: u64, job: &WaitingJob) -> Rank;
