--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -338,10 +338,14 @@
     }
 
     pub(crate) fn send_frames(&mut self, now_ms: u64) {
+        let is_due =
+            |agent: &AgentState| !agent.outbox.is_empty() || now_ms >= agent.sent_ms + KEEPALIVE_MS;
+        if !self.agents.values().any(is_due) {
+            return;
+        }
         let demands = self.demands(now_ms);
         for (link, agent) in &mut self.agents {
-            let is_keepalive = now_ms >= agent.sent_ms + KEEPALIVE_MS;
-            if agent.outbox.is_empty() && !is_keepalive {
+            if !is_due(agent) {
                 continue;
             }
             let demand = demands.get(&agent.hello.service).copied();
--- a/crates/dispatch/src/jobs.rs
+++ b/crates/dispatch/src/jobs.rs
@@ -239,13 +239,17 @@
 
     /// Work of the tasks that wait: expected time by thousandths of a core.
     pub(crate) fn waiting_work(&self, estimates: &Estimates) -> f64 {
+        let mut counts = vec![0_u32; self.job.steps.len()];
         let waiting = |task: &&TaskState| task.phase == TaskPhase::Waiting;
-        let work = |task: &TaskState| {
-            let step = &self.job.steps[task.step];
+        for task in self.tasks.iter().filter(waiting) {
+            counts[task.step] += 1;
+        }
+        let steps = self.job.steps.iter().zip(counts);
+        let work = steps.filter(|(_, count)| *count > 0).map(|(step, count)| {
             let expected_ms = estimates.expected_ms(&self.job.queue.name, step.declared_ms);
-            expected_ms * f64::from(step.needs.cpu_milli)
-        };
-        self.tasks.iter().filter(waiting).map(work).sum()
+            expected_ms * f64::from(step.needs.cpu_milli) * f64::from(count)
+        });
+        work.sum()
     }
 
     /// Thousandths of a core that the tasks that wait need together.
--- a/crates/dispatch/src/views.rs
+++ b/crates/dispatch/src/views.rs
@@ -70,7 +70,9 @@
     }
 
     fn own_demand(&self, now_ms: u64, service: &Name) -> Demand {
-        let is_own = |job: &&JobState| job.is_open() && job.job.queue.service == *service;
+        let is_own = |job: &&JobState| {
+            job.is_open() && job.has_waiting() && job.job.queue.service == *service
+        };
         let waiting = self.jobs.values().filter(is_own);
         let waiting: f64 = waiting.map(|job| job.waiting_work(&self.estimates)).sum();
         Demand {
