An entry that stood still refuses nothing before it has heard its agents

Cause: found by reading: agents that were not heard for 250 ms take no starts, so an entry that thaws saw no room, a share of 0, and refused the first jobs at once. Ruled out: that the wait after standing still covers it: it holds back starts only. Change: the room counts as known only when some agent takes starts and the entry has settled. Measured: the test fails without the change.

--- a/crates/dispatch/src/policy/mod.rs
+++ b/crates/dispatch/src/policy/mod.rs
@@ -53,7 +53,8 @@
     pub offered_milli: f64,
     /// Work that waits at all entries, in cores by milliseconds.
     pub waiting_core_ms: f64,
-    /// Whether all of its agents that greeted have told their room.
+    /// Whether the room is known: there are agents, all of them have told their
+    /// room, and lately.
     pub is_room_known: bool,
 }
 
--- a/crates/dispatch/src/views.rs
+++ b/crates/dispatch/src/views.rs
@@ -43,11 +43,14 @@
                 room_milli += f64::from(agent.hello.capacity.cpu_milli) * agent.speed;
             }
         }
+        // An entry that stood still has not heard its agents for that time, and
+        // would take their room for gone.
+        let is_awake = now_ms >= self.settled_ms && room_milli > 0.0;
         ServiceView {
             room_milli,
             offered_milli: f64::from(demand.offered_milli),
             waiting_core_ms: f64::from(demand.waiting_core_ms),
-            is_room_known: self.has_minions(service) && self.is_room_known(service),
+            is_room_known: is_awake && self.is_room_known(service),
         }
     }
 
--- a/crates/dispatch/tests/overload.rs
+++ b/crates/dispatch/tests/overload.rs
@@ -199,3 +199,18 @@
     assert!(refused(59), "the full service refuses");
     assert!(!refused(60), "the other one does not");
 }
+
+#[test]
+fn an_entry_that_stood_still_refuses_nothing_before_it_has_heard_its_agents() {
+    let (mut dispatcher, now_ms) = dispatcher();
+    full_agent_up(&mut dispatcher, now_ms, LinkId(1), "other");
+    dispatcher.tick(now_ms);
+    dispatcher.take_actions();
+    let later_ms = now_ms + 390;
+    for number in 0..10 {
+        dispatcher.submit(later_ms, Caller(number), job(number, "other", 60));
+    }
+    let answers = dispatcher.take_actions();
+    let is_answer = |action: &DispatcherAction| matches!(action, DispatcherAction::Answer(..));
+    assert!(!answers.iter().any(is_answer), "{answers:?}");
+}
