Late jobs are not held back any more

Ruled out: that it decides anything: a job that will be late and of which nothing has started is refused within 10 ms, or the order already puts it last. Change: is_held_back, the free share of the room and the test of it are taken out. Conclusion: taken out.

--- a/crates/dispatch/src/policy/fair_share.rs
+++ b/crates/dispatch/src/policy/fair_share.rs
@@ -113,10 +113,6 @@
         order::by_latest_start(now_ms, job)
     }
 
-    fn is_held_back(&self, now_ms: u64, job: &WaitingJob, free_share: f64) -> bool {
-        order::is_held_back(now_ms, job, free_share)
-    }
-
     fn retry_after_ms(&self, view: &ServiceView, spread: f64) -> u64 {
         let share = share(view, LEAST_BACKLOG_MS).max(LEAST_SHARE);
         let pause_ms = (LEAST_RETRY_MS + waiting_ms(view)) / share;
--- a/crates/dispatch/src/policy/mod.rs
+++ b/crates/dispatch/src/policy/mod.rs
@@ -77,10 +77,6 @@
     /// The place of a job among those that wait; the least goes first.
     fn rank(&self, now_ms: u64, job: &WaitingJob) -> Rank;
 
-    /// Whether a job waits although there may be room; `free_share` is the part
-    /// of the room that is free.
-    fn is_held_back(&self, now_ms: u64, job: &WaitingJob, free_share: f64) -> bool;
-
     /// When a caller that is refused should come back, in milliseconds;
     /// `spread` is a number from 0 to 1, new for each caller.
     fn retry_after_ms(&self, view: &ServiceView, spread: f64) -> u64;
--- a/crates/dispatch/src/policy/order.rs
+++ b/crates/dispatch/src/policy/order.rs
@@ -1,10 +1,7 @@
-//! In which order jobs wait, and which of them hold back.
+//! In which order jobs wait, and which of them will be late.
 
 use crate::policy::WaitingJob;
 
-/// Part of the room that must be free before a job starts that will be late
-/// and earns little.
-const SPARE_SHARE: f64 = 0.12;
 /// Part of the expected time that must be left beyond it: tasks wait for room at
 /// an agent, run times are uncertain, and the last of several tasks decides. With
 /// 0.15 six in a hundred jobs of a lasting overload end late, with 0.3 four, and
@@ -41,8 +38,3 @@
 fn is_late(now_ms: u64, job: &WaitingJob) -> bool {
     is_late_after(now_ms, job, 0.0)
 }
-
-/// Whether the room is kept for jobs that are about to come and can be in time.
-pub(super) fn is_held_back(now_ms: u64, job: &WaitingJob, free_share: f64) -> bool {
-    is_late(now_ms, job) && !job.has_begun && free_share < SPARE_SHARE
-}
--- a/crates/dispatch/src/rounds.rs
+++ b/crates/dispatch/src/rounds.rs
@@ -58,9 +58,6 @@
         self.lenient = self.lenient_services(now_ms);
         let mut misses = 0;
         for id in self.waiting_by_urgency(now_ms) {
-            if self.is_held_back(now_ms, &id) {
-                continue;
-            }
             if !self.place_job(now_ms, &id, &mut open) {
                 misses += 1;
             }
@@ -98,28 +95,6 @@
         open.map(|(link, _)| *link).collect()
     }
 
-    /// Whether a job waits although there may be room.
-    pub(crate) fn is_held_back(&self, now_ms: u64, id: &Name) -> bool {
-        let Some(job) = self.jobs.get(id) else {
-            return true;
-        };
-        let waiting = job.waiting(&self.estimates);
-        let free_share = self.free_share(&job.job.queue.service);
-        self.policy.is_held_back(now_ms, &waiting, free_share)
-    }
-
-    /// Part of the service's room that is free, as far as is known.
-    pub(crate) fn free_share(&self, service: &Name) -> f64 {
-        let of_service = self.agents.values();
-        let of_service = of_service.filter(|agent| agent.hello.service == *service);
-        let (mut free, mut all) = (0.0, 1.0);
-        for agent in of_service {
-            free += f64::from(agent.free().cpu_milli) * agent.speed.min(1.0);
-            all += f64::from(agent.hello.capacity.cpu_milli);
-        }
-        free / all
-    }
-
     /// Thousandths of a core of a service that are free, as far as is known.
     pub(crate) fn free_milli(&self, service: &Name) -> f64 {
         let of_service = self.agents.values();
