--- a/crates/dispatch/src/policy/order.rs
+++ b/crates/dispatch/src/policy/order.rs
@@ -4,8 +4,8 @@
 
 /// Part of the expected time that must be left beyond it: tasks wait for room at
 /// an agent, run times are uncertain, and the last of several tasks decides. With
-/// 0.15 six in a hundred jobs of a lasting overload end late, with 0.3 four, and
-/// the worth rises by 2.5% (replay `lasting`).
+/// 0.15 4.9% of the jobs of a lasting overload end late, with 0.3 3.9%, and the
+/// worth rises from 0.697 to 0.710 (replay `lasting`, four seeds).
 const MARGIN: f64 = 0.3;
 
 /// The place of a job among those that wait; the least goes first.
