--- a/crates/dispatch/src/ends.rs
+++ b/crates/dispatch/src/ends.rs
@@ -35,7 +35,7 @@
 const HANG_SHARE: f64 = 0.5;
 const HANG_MS: f64 = 150.0;
 /// Speeds of minions whose run times are learned from: the kinds on the
-/// users' sheets, not those that have become slow.
+/// platform, not those that have become slow.
 const SOUND_SPEEDS: std::ops::Range<f64> = 0.6..1.8;
 /// Speed below which all runs on a minion stand still, and the share of its
 /// expected time for which a run must then have made no progress: minions tell
--- a/crates/dispatch/src/ledger_calls.rs
+++ b/crates/dispatch/src/ledger_calls.rs
@@ -22,7 +22,7 @@
 /// that its partition is still ours, in milliseconds: two joins.
 const DOUBT_MS: u64 = 1_000;
 /// Longest time that a question about an open job waits for its end, in
-/// milliseconds: on the bench callers ask within 10 of it and then after 250.
+/// milliseconds: callers ask within 10 of it and then after 250.
 const STATE_WAIT_MS: u64 = 200;
 
 /// A caller that waits for the end of a job.
