--- a/crates/dispatch/src/policy/mod.rs
+++ b/crates/dispatch/src/policy/mod.rs
@@ -82,5 +82,5 @@
     fn retry_after_ms(&self, view: &ServiceView, spread: f64) -> u64;
 }
 
-/// The policies that a dispatcher can start with.
+/// A policy that a dispatcher owns.
 pub type BoxedPolicy = Box<dyn OverloadPolicy>;
