--- a/crates/dispatch/tests/replay/central.rs
+++ b/crates/dispatch/tests/replay/central.rs
@@ -68,7 +68,16 @@
         if is_gone { at_ms + RESEND_MS } else { at_ms }
     }
 
+    /// Whether a minion does no work; the central queue knows the grey ones.
     fn is_away(&self, minion: usize, now_ms: u64) -> bool {
+        let is_grey = self
+            .grey
+            .iter()
+            .any(|grey| grey.is_present(now_ms) && grey.minions().contains(&minion));
+        is_grey || self.is_gone(minion, now_ms)
+    }
+
+    fn is_gone(&self, minion: usize, now_ms: u64) -> bool {
         self.outages.iter().any(|outage| {
             minion < outage.minions
                 && (outage.at_ms..outage.at_ms + outage.for_ms).contains(&now_ms)
