An agent closes for all entries when its minion fails what it starts

Ruled out: judging by one failed job (one may be at fault itself, and two failures in a row of chance are 8 in a million ends at 0.2% of failed tasks). Change: a circuit breaker at the agent, which sees all ends: two jobs that fail with fewer than two good ends between close it for 0.3 s, doubling to 2.4 s; then one start at a time, ordered by the busiest entry, shows whether the minion has recovered. Starts that arrive meanwhile are refused without an attempt. Entries tell agents of jobs that failed on several hosts (pardon), so that jobs which fail everywhere close nothing for long. Conclusion: what one entry learns, all know within a message.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -20,6 +20,8 @@
 use crate::RunKey;
 use crate::StartOrder;
 use crate::agent_links::Link;
+use crate::breaker::Breaker;
+use crate::breaker::BreakerState;
 use crate::lifetimes::Candidate;
 use crate::minion::Minion;
 use crate::offers::Offers;
@@ -110,6 +112,7 @@
     pub(crate) runs: RunTable,
     pub(crate) links: BTreeMap<LinkId, Link>,
     pub(crate) offers: Offers,
+    pub(crate) breaker: Breaker,
     pub(crate) pace: Pace,
     pub(crate) is_stopping: bool,
     pub(crate) next_call: u64,
@@ -127,6 +130,7 @@
             runs: RunTable::default(),
             links: BTreeMap::new(),
             offers: Offers::default(),
+            breaker: Breaker::default(),
             pace: Pace::default(),
             is_stopping: false,
             next_call: 1,
@@ -174,6 +178,7 @@
             match order {
                 Order::Start(start) => self.start_ordered(now_ms, link, start),
                 Order::Probe(probe) => self.offers.probed(now_ms, link, &probe),
+                Order::Pardon(job) => self.breaker.pardon(&job),
                 Order::Decline => self.offers.close(link),
                 Order::Stop(order) => self.stop_ordered(now_ms, link, order),
                 Order::Settled(number, settlement) => {
@@ -212,12 +217,19 @@
         let greeted = self.links.values().filter(|link| link.is_greeted);
         let grants_ms = greeted.map(|link| link.grant_until_ms + 1).min();
         let minion_ms = self.minion_due_ms(now_ms);
-        [frames_ms, grants_ms, minion_ms, self.offers.due_ms()]
-            .into_iter()
-            .flatten()
-            .min()
-            .unwrap_or(now_ms + 1_000)
-            .max(now_ms + 1)
+        let breaker_ms = self.breaker.due_ms(now_ms);
+        [
+            frames_ms,
+            grants_ms,
+            minion_ms,
+            self.offers.due_ms(),
+            breaker_ms,
+        ]
+        .into_iter()
+        .flatten()
+        .min()
+        .unwrap_or(now_ms + 1_000)
+        .max(now_ms + 1)
     }
 
     /// Starts a task, or refuses it at once: waiting here for room held a task
@@ -230,7 +242,7 @@
             is_retiring = state.is_retiring;
         }
         let order = start.id;
-        if !self.is_open() || is_retiring {
+        if !self.admits(now_ms) || is_retiring {
             self.report_end(link, order, End::NotStarted(Busy::Closing), 0);
             return;
         }
@@ -265,7 +277,8 @@
 
     /// Offers the room that is free to entries whose tasks wait.
     fn offer_room(&mut self, now_ms: u64) {
-        if !self.is_open() {
+        let is_sound = self.breaker.state(now_ms) == BreakerState::Closed;
+        if !is_sound || !self.is_open() {
             self.offers.clear();
             return;
         }
@@ -276,6 +289,18 @@
         }
     }
 
+    /// Whether a start is admitted now, as far as the minion's health goes.
+    pub(crate) fn admits(&self, now_ms: u64) -> bool {
+        self.is_open()
+            && match self.breaker.state(now_ms) {
+                BreakerState::Closed => true,
+                BreakerState::Open => false,
+                BreakerState::HalfOpen { since_ms } => {
+                    !self.runs.iter().any(|run| run.started_ms >= since_ms)
+                }
+            }
+    }
+
     pub(crate) fn note(&mut self, event: &'static str, job: Option<Name>, detail: String) {
         self.actions
             .push(AgentAction::Note(AgentNote { event, job, detail }));
--- a/crates/dispatch/src/agent_links.rs
+++ b/crates/dispatch/src/agent_links.rs
@@ -15,6 +15,7 @@
 use crate::OrderId;
 use crate::Report;
 use crate::Room;
+use crate::breaker::BreakerState;
 
 /// Shortest pause between frames that only tell of changed room, in
 /// milliseconds. Room changes about a hundred times a second at full load.
@@ -187,7 +188,8 @@
             return;
         }
         let all_free = self.free();
-        let is_open = self.is_open();
+        let is_open = self.admits(now_ms);
+        let trial = self.trial_link(now_ms);
         let entries = self.links.len() as u64;
         let news_ms = ROOM_NEWS_MS * entries.div_ceil(ENTRIES_AT_FULL_RATE).max(1);
         let speed_permille = self.pace.permille(now_ms);
@@ -198,7 +200,7 @@
             let pause_ms = now_ms.saturating_sub(link.last_sent_ms);
             let is_keepalive = pause_ms >= KEEPALIVE_MS;
             let has_news = free != link.last_free && pause_ms >= news_ms;
-            let is_open = is_open && !link.is_retiring;
+            let is_open = is_open && !link.is_retiring && trial.is_none_or(|trial| trial == *id);
             let is_due = !link.reports.is_empty()
                 || has_news
                 || is_keepalive
@@ -228,6 +230,18 @@
         }
     }
 
+    /// The entry that may try whether a minion has recovered, if it must show
+    /// that: the one with most work, so that the trial comes soon.
+    fn trial_link(&self, now_ms: u64) -> Option<LinkId> {
+        if self.breaker.state(now_ms) == BreakerState::Closed {
+            return None;
+        }
+        let links = self.links.iter();
+        let links = links.filter(|(_, link)| link.is_greeted && !link.is_retiring);
+        let busiest = links.max_by_key(|(_, link)| link.demand.offered_milli);
+        busiest.map(|(id, _)| *id)
+    }
+
     /// Tells the entry how a run ended, if its link is still open.
     pub(crate) fn report_end(&mut self, link: LinkId, order: OrderId, end: End, ran_ms: u64) {
         if let Some(state) = self.links.get_mut(&link) {
--- /dev/null
+++ b/crates/dispatch/src/breaker.rs
@@ -0,0 +1,109 @@
+//! A circuit breaker for a minion that fails what it starts.
+//!
+//! The load pattern it answers: a minion that fails at once all that it is
+//! given, and so has room all the time, in a fleet in which each entry sees few
+//! of its ends. The agent sees all of them and closes for all entries.
+
+use gannetvane_wire::Name;
+
+/// Jobs that must fail here, without good ends between, before the minion is
+/// taken for the cause: one of them may be at fault itself.
+const SUSPECT_JOBS: usize = 2;
+/// Good ends that outweigh a job that failed.
+const GOOD_ENDS: u32 = 2;
+/// First time without starts, in milliseconds: a few sub-second tasks.
+const FIRST_PAUSE_MS: u64 = 300;
+/// Longest such time, in milliseconds: a minion that recovers serves again
+/// within that.
+const LONGEST_PAUSE_MS: u64 = 2_400;
+
+/// Judges a minion by the ends of its runs.
+#[derive(Debug, Default)]
+pub(crate) struct Breaker {
+    /// Jobs that failed here and were not outweighed.
+    suspects: Vec<Name>,
+    good_ends: u32,
+    is_tripped: bool,
+    trips: u32,
+    until_ms: u64,
+}
+
+/// Whether a minion gets starts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum BreakerState {
+    /// It does.
+    Closed,
+    /// It does not.
+    Open,
+    /// It gets one at a time, to show that it has recovered; none that began
+    /// before this time tells.
+    HalfOpen {
+        /// Since when.
+        since_ms: u64,
+    },
+}
+
+impl Breaker {
+    /// A run ended well that began at this time.
+    pub(crate) fn succeeded(&mut self, started_ms: u64) {
+        if self.is_tripped {
+            if started_ms >= self.until_ms {
+                *self = Self::default();
+            }
+            return;
+        }
+        self.good_ends += 1;
+        if self.good_ends >= GOOD_ENDS && !self.suspects.is_empty() {
+            self.suspects.remove(0);
+            self.good_ends = 0;
+        }
+    }
+
+    /// A run of a job failed that began at this time; true if the minion gets
+    /// no starts from now on.
+    pub(crate) fn failed(&mut self, now_ms: u64, job: &Name, started_ms: u64) -> bool {
+        self.good_ends = 0;
+        if !self.suspects.contains(job) {
+            self.suspects.push(job.clone());
+        }
+        let is_trial = started_ms >= self.until_ms;
+        if self.suspects.len() < SUSPECT_JOBS || !is_trial {
+            return false;
+        }
+        self.trip(now_ms);
+        true
+    }
+
+    /// The minion gets no starts for a while.
+    pub(crate) fn trip(&mut self, now_ms: u64) {
+        let doubled_ms = FIRST_PAUSE_MS << self.trips.min(3);
+        self.until_ms = now_ms + doubled_ms.min(LONGEST_PAUSE_MS);
+        self.trips += 1;
+        self.is_tripped = true;
+    }
+
+    /// The failures of a job turned out to be its own.
+    pub(crate) fn pardon(&mut self, job: &Name) {
+        self.suspects.retain(|suspect| suspect != job);
+        if self.suspects.len() < SUSPECT_JOBS && self.is_tripped {
+            self.is_tripped = false;
+            self.trips = 0;
+            self.until_ms = 0;
+        }
+    }
+
+    pub(crate) fn state(&self, now_ms: u64) -> BreakerState {
+        match self.is_tripped {
+            false => BreakerState::Closed,
+            true if now_ms < self.until_ms => BreakerState::Open,
+            true => BreakerState::HalfOpen {
+                since_ms: self.until_ms,
+            },
+        }
+    }
+
+    /// When the minion gets a start again.
+    pub(crate) fn due_ms(&self, now_ms: u64) -> Option<u64> {
+        (self.is_tripped && now_ms < self.until_ms).then_some(self.until_ms)
+    }
+}
--- a/crates/dispatch/src/ends.rs
+++ b/crates/dispatch/src/ends.rs
@@ -145,10 +145,20 @@
             for host in &before {
                 self.hosts.record(host).pardon();
             }
+            self.pardon(&order.job, &after);
         }
         self.task_event("task-failed", order, host, End::Failed, 0);
     }
 
+    /// Tells the agents of hosts that a job's failures are its own.
+    fn pardon(&mut self, job: &Name, hosts: &[Name]) {
+        for agent in self.agents.values_mut() {
+            if hosts.contains(&agent.hello.host) {
+                agent.outbox.push(Order::Pardon(job.clone()));
+            }
+        }
+    }
+
     pub(crate) fn task_event(
         &mut self,
         event: &'static str,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -17,6 +17,7 @@
 
 mod agent;
 mod agent_links;
+mod breaker;
 mod call_loss;
 mod directory;
 mod dispatcher;
--- a/crates/dispatch/src/lifetimes.rs
+++ b/crates/dispatch/src/lifetimes.rs
@@ -14,6 +14,7 @@
 use crate::LinkId;
 use crate::MinionReport;
 use crate::OrderId;
+use crate::breaker::Breaker;
 use crate::minion::Minion;
 use crate::pace::Pace;
 
@@ -207,6 +208,7 @@
         }
         self.send_frames(now_ms);
         self.minion = None;
+        self.breaker = Breaker::default();
         self.close_links(now_ms);
     }
 }
--- a/crates/dispatch/src/listings.rs
+++ b/crates/dispatch/src/listings.rs
@@ -11,6 +11,7 @@
 use crate::Running;
 use crate::minion::STOP_RETRY_MS;
 use crate::runtable::Phase;
+use crate::runtable::Run;
 use crate::unsettled::stored_end;
 
 /// First and longest pause before the minion is asked again after a call
@@ -118,6 +119,7 @@
                 continue;
             };
             if let Some(mut run) = self.runs.remove(link, order) {
+                self.judge_minion(now_ms, &run, finished.end);
                 if finished.end == End::Done {
                     let (done_ms, spent_ms) = run.advance(now_ms, ALL_DONE);
                     self.pace.add(now_ms, done_ms, spent_ms);
@@ -131,6 +133,20 @@
         self.offer(offered);
     }
 
+    /// Notes whether an end speaks for or against the minion.
+    fn judge_minion(&mut self, now_ms: u64, run: &Run, end: End) {
+        match end {
+            End::Done => self.breaker.succeeded(run.started_ms),
+            End::Failed => {
+                let job = &run.key.task.job;
+                if self.breaker.failed(now_ms, job, run.started_ms) {
+                    self.note("minion-failing", Some(job.clone()), String::new());
+                }
+            }
+            _ => {}
+        }
+    }
+
     /// Compares the listing with what should run. A listing tells of a run
     /// only if it was asked for after the run's last answer.
     pub(crate) fn take_running(&mut self, now_ms: u64, asked_ms: u64, listing: &Listing) {
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -121,6 +121,8 @@
     Start(StartOrder),
     /// Tasks wait for room: offer some when there is any.
     Probe(Probe),
+    /// The job failed on several hosts, so its failures say nothing of this one.
+    Pardon(Name),
     /// The room that was offered is of no use any more.
     Decline,
     /// Stop what an earlier order started, or forget it.
--- /dev/null
+++ b/crates/dispatch/tests/grey.rs
@@ -0,0 +1,106 @@
+//! Minions that answer calls and are good for nothing else are closed by their
+//! agents, for all entries, and come back.
+
+mod driver;
+mod session;
+
+use gannetvane_dispatch::End;
+use gannetvane_dispatch::JobOutcome;
+use gannetvane_dispatch::Order;
+
+use driver::Driver;
+use session::Mood;
+use session::Session;
+
+const ENTRIES: usize = 12;
+const WORK_MS: u64 = 60;
+const FIRST_MINION: &str = "minion-0-1";
+
+/// Twelve entries in front of six minions, the first of which is in this mood
+/// for a second in which each entry submits ten jobs of two tasks.
+fn serve_beside(mood: Mood) -> (Session, Vec<usize>) {
+    let mut session = Session::new(ENTRIES, 6);
+    session.has_prompt_minions = true;
+    session.minions[0].mood = mood;
+    let mut jobs = Vec::new();
+    for number in 0..10 {
+        for entry in 0..ENTRIES {
+            jobs.push(session.submit(entry, &format!("{entry}-{number}"), 2, WORK_MS));
+        }
+        session.run(100);
+    }
+    (session, jobs)
+}
+
+fn assert_comes_back(mut session: Session) {
+    session.minions[0].mood = Mood::Sound;
+    session.run(3_000);
+    let before = session.starts_on(FIRST_MINION);
+    for number in 0..10 {
+        for entry in 0..ENTRIES {
+            session.submit(entry, &format!("later-{entry}-{number}"), 2, WORK_MS);
+        }
+        session.run(100);
+    }
+    let starts = session.starts_on(FIRST_MINION) - before;
+    assert!(starts >= 20, "{starts} starts after it recovered");
+    assert!(session.violations.is_empty(), "{:?}", session.violations);
+}
+
+#[test]
+fn a_minion_that_fails_everything_is_closed_for_all_entries() {
+    let (session, jobs) = serve_beside(Mood::Failing);
+    let starts = session.starts_on(FIRST_MINION);
+    assert!(starts <= 16, "{starts} starts on the failing minion");
+    let is_late = |job: &&usize| {
+        let caller = &session.callers[**job];
+        caller
+            .answered_ms
+            .is_none_or(|at_ms| at_ms > caller.sent_ms + 150)
+            || caller.outcome != Some(JobOutcome::Completed)
+    };
+    let late = jobs.iter().filter(is_late).count();
+    assert_eq!(late, 0, "jobs that were not in time");
+    assert_comes_back(session);
+}
+
+#[test]
+fn two_jobs_that_fail_close_a_minion() {
+    let mut driver = Driver::new();
+    assert!(driver.is_open());
+    driver.start_of(1, "a");
+    driver.run_to("a", End::Failed);
+    assert!(driver.is_open());
+    driver.start_of(2, "b");
+    driver.run_to("b", End::Failed);
+    assert!(!driver.is_open());
+    assert_eq!(driver.start_of(3, "c"), 0);
+}
+
+#[test]
+fn jobs_that_fail_everywhere_do_not_close_a_minion() {
+    let mut driver = Driver::new();
+    for (order, job) in [(1, "a"), (2, "b")] {
+        driver.start_of(order, job);
+        driver.run_to(job, End::Failed);
+    }
+    driver.order(Order::Pardon("a".into()));
+    assert!(driver.is_open());
+}
+
+#[test]
+fn a_good_end_shows_that_a_minion_has_recovered() {
+    let mut driver = Driver::new();
+    for (order, job) in [(1, "a"), (2, "b")] {
+        driver.start_of(order, job);
+        driver.run_to(job, End::Failed);
+    }
+    for _ in 0..2 {
+        assert!(!driver.is_open());
+    }
+    while !driver.is_open() {}
+    assert!(driver.start_of(3, "c") > 0, "one start shows how it is");
+    assert_eq!(driver.start_of(4, "d"), 0, "and no more before its end");
+    driver.run_to("c", End::Done);
+    assert!(driver.start_of(5, "e") > 0);
+}
