A link that is let go is closed only after its last end was told

Cause: an agent closed a link that it does not choose any more in the same moment in which its last run ended, before the frame with that end went out; the entry took the task for running on for 1.2 s. Change: a link closes after 200 ms without runs and with nothing to tell.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -198,7 +198,7 @@
     pub fn tick(&mut self, now_ms: u64) -> u64 {
         self.watch_ends(now_ms);
         self.expire_links(now_ms);
-        self.close_retired();
+        self.close_retired(now_ms);
         self.watch_minion(now_ms);
         self.watch_candidate(now_ms);
         self.repeat_starts(now_ms);
--- a/crates/dispatch/src/agent_links.rs
+++ b/crates/dispatch/src/agent_links.rs
@@ -24,6 +24,10 @@
 /// grows, so that news cost an agent and its entries no more in a larger fleet.
 const ENTRIES_AT_FULL_RATE: u64 = 3;
 
+/// Time for which a link that takes no more starts stays open without use, in
+/// milliseconds: two keepalives, so that the entry has heard of both.
+const RETIRED_QUIET_MS: u64 = 200;
+
 /// One connection to an entry.
 #[derive(Debug)]
 pub(crate) struct Link {
@@ -33,6 +37,8 @@
     /// Whether it takes no more starts and ends with its last run.
     pub(crate) is_retiring: bool,
     pub(crate) starts_seen: u64,
+    /// When it was last wanted, ran something or had something to tell.
+    used_ms: u64,
     reports: Vec<Report>,
     pub(crate) last_sent_ms: u64,
     last_free: Room,
@@ -59,6 +65,7 @@
             is_greeted: false,
             is_retiring: false,
             starts_seen: 0,
+            used_ms: now_ms,
             reports: Vec::new(),
             last_sent_ms: now_ms,
             last_free: Room::default(),
@@ -122,15 +129,21 @@
         }
     }
 
-    pub(crate) fn close_retired(&mut self) {
+    /// Closes links that are not wanted any more, once nothing of theirs runs and
+    /// the entry has had time to hear of it: a link that closed with its last run
+    /// took the word of that run's end with it, and the job was late.
+    pub(crate) fn close_retired(&mut self, now_ms: u64) {
         let minion = self.minion.as_ref();
         let awaits = |link: LinkId| minion.is_some_and(|minion| minion.unsettled.awaits(link));
         let has_runs = |link: LinkId| !self.runs.orders_of(link).is_empty() || awaits(link);
-        let retired = self.links.iter().filter(|(_, link)| link.is_retiring);
-        let done: Vec<LinkId> = retired
-            .map(|(id, _)| *id)
-            .filter(|id| !has_runs(*id))
-            .collect();
+        let mut done = Vec::new();
+        for (id, link) in &mut self.links {
+            if !link.is_retiring || has_runs(*id) || !link.reports.is_empty() {
+                link.used_ms = now_ms;
+            } else if now_ms >= link.used_ms + RETIRED_QUIET_MS {
+                done.push(*id);
+            }
+        }
         for link in done {
             self.links.remove(&link);
             self.actions.push(AgentAction::Close(link));
