One way to draw the numbers that spread choices

Ruled out: a change of policy: the choices are drawn in another order, no more. Change: numbers are drawn before the view is built, in one function for starts and probes.

--- a/crates/dispatch/src/policy/placement.rs
+++ b/crates/dispatch/src/policy/placement.rs
@@ -41,15 +41,21 @@
     pub(crate) now_ms: u64,
 }
 
-/// Chooses an agent with room; `spread` gives a number from 0 to 1 a call.
+/// Chooses the agent with room at which the task would end soonest; `spreads`
+/// has a number from 0 to 1 for each agent.
 pub(crate) fn choose(
     agents: &[(LinkId, &AgentState)],
     hosts: &Hosts,
     demand: &Demand<'_>,
-    spread: &mut dyn FnMut() -> f64,
+    spreads: &[f64],
 ) -> Option<LinkId> {
-    let has_room = |agent: &AgentState| agent.free().holds(&demand.step.needs);
-    cheapest(agents, hosts, demand, spread, &has_room)
+    let with_room = agents.iter().zip(spreads).filter(|((_, agent), _)| {
+        agent.free().holds(&demand.step.needs) && is_eligible(agent, hosts, demand)
+    });
+    let cost = |agent: &AgentState, spread: &f64| cost_ms(agent, demand) * (1.0 + SPREAD * spread);
+    let costs = with_room.map(|((link, agent), spread)| (cost(agent, spread), *link));
+    let cheapest = costs.min_by(|one, other| one.0.total_cmp(&other.0));
+    cheapest.map(|(_, link)| link)
 }
 
 /// Chooses agents that are asked to offer room when it comes up; `spreads` has
@@ -72,27 +78,6 @@
     costs.into_iter().map(|(_, link)| link).collect()
 }
 
-/// The suitable agent at which the task would end soonest.
-fn cheapest(
-    agents: &[(LinkId, &AgentState)],
-    hosts: &Hosts,
-    demand: &Demand<'_>,
-    spread: &mut dyn FnMut() -> f64,
-    is_suitable: &dyn Fn(&AgentState) -> bool,
-) -> Option<LinkId> {
-    let mut best: Option<(f64, LinkId)> = None;
-    for (link, agent) in agents {
-        if !is_eligible(agent, hosts, demand) || !is_suitable(agent) {
-            continue;
-        }
-        let cost = cost_ms(agent, demand) * (1.0 + SPREAD * spread());
-        if best.is_none_or(|(least, _)| cost < least) {
-            best = Some((cost, *link));
-        }
-    }
-    best.map(|(_, link)| link)
-}
-
 /// Whether any known agent could ever run the step.
 pub(crate) fn fits_somewhere(
     agents: &BTreeMap<LinkId, AgentState>,
--- a/crates/dispatch/src/probes.rs
+++ b/crates/dispatch/src/probes.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 
 use gannetvane_wire::Name;
-use rand::RngExt;
 
 use crate::LinkId;
 use crate::Order;
@@ -56,6 +55,7 @@
         let step = state.tasks[first].step;
         let latest_ms = state.latest_start_ms(step, &self.estimates);
         let slack_ms = (latest_ms - now_ms.cast_signed()).max(0);
+        let spreads = self.spreads(self.agents.len());
         let agents: Vec<(LinkId, &AgentState)> = self
             .agents
             .iter()
@@ -64,12 +64,8 @@
         let Some(demand) = self.demand(now_ms, &job, first) else {
             return;
         };
-        let mut spreads = vec![0.0; agents.len()];
-        let mut rng = self.rng.clone();
-        spreads.fill_with(|| rng.random::<f64>());
         let count = waiting.len() * PROBES_A_TASK;
         let chosen = placement::choose_probed(&agents, &self.hosts, &demand, &spreads, count);
-        self.rng = rng;
         // A small fleet has fewer agents than that, so each hears of more tasks.
         let tasks = count.div_ceil(chosen.len().max(1)).min(waiting.len());
         let probe = Probe {
--- a/crates/dispatch/src/rounds.rs
+++ b/crates/dispatch/src/rounds.rs
@@ -51,17 +51,17 @@
         if now_ms < self.settled_ms || now_ms > self.ticked_ms + STOOD_STILL_MS {
             return;
         }
-        let mut open = self.open_agents(now_ms);
+        let open = self.open_agents(now_ms);
         if open.is_empty() {
             return;
         }
         self.lenient = self.lenient_services(now_ms);
         let mut misses = 0;
         for id in self.waiting_by_urgency(now_ms) {
-            if !self.place_job(now_ms, &id, &mut open) {
+            if !self.place_job(now_ms, &id, &open) {
                 misses += 1;
             }
-            if misses >= MISSES_A_ROUND || open.is_empty() {
+            if misses >= MISSES_A_ROUND {
                 return;
             }
         }
@@ -116,7 +116,7 @@
     }
 
     /// Orders the waiting tasks of a job; `false` if one found no room.
-    pub(crate) fn place_job(&mut self, now_ms: u64, id: &Name, open: &mut Vec<LinkId>) -> bool {
+    pub(crate) fn place_job(&mut self, now_ms: u64, id: &Name, open: &[LinkId]) -> bool {
         let Some(state) = self.jobs.get(id) else {
             return true;
         };
@@ -140,16 +140,18 @@
         position: usize,
         open: &[LinkId],
     ) -> Option<LinkId> {
-        let mut rng = self.rng.clone();
+        let spreads = self.spreads(open.len());
         let demand = self.demand(now_ms, job, position)?;
         let agents: Vec<(LinkId, &AgentState)> = open
             .iter()
             .filter_map(|link| Some((*link, self.agents.get(link)?)))
             .collect();
-        let mut spread = || rng.random::<f64>();
-        let chosen = placement::choose(&agents, &self.hosts, &demand, &mut spread);
-        self.rng = rng;
-        chosen
+        placement::choose(&agents, &self.hosts, &demand, &spreads)
+    }
+
+    /// Numbers from 0 to 1 that spread the choices of several entries.
+    pub(crate) fn spreads(&mut self, count: usize) -> Vec<f64> {
+        (0..count).map(|_| self.rng.random::<f64>()).collect()
     }
 
     /// What the choice of an agent for a task depends on.
