Choices are drawn in the order of before again; what they depend on is owned

Change: the view that a choice depends on owns its few names, so the generator can be used beside it; draws are as before.

--- a/crates/dispatch/src/policy/placement.rs
+++ b/crates/dispatch/src/policy/placement.rs
@@ -27,11 +27,11 @@
 pub(crate) struct Demand<'a> {
     pub(crate) step: &'a Step,
     pub(crate) service: &'a Name,
-    pub(crate) zone: &'a Name,
+    pub(crate) zone: Name,
     pub(crate) expected_ms: f64,
     /// Time that is left for it, in milliseconds; negative when it is late.
     pub(crate) left_ms: f64,
-    pub(crate) avoid: &'a [Name],
+    pub(crate) avoid: Vec<Name>,
     /// Tasks of the step on each host.
     pub(crate) beside: BTreeMap<Name, u32>,
     /// Times that a task takes longer away from its data.
@@ -41,37 +41,40 @@
     pub(crate) now_ms: u64,
 }
 
-/// Chooses the agent with room at which the task would end soonest; `spreads`
-/// has a number from 0 to 1 for each agent.
+/// Chooses the agent with room at which the task would end soonest; `spread`
+/// gives a number from 0 to 1 a call.
 pub(crate) fn choose(
     agents: &[(LinkId, &AgentState)],
     hosts: &Hosts,
     demand: &Demand<'_>,
-    spreads: &[f64],
+    spread: &mut dyn FnMut() -> f64,
 ) -> Option<LinkId> {
-    let with_room = agents.iter().zip(spreads).filter(|((_, agent), _)| {
-        agent.free().holds(&demand.step.needs) && is_eligible(agent, hosts, demand)
+    let with_room = agents.iter().filter(|(_, agent)| {
+        is_eligible(agent, hosts, demand) && agent.free().holds(&demand.step.needs)
+    });
+    let costs = with_room.map(|(link, agent)| {
+        let cost = cost_ms(agent, demand) * (1.0 + SPREAD * spread());
+        (cost, *link)
     });
-    let cost = |agent: &AgentState, spread: &f64| cost_ms(agent, demand) * (1.0 + SPREAD * spread);
-    let costs = with_room.map(|((link, agent), spread)| (cost(agent, spread), *link));
     let cheapest = costs.min_by(|one, other| one.0.total_cmp(&other.0));
     cheapest.map(|(_, link)| link)
 }
 
-/// Chooses agents that are asked to offer room when it comes up; `spreads` has
-/// a number from 0 to 1 for each agent.
+/// Chooses agents that are asked to offer room when it comes up; `spread` gives
+/// a number from 0 to 1 a call.
 pub(crate) fn choose_probed(
     agents: &[(LinkId, &AgentState)],
     hosts: &Hosts,
     demand: &Demand<'_>,
-    spreads: &[f64],
+    spread: &mut dyn FnMut() -> f64,
     count: usize,
 ) -> Vec<LinkId> {
-    let suitable = agents.iter().zip(spreads).filter(|((_, agent), _)| {
+    let spreads = agents.iter().map(|(link, agent)| (*link, *agent, spread()));
+    let suitable = spreads.filter(|(_, agent, _)| {
         agent.hello.capacity.holds(&demand.step.needs) && is_eligible(agent, hosts, demand)
     });
-    let cost = |agent: &AgentState, spread: &f64| cost_ms(agent, demand) * (1.0 + spread);
-    let costs = suitable.map(|((link, agent), spread)| (cost(agent, spread), *link));
+    let costs =
+        suitable.map(|(link, agent, spread)| (cost_ms(agent, demand) * (1.0 + spread), link));
     let mut costs: Vec<(f64, LinkId)> = costs.collect();
     costs.sort_unstable_by(|one, other| one.0.total_cmp(&other.0));
     costs.truncate(count);
@@ -126,7 +129,7 @@
     let preferred = demand.step.preferred_label.as_ref();
     let is_remote = preferred.is_some_and(|label| !agent.has_label(label));
     let remote = if is_remote { demand.remote_factor } else { 1.0 };
-    let zone_ms = if agent.hello.zone == *demand.zone {
+    let zone_ms = if agent.hello.zone == demand.zone {
         0.0
     } else {
         OTHER_ZONE_MS
--- a/crates/dispatch/src/probes.rs
+++ b/crates/dispatch/src/probes.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use gannetvane_wire::Name;
+use rand::RngExt;
 
 use crate::LinkId;
 use crate::Order;
@@ -55,7 +56,6 @@
         let step = state.tasks[first].step;
         let latest_ms = state.latest_start_ms(step, &self.estimates);
         let slack_ms = (latest_ms - now_ms.cast_signed()).max(0);
-        let spreads = self.spreads(self.agents.len());
         let agents: Vec<(LinkId, &AgentState)> = self
             .agents
             .iter()
@@ -65,7 +65,8 @@
             return;
         };
         let count = waiting.len() * PROBES_A_TASK;
-        let chosen = placement::choose_probed(&agents, &self.hosts, &demand, &spreads, count);
+        let mut spread = || self.rng.random::<f64>();
+        let chosen = placement::choose_probed(&agents, &self.hosts, &demand, &mut spread, count);
         // A small fleet has fewer agents than that, so each hears of more tasks.
         let tasks = count.div_ceil(chosen.len().max(1)).min(waiting.len());
         let probe = Probe {
--- a/crates/dispatch/src/rounds.rs
+++ b/crates/dispatch/src/rounds.rs
@@ -140,23 +140,18 @@
         position: usize,
         open: &[LinkId],
     ) -> Option<LinkId> {
-        let spreads = self.spreads(open.len());
         let demand = self.demand(now_ms, job, position)?;
         let agents: Vec<(LinkId, &AgentState)> = open
             .iter()
             .filter_map(|link| Some((*link, self.agents.get(link)?)))
             .collect();
-        placement::choose(&agents, &self.hosts, &demand, &spreads)
-    }
-
-    /// Numbers from 0 to 1 that spread the choices of several entries.
-    pub(crate) fn spreads(&mut self, count: usize) -> Vec<f64> {
-        (0..count).map(|_| self.rng.random::<f64>()).collect()
+        let mut spread = || self.rng.random::<f64>();
+        placement::choose(&agents, &self.hosts, &demand, &mut spread)
     }
 
     /// What the choice of an agent for a task depends on.
     pub(crate) fn demand<'a>(
-        &'a self,
+        &self,
         now_ms: u64,
         job: &'a Job,
         position: usize,
@@ -175,16 +170,16 @@
         Some(Demand {
             step,
             service: &job.queue.service,
-            zone: &self.settings.zone,
+            zone: self.settings.zone.clone(),
             expected_ms: self
                 .estimates
                 .expected_ms(&job.queue.name, step.declared_ms),
             left_ms: state.objective_ms as f64 - now_ms as f64,
             // Where there are no other hosts, a bad one is better than none.
             avoid: if self.minions(&job.queue.service) > task.avoid.len() {
-                &task.avoid
+                task.avoid.clone()
             } else {
-                &[]
+                Vec::new()
             },
             beside,
             remote_factor: self.settings.remote_factor,
