Nothing is started in an availability zone that operators empty

Ruled out: agents that read the store themselves (a waiting read of 65 agents each 1.5 s is 43 priced calls a second, and an agent cut from the store would not know; at 850 minions 570 calls a second); an offset in each start order (the same knowledge, in 71,000 orders a second instead of one frame a change). Change: entries read the zones with the configuration, as of an offset of the operators' records that orders any two pictures; entries tell each other and their agents; both refuse. Room of such zones leaves the share at once; what then fits nowhere is refused at once as evacuated.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -12,6 +12,7 @@
 use crate::Busy;
 use crate::End;
 use crate::EntryFrame;
+use crate::Evacuations;
 use crate::KEEPALIVE_MS;
 use crate::LinkId;
 use crate::Order;
@@ -114,6 +115,7 @@
     pub(crate) offers: Offers,
     pub(crate) breaker: Breaker,
     pub(crate) pace: Pace,
+    pub(crate) evacuations: Evacuations,
     pub(crate) is_stopping: bool,
     pub(crate) next_call: u64,
     pub(crate) actions: Vec<AgentAction>,
@@ -132,6 +134,7 @@
             offers: Offers::default(),
             breaker: Breaker::default(),
             pace: Pace::default(),
+            evacuations: Evacuations::default(),
             is_stopping: false,
             next_call: 1,
             actions: Vec::new(),
@@ -146,7 +149,9 @@
     /// Whether starts are admitted.
     #[must_use]
     pub fn is_open(&self) -> bool {
-        !self.is_stopping && self.minion.as_ref().is_some_and(Minion::is_open)
+        !self.is_stopping
+            && !self.is_evacuated()
+            && self.minion.as_ref().is_some_and(Minion::is_open)
     }
 
     /// Whether a planned stop may end the process now.
@@ -184,6 +189,7 @@
                 Order::Settled(number, settlement) => {
                     self.end_settled(now_ms, number, settlement);
                 }
+                Order::Evacuations(newer) => self.told_evacuations(&newer),
                 Order::Entries(entries) => self.actions.push(AgentAction::Entries(entries)),
             }
         }
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -11,6 +11,7 @@
 use crate::AgentHello;
 use crate::Caller;
 use crate::EntryFrame;
+use crate::Evacuations;
 use crate::GRANT_MS;
 use crate::JobOutcome;
 use crate::KEEPALIVE_MS;
@@ -93,6 +94,7 @@
 pub struct Dispatcher {
     pub(crate) settings: DispatcherSettings,
     pub(crate) table: RoutingTable,
+    pub(crate) evacuations: Evacuations,
     pub(crate) agents: BTreeMap<LinkId, AgentState>,
     pub(crate) hosts: Hosts,
     pub(crate) jobs: BTreeMap<Name, JobState>,
@@ -129,6 +131,7 @@
             rng: ChaCha8Rng::seed_from_u64(settings.seed),
             settings,
             table: RoutingTable::default(),
+            evacuations: Evacuations::default(),
             agents: BTreeMap::new(),
             hosts: Hosts::default(),
             jobs: BTreeMap::new(),
@@ -226,6 +229,7 @@
             self.agent_down(stale, "greeted-again");
         }
         self.agents.insert(link, AgentState::new(now_ms, hello));
+        self.tell_evacuations(link);
         self.release_orphans(&host);
     }
 
--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -82,6 +82,8 @@
     /// What this entry told it last.
     pub(crate) told: Demand,
     is_open: bool,
+    /// Whether operators are emptying its zone.
+    pub(crate) is_evacuated: bool,
     /// Whether it keeps room for this entry.
     has_offered: bool,
     starts_seen: u64,
@@ -100,6 +102,7 @@
             demand: Demand::default(),
             told: Demand::default(),
             is_open: false,
+            is_evacuated: false,
             has_offered: false,
             hello,
             outbox: Vec::new(),
@@ -155,7 +158,7 @@
     }
 
     pub(crate) fn takes_starts(&self, now_ms: u64) -> bool {
-        self.is_open && now_ms <= self.heard_ms + QUIET_MS
+        self.is_open && !self.is_evacuated && now_ms <= self.heard_ms + QUIET_MS
     }
 
     /// Demand of the other entries on this agent.
--- a/crates/dispatch/src/intake.rs
+++ b/crates/dispatch/src/intake.rs
@@ -9,13 +9,10 @@
 use crate::dispatcher::Dispatcher;
 use crate::dispatcher::DispatcherAction;
 use crate::dispatcher::JobEvent;
+use crate::evacuation::retry_after_ms;
 use crate::jobs::JobState;
 use crate::policy::placement;
 
-/// When to come back after a refusal that room would not mend, in milliseconds:
-/// an entry that starts has its configuration and its agents by then.
-const RETRY_AFTER_MS: u64 = 1_000;
-
 impl Dispatcher {
     /// A caller submits a job.
     pub fn submit(&mut self, now_ms: u64, caller: Caller, job: Job) {
@@ -64,7 +61,7 @@
 
     pub(crate) fn admit(&mut self, caller: Caller, job: Job, received_ms: u64) {
         if let Err(reason) = self.check(&job) {
-            let retry_after_ms = RETRY_AFTER_MS;
+            let retry_after_ms = retry_after_ms(reason);
             let detail = format!("reason={} queue={}", reason.name(), job.queue.name);
             self.actions.push(DispatcherAction::Event(JobEvent {
                 event: "refused",
@@ -99,10 +96,13 @@
         if !self.has_minions(service) {
             return Ok(());
         }
-        let fits = |step| placement::fits_somewhere(&self.agents, service, step);
+        let fits = |step| placement::fits_somewhere(self.agents.values(), service, step);
         if !job.steps.iter().all(fits) {
             return Err(Refusal::NeverFits);
         }
+        if self.is_evacuated(job) {
+            return Err(Refusal::Evacuated);
+        }
         Ok(())
     }
 
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -86,6 +86,9 @@
     /// The job asks for something that is not built.
     #[error("this kind of job is not supported")]
     Unsupported,
+    /// All minions that could run it are in zones that are being emptied.
+    #[error("the zones of the minions that could run this job are being emptied")]
+    Evacuated,
 }
 
 impl Refusal {
@@ -101,6 +104,7 @@
             Self::StillStopping => "still-stopping",
             Self::NotStorable => "not-storable",
             Self::Unsupported => "unsupported",
+            Self::Evacuated => "evacuated",
         }
     }
 }
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -8,6 +8,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::Evacuations;
 use crate::Room;
 use crate::RoutingTable;
 use crate::StoredAnswer;
@@ -131,6 +132,8 @@
     Settled(u64, Settlement),
     /// Entries to connect to.
     Entries(Vec<SocketAddr>),
+    /// Zones in which nothing is to be started.
+    Evacuations(Evacuations),
 }
 
 /// What becomes of an end of a stored task.
@@ -286,6 +289,9 @@
     pub table: Option<RoutingTable>,
     /// Whether the sender knows of stored jobs.
     pub has_stored_jobs: bool,
+    /// The zones that are being emptied, when the sender's picture changed since
+    /// the last frame.
+    pub evacuations: Option<Evacuations>,
 }
 
 /// Answer of an entry to each frame of another one: the connection works.
--- a/crates/dispatch/src/policy/placement.rs
+++ b/crates/dispatch/src/policy/placement.rs
@@ -81,15 +81,13 @@
     costs.into_iter().map(|(_, link)| link).collect()
 }
 
-/// Whether any known agent could ever run the step.
-pub(crate) fn fits_somewhere(
-    agents: &BTreeMap<LinkId, AgentState>,
+/// Whether any of these agents could ever run the step.
+pub(crate) fn fits_somewhere<'a>(
+    agents: impl Iterator<Item = &'a AgentState>,
     service: &Name,
     step: &Step,
 ) -> bool {
-    let mut of_service = agents
-        .values()
-        .filter(|agent| agent.hello.service == *service);
+    let mut of_service = agents.filter(|agent| agent.hello.service == *service);
     of_service
         .any(|agent| agent.hello.capacity.holds(&step.needs) && has_required_label(agent, step))
 }
--- a/crates/dispatch/src/rounds.rs
+++ b/crates/dispatch/src/rounds.rs
@@ -98,7 +98,8 @@
     /// Thousandths of a core of a service that are free, as far as is known.
     pub(crate) fn free_milli(&self, service: &Name) -> f64 {
         let of_service = self.agents.values();
-        let of_service = of_service.filter(|agent| agent.hello.service == *service);
+        let of_service =
+            of_service.filter(|agent| agent.hello.service == *service && !agent.is_evacuated);
         of_service
             .map(|agent| f64::from(agent.free().cpu_milli))
             .sum()
--- a/crates/dispatch/src/starts.rs
+++ b/crates/dispatch/src/starts.rs
@@ -161,7 +161,7 @@
         };
         let due = self.runs.iter().filter(is_due);
         let due: Vec<(LinkId, OrderId)> = due.map(|run| (run.link, run.order)).collect();
-        if due.is_empty() || !self.may_extend_lease(now_ms) {
+        if due.is_empty() || self.is_evacuated() || !self.may_extend_lease(now_ms) {
             return;
         }
         for (link, order) in due {
@@ -177,6 +177,13 @@
         };
         let due = self.runs.iter().filter(is_due);
         let due: Vec<(LinkId, OrderId)> = due.map(|run| (run.link, run.order)).collect();
+        if self.is_evacuated() {
+            // The start that got no answer may still be carried out.
+            for (link, order) in due {
+                self.stop_run(now_ms, link, order);
+            }
+            return;
+        }
         if due.is_empty() || !self.may_extend_lease(now_ms) {
             return;
         }
--- /dev/null
+++ b/crates/dispatch/tests/evacuation.rs
@@ -0,0 +1,274 @@
+//! Zones that operators empty get no starts, whichever entry has heard of it,
+//! and get them again soon after they are taken back.
+
+mod session;
+
+use gannetvane_dispatch::Evacuations;
+use gannetvane_dispatch::JobOutcome;
+use gannetvane_dispatch::Refusal;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::seq::IndexedRandom;
+use rand_chacha::ChaCha8Rng;
+use session::Session;
+use session::evacuations;
+
+const ENTRIES: usize = 3;
+/// Two in each of three zones.
+const AGENTS: usize = 6;
+const ZONES: [&str; 3] = ["selfoss", "hella", "thorlak"];
+/// Time from an entry's word to the last start in a zone: a message to the
+/// agent, and an order that was on its way to the minion.
+const HEARD_MS: u64 = 5;
+/// Seeds that every run plays.
+const SEEDS: std::ops::Range<u64> = 0..60;
+
+/// Submits a job of three short tasks at each entry, every 20 ms: half of what
+/// two zones get through.
+fn load(session: &mut Session, for_ms: u64) -> Vec<usize> {
+    let mut callers = Vec::new();
+    for _ in 0..for_ms / 20 {
+        for entry in 0..ENTRIES {
+            let id = format!("job-{}-{entry}", session.now_ms);
+            callers.push(session.submit(entry, &id, 3, 20));
+        }
+        session.run(20);
+    }
+    callers
+}
+
+fn count(session: &Session, callers: &[usize], outcome: JobOutcome) -> usize {
+    let has_ended = |caller: &&usize| session.outcome(**caller) == Some(outcome);
+    callers.iter().filter(has_ended).count()
+}
+
+fn refused(reason: Refusal) -> impl Fn(Option<JobOutcome>) -> bool {
+    move |outcome| matches!(outcome, Some(JobOutcome::Refused { reason: of, .. }) if of == reason)
+}
+
+#[test]
+fn a_zone_gets_nothing_from_the_first_word_on_and_its_room_counts_as_gone() {
+    let mut session = Session::new(ENTRIES, AGENTS);
+    load(&mut session, 400);
+    assert!(session.starts_in("hella", 0) > 0);
+    // The others have not heard of it yet.
+    session.tell_evacuations(0, &evacuations(7, &["hella"]));
+    let told_ms = session.now_ms;
+    let callers = load(&mut session, 1_000);
+    assert_eq!(session.starts_in("hella", told_ms + HEARD_MS), 0);
+    session.run(500);
+    let done = count(&session, &callers, JobOutcome::Completed);
+    assert_eq!(done, callers.len());
+    assert!(session.violations.is_empty(), "{:?}", session.violations);
+}
+
+#[test]
+fn what_runs_in_the_zone_ends() {
+    let mut session = Session::new(ENTRIES, AGENTS);
+    let caller = session.submit(0, "long", 30, 800);
+    session.run(200);
+    let begun = session.seen_starts.len();
+    session.tell_all_evacuations(&evacuations(7, &["hella"]));
+    session.run_until_answered(caller, 2_000);
+    assert_eq!(session.outcome(caller), Some(JobOutcome::Completed));
+    assert_eq!(session.seen_starts.len(), begun);
+}
+
+#[test]
+fn a_zone_that_is_taken_back_gets_work_within_a_second() {
+    let mut session = Session::new(ENTRIES, AGENTS);
+    session.tell_all_evacuations(&evacuations(7, &["hella"]));
+    load(&mut session, 1_000);
+    session.tell_evacuations(1, &evacuations(8, &[]));
+    session.run(10);
+    session.tell_evacuations(0, &evacuations(8, &[]));
+    session.tell_evacuations(2, &evacuations(8, &[]));
+    let back_ms = session.now_ms;
+    load(&mut session, 1_000);
+    let first = session.seen_starts.iter();
+    let first = first.filter(|start| start.at_ms > back_ms && start.agent % 3 == 1);
+    let first_ms = first.map(|start| start.at_ms).min();
+    assert!(first_ms.is_some_and(|at_ms| at_ms < back_ms + 1_000));
+}
+
+#[test]
+fn an_older_picture_undoes_nothing() {
+    let mut session = Session::new(ENTRIES, AGENTS);
+    session.tell_all_evacuations(&evacuations(9, &["hella"]));
+    session.run(10);
+    let told_ms = session.now_ms;
+    session.tell_all_evacuations(&evacuations(8, &[]));
+    session.tell_evacuations(2, &evacuations(3, &["selfoss"]));
+    load(&mut session, 500);
+    assert_eq!(session.starts_in("hella", told_ms), 0);
+    assert!(session.starts_in("selfoss", told_ms) > 0);
+}
+
+#[test]
+fn when_all_zones_are_emptied_every_job_is_refused_at_once() {
+    let mut session = Session::new(ENTRIES, AGENTS);
+    // Their tasks are longer than the room is wide, so some wait.
+    let waiting: Vec<usize> = (0..20)
+        .map(|number| session.submit(0, &format!("early-{number}"), 6, 300))
+        .collect();
+    session.run(5);
+    session.tell_all_evacuations(&evacuations(7, &ZONES));
+    let told_ms = session.now_ms;
+    session.run(10);
+    let is_refused = refused(Refusal::Evacuated);
+    let early = waiting
+        .iter()
+        .filter(|caller| is_refused(session.outcome(**caller)));
+    assert!(early.count() > 0);
+    let callers = load(&mut session, 500);
+    for caller in &callers {
+        let state = &session.callers[*caller];
+        assert!(is_refused(state.outcome), "{state:?}");
+        assert!(state.answered_ms <= Some(state.sent_ms + HEARD_MS));
+    }
+    assert_eq!(session.starts_in("hella", told_ms + HEARD_MS), 0);
+    session.tell_all_evacuations(&evacuations(8, &["hella", "thorlak"]));
+    session.run(2_000);
+    let callers = load(&mut session, 300);
+    session.run(1_000);
+    assert!(count(&session, &callers, JobOutcome::Completed) > 0);
+    assert!(session.violations.is_empty(), "{:?}", session.violations);
+}
+
+#[test]
+fn a_start_without_an_answer_is_not_sent_again_in_the_zone() {
+    let mut session = Session::new(1, 2);
+    session.fate = Box::new(|_, _| Some(30));
+    let caller = session.submit(0, "unheard", 1, 100);
+    session.run(40);
+    let told = Evacuations {
+        as_of: 7,
+        zones: ["selfoss".into(), "hella".into()].into(),
+    };
+    session.tell_all_evacuations(&told);
+    session.run(5);
+    session.fate = Box::new(|_, _| None);
+    session.run(3_000);
+    assert_eq!(session.seen_starts, []);
+    assert!(session.outcome(caller).is_some());
+    assert!(session.violations.is_empty(), "{:?}", session.violations);
+}
+
+#[test]
+fn an_agent_that_starts_anew_hears_of_it_before_any_order() {
+    let mut session = Session::new(ENTRIES, AGENTS);
+    session.tell_all_evacuations(&evacuations(7, &["hella"]));
+    let told_ms = session.now_ms;
+    session.kill_agent(1, 300);
+    session.kill_agent(4, 500);
+    let callers = load(&mut session, 2_500);
+    session.run(500);
+    assert_eq!(session.starts_in("hella", told_ms + HEARD_MS), 0);
+    let done = count(&session, &callers, JobOutcome::Completed);
+    assert!(done * 10 > callers.len() * 9, "{done} of {}", callers.len());
+}
+
+#[test]
+fn stored_jobs_start_nothing_in_the_zone() {
+    let mut session = Session::new(ENTRIES, AGENTS);
+    session.store("00000000000000f0", 1, 20);
+    session.run(4_000);
+    session.tell_all_evacuations(&evacuations(7, &["hella"]));
+    let told_ms = session.now_ms;
+    for number in 0..30 {
+        session.store(&format!("{number:016x}"), 6, 50);
+        session.run(20);
+    }
+    session.run(3_000);
+    assert_eq!(session.starts_in("hella", told_ms + HEARD_MS), 0);
+    assert!(session.starts_in("selfoss", told_ms) > 0);
+}
+
+/// Plays a series of evacuations that reach entries late, in any order and more
+/// than once, beside freezes, cuts, kills of agents and lost calls.
+fn play(seed: u64) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut session = Session::new(ENTRIES, AGENTS);
+    let mut history = vec![evacuations(1, &[])];
+    for as_of in 2..10 {
+        let zones: Vec<&str> = ZONES
+            .into_iter()
+            .filter(|_| rng.random::<f64>() < 0.4)
+            .collect();
+        history.push(evacuations(as_of, &zones));
+    }
+    // When the first entry heard of each record, and when all had.
+    let mut heard = vec![(u64::MAX, [false; ENTRIES], u64::MAX); history.len()];
+    let mut killed_ms = [0; AGENTS];
+    for newest in 0..history.len() {
+        for step in 0..30 {
+            let told = if step < 20 {
+                newest
+            } else {
+                rng.random_range(0..=newest)
+            };
+            if rng.random::<f64>() < 0.4 {
+                let entry = rng.random_range(0..ENTRIES);
+                session.tell_evacuations(entry, &history[told]);
+                let (first_ms, entries, all_ms) = &mut heard[told];
+                *first_ms = session.now_ms.min(*first_ms);
+                entries[entry] = true;
+                if entries.iter().all(|is_told| *is_told) {
+                    *all_ms = session.now_ms.min(*all_ms);
+                }
+            }
+            let agent = rng.random_range(0..AGENTS);
+            match rng.random_range(0..30) {
+                0 => {
+                    session.kill_agent(agent, rng.random_range(10..400));
+                    killed_ms[agent] = session.now_ms;
+                }
+                1 => session.freeze_entry(rng.random_range(0..ENTRIES), rng.random_range(50..900)),
+                2 => session.cut(rng.random_range(0..ENTRIES), agent),
+                3 | 4 => session.heal(),
+                5 => session.fate = Box::new(move |_, hit| (hit == agent).then_some(700)),
+                6 => session.fate = Box::new(|_, _| None),
+                _ => {}
+            }
+            let entry = rng.random_range(0..ENTRIES);
+            let tasks = rng.random_range(1..9);
+            let work_ms = *[15, 60, 250].choose(&mut rng).expect("not empty");
+            session.submit(entry, &format!("{newest}-{step}"), tasks, work_ms);
+            session.run(rng.random_range(5..40));
+        }
+    }
+    session.heal();
+    session.fate = Box::new(|_, _| None);
+    session.run(6_000);
+    // From when all entries knew a record that empties a zone, nothing starts
+    // there until somebody hears of a later one that does not.
+    for start in &session.seen_starts {
+        let zone = ZONES[start.agent % 3];
+        let known =
+            (0..history.len()).filter(|at| heard[*at].2.saturating_add(FROZEN_MS) < start.at_ms);
+        let Some(known) = known.max() else {
+            continue;
+        };
+        let heard_since = (known..history.len()).filter(|at| heard[*at].0 <= start.at_ms);
+        let may_start = heard_since
+            .into_iter()
+            .any(|at| !history[at].contains(&zone.into()));
+        assert!(may_start, "seed {seed}: {start:?} in {zone} as of {known}");
+    }
+    assert!(
+        session.violations.is_empty(),
+        "seed {seed}: {:?}",
+        session.violations
+    );
+}
+
+/// Longest time for which an entry of a play stands still, so that its word
+/// comes later.
+const FROZEN_MS: u64 = 900;
+
+#[test]
+fn no_interleaving_starts_anything_where_all_entries_know_better() {
+    for seed in SEEDS {
+        play(seed);
+    }
+}
--- /dev/null
+++ b/crates/dispatch/tests/session/evacuation.rs
@@ -0,0 +1,42 @@
+//! Operators who empty availability zones and take them back.
+
+use gannetvane_dispatch::Evacuations;
+
+use super::Session;
+use super::zone;
+
+/// A task that a minion began, on an order that was answered in time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SeenStart {
+    pub at_ms: u64,
+    pub agent: usize,
+}
+
+/// The zones that are being emptied as of a record.
+pub fn evacuations(as_of: u64, zones: &[&str]) -> Evacuations {
+    Evacuations {
+        as_of,
+        zones: zones.iter().map(|zone| (*zone).into()).collect(),
+    }
+}
+
+impl Session {
+    /// An entry learns which zones are being emptied, from wherever.
+    pub fn tell_evacuations(&mut self, entry: usize, told: &Evacuations) {
+        let process = &mut self.entries[entry];
+        process.core.dispatcher.evacuate(self.now_ms, told);
+        process.due_ms = self.now_ms;
+    }
+
+    pub fn tell_all_evacuations(&mut self, told: &Evacuations) {
+        for entry in 0..self.entries.len() {
+            self.tell_evacuations(entry, told);
+        }
+    }
+
+    /// Tasks begun in a zone after a moment.
+    pub fn starts_in(&self, name: &str, after_ms: u64) -> usize {
+        let is_there = |start: &&SeenStart| zone(start.agent) == name && start.at_ms > after_ms;
+        self.seen_starts.iter().filter(is_there).count()
+    }
+}
--- a/crates/dispatch/tests/session/mod.rs
+++ b/crates/dispatch/tests/session/mod.rs
@@ -4,6 +4,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+mod evacuation;
 mod log;
 mod minion;
 mod stored;
@@ -52,6 +53,10 @@
 use gannetvane_dispatch::TaskId;
 use gannetvane_wire::NodeId;
 
+#[allow(unused_imports, reason = "each test file uses a part")]
+pub use evacuation::SeenStart;
+#[allow(unused_imports, reason = "each test file uses a part")]
+pub use evacuation::evacuations;
 pub use log::FakeLog;
 pub use log::LogFate;
 pub use log::PARTITIONS;
@@ -278,6 +283,8 @@
     reported: BTreeMap<usize, (u64, String)>,
     /// Callers that were refused since they were last looked at.
     just_refused: Vec<usize>,
+    /// All starts that were answered in time.
+    pub seen_starts: Vec<SeenStart>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -338,6 +345,7 @@
             open_holds: Vec::new(),
             reported: BTreeMap::new(),
             just_refused: Vec::new(),
+            seen_starts: Vec::new(),
         };
         for entry in 0..entries {
             let process = session.new_entry(entry, 1);
@@ -904,6 +912,12 @@
                     minion.started_late.push(key.clone());
                 }
                 if result == StartResult::Started {
+                    if is_answered {
+                        self.seen_starts.push(SeenStart {
+                            at_ms: now_ms,
+                            agent,
+                        });
+                    }
                     let started = self.started.entry(key.task.job.to_string());
                     started.or_default().insert(key.task.index);
                     *self.starts.entry(instance.to_string()).or_default() += 1;
--- a/crates/node/src/configuration.rs
+++ b/crates/node/src/configuration.rs
@@ -1,10 +1,11 @@
-//! Reads the store: the configuration as it changes, and the entries that
-//! announced themselves.
+//! Reads the store: the configuration and the zones that are being emptied, as
+//! they change, and the entries that announced themselves.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use gannetvane_dispatch::Evacuations;
 use gannetvane_dispatch::RoutingTable;
 use slog::Logger;
 use slog::info;
@@ -12,6 +13,7 @@
 
 use crate::ports::Announced;
 use crate::ports::StoreError;
+use crate::ports::StorePage;
 use crate::ports::StorePort;
 
 /// Time that a read waits for a change, in milliseconds. A read on a connection
@@ -24,6 +26,24 @@
 /// Failed waits for a change after which the whole is read anew.
 const FAILURES_BEFORE_WHOLE: u32 = 2;
 
+/// What operators want, as far as the store told it.
+#[derive(Clone, Debug)]
+pub struct OperatorNews {
+    /// A configuration, if there is one that was not told before.
+    pub table: Option<RoutingTable>,
+    /// The zones that are being emptied.
+    pub evacuations: Evacuations,
+}
+
+impl OperatorNews {
+    fn new(page: StorePage, evacuations: &Evacuations) -> Self {
+        Self {
+            table: page.table,
+            evacuations: evacuations.clone(),
+        }
+    }
+}
+
 /// Talks to the store on behalf of a process.
 #[derive(Clone)]
 pub struct StoreKeeper {
@@ -44,20 +64,28 @@
         Self { store, log }
     }
 
-    /// Passes each configuration on, for ever.
-    pub async fn watch(&self, mut found: impl FnMut(RoutingTable)) {
+    /// Passes on what operators write, for ever.
+    pub async fn watch(&self, mut found: impl FnMut(OperatorNews)) {
         loop {
-            let mut offset = self.read_whole(&mut found).await;
+            let newest = || self.store.newest_operators();
+            let page = self.until_done("newest", newest).await;
+            let mut offset = page.next_offset;
+            let mut evacuations = Evacuations::default();
+            follow(&mut evacuations, &page);
+            // Also without a zone: an older picture, from elsewhere, may have some.
+            evacuations.as_of = offset;
+            found(OperatorNews::new(page, &evacuations));
             let mut failures = 0;
             while failures < FAILURES_BEFORE_WHOLE {
-                match self.store.next_configuration(offset, READ_WAIT_MS).await {
+                match self.store.next_operators(offset, READ_WAIT_MS).await {
                     Ok(page) => {
                         if failures > 0 {
                             info!(self.log, "store-regained"; "call" => "read");
                         }
                         failures = 0;
                         offset = page.next_offset;
-                        page.table.into_iter().for_each(&mut found);
+                        follow(&mut evacuations, &page);
+                        found(OperatorNews::new(page, &evacuations));
                     }
                     Err(StoreError::Gone) => break,
                     Err(error) => {
@@ -70,14 +98,6 @@
         }
     }
 
-    async fn read_whole(&self, found: &mut impl FnMut(RoutingTable)) -> u64 {
-        let page = self
-            .until_done("newest", || self.store.newest_configuration())
-            .await;
-        page.table.into_iter().for_each(found);
-        page.next_offset
-    }
-
     /// Announces an entry, until it is done.
     pub async fn announce(&self, entry: SocketAddr) {
         self.until_done("announce", || self.store.announce(entry))
@@ -123,6 +143,18 @@
     }
 }
 
+/// Takes over the zones of a page.
+fn follow(evacuations: &mut Evacuations, page: &StorePage) {
+    for record in &page.evacuations {
+        evacuations.as_of = page.next_offset;
+        if record.is_evacuated {
+            evacuations.zones.insert(record.zone.clone());
+        } else {
+            evacuations.zones.remove(&record.zone);
+        }
+    }
+}
+
 async fn pause(pause_ms: u64) {
     tokio::time::sleep(Duration::from_millis(pause_ms)).await;
 }
--- a/crates/node/src/entry_handle.rs
+++ b/crates/node/src/entry_handle.rs
@@ -27,6 +27,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
+use crate::OperatorNews;
 use crate::Tunables;
 use crate::entry_stored::StoredInput;
 use crate::links::FrameSender;
@@ -46,7 +47,7 @@
     Left(Caller),
     Cancel(Name, oneshot::Sender<bool>),
     Pending(Name, oneshot::Sender<usize>),
-    Configure(RoutingTable),
+    Operators(OperatorNews),
     Entries(Vec<SocketAddr>),
     Refresh,
     Stored(StoredInput),
--- a/crates/node/src/entry_node.rs
+++ b/crates/node/src/entry_node.rs
@@ -13,6 +13,7 @@
 use gannetvane_dispatch::Dispatcher;
 use gannetvane_dispatch::DispatcherAction;
 use gannetvane_dispatch::DispatcherSettings;
+use gannetvane_dispatch::Evacuations;
 use gannetvane_dispatch::JobEvent;
 use gannetvane_dispatch::JobOutcome;
 use gannetvane_dispatch::LINKED_PEERS;
@@ -291,7 +292,12 @@
                 // A caller that left needs no answer.
                 let _ = answer.send(self.dispatcher.pending(&queue));
             }
-            Input::Configure(table) => self.configure(table),
+            Input::Operators(news) => {
+                self.evacuate(now_ms, &news.evacuations);
+                news.table
+                    .into_iter()
+                    .for_each(|table| self.configure(table));
+            }
             Input::Entries(entries) => {
                 self.directory.borrow_mut().learn(now_ms, &entries);
             }
@@ -315,11 +321,23 @@
         self.directory
             .borrow_mut()
             .learn_reached(now_ms, &frame.entries);
+        if let Some(evacuations) = frame.evacuations {
+            self.evacuate(now_ms, &evacuations);
+        }
         if let Some(table) = frame.table {
             self.configure(table);
         }
     }
 
+    /// Takes over which zones are being emptied, ahead of a configuration that is
+    /// told beside it: an entry that serves knows both.
+    fn evacuate(&mut self, now_ms: u64, newer: &Evacuations) {
+        if self.dispatcher.evacuate(now_ms, newer) {
+            let newer = newer.clone();
+            self.news.send_modify(|news| news.evacuations = newer);
+        }
+    }
+
     fn configure(&mut self, table: RoutingTable) {
         if self.dispatcher.configure(table) {
             let table = Arc::new(self.dispatcher.table().clone());
@@ -449,9 +467,9 @@
 
 async fn watch_store(store: StoreKeeper, inputs: UnboundedSender<Input>) {
     store
-        .watch(|table| {
+        .watch(|news| {
             // Without a receiver the process is about to end.
-            let _ = inputs.send(Input::Configure(table));
+            let _ = inputs.send(Input::Operators(news));
         })
         .await;
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -27,6 +27,7 @@
 pub use agent_node::AgentNode;
 pub use agent_node::AgentNodeSettings;
 pub use clock::Clock;
+pub use configuration::OperatorNews;
 pub use configuration::StoreKeeper;
 pub use entry_handle::EntryHandle;
 pub use entry_node::EntryNode;
--- a/crates/node/src/peer_links.rs
+++ b/crates/node/src/peer_links.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use gannetvane_dispatch::Evacuations;
 use gannetvane_dispatch::Greeting;
 use gannetvane_dispatch::KnownEntry;
 use gannetvane_dispatch::PeerAck;
@@ -37,6 +38,7 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct PeerNews {
     pub(crate) table: Arc<RoutingTable>,
+    pub(crate) evacuations: Evacuations,
     pub(crate) entries: Vec<SocketAddr>,
     pub(crate) has_stored_jobs: bool,
 }
@@ -124,6 +126,7 @@
 #[derive(Debug, Default)]
 struct Teller {
     version: u64,
+    evacuated_as_of: u64,
     entries: Vec<SocketAddr>,
     frames_since_list: u32,
 }
@@ -137,6 +140,8 @@
     ) -> PeerFrame {
         let is_newer = news.table.version > self.version;
         self.version = news.table.version;
+        let is_later = news.evacuations.as_of > self.evacuated_as_of;
+        self.evacuated_as_of = news.evacuations.as_of;
         self.frames_since_list += 1;
         let is_list_due = self.frames_since_list >= FRAMES_A_LIST || self.entries != news.entries;
         if is_list_due {
@@ -147,6 +152,7 @@
             entries: if is_list_due { known() } else { Vec::new() },
             table: is_newer.then(|| (*news.table).clone()),
             has_stored_jobs: news.has_stored_jobs,
+            evacuations: is_later.then(|| news.evacuations.clone()),
         }
     }
 }
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -74,26 +74,35 @@
     Malformed(String),
 }
 
-/// What a reader of the store learned.
+/// What a reader of the operators' records learned.
 #[derive(Clone, Debug, Default)]
 pub struct StorePage {
     /// The newest configuration in the page.
     pub table: Option<RoutingTable>,
+    /// Zones that operators began to empty or took back, the oldest first; in a
+    /// page with the newest records, all that are being emptied.
+    pub evacuations: Vec<ZoneRecord>,
     /// Where to read on.
     pub next_offset: u64,
 }
 
+/// What operators want of an availability zone.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ZoneRecord {
+    /// The zone.
+    pub zone: Name,
+    /// Whether it is to be emptied; otherwise it is taken back.
+    pub is_evacuated: bool,
+}
+
 /// The store of the deployment.
 #[async_trait(?Send)]
 pub trait StorePort {
-    /// The newest configuration, whole.
-    async fn newest_configuration(&self) -> Result<StorePage, StoreError>;
-    /// Waits for a configuration from an offset on.
-    async fn next_configuration(
-        &self,
-        from_offset: u64,
-        wait_ms: u64,
-    ) -> Result<StorePage, StoreError>;
+    /// The newest records of the operators, whole.
+    async fn newest_operators(&self) -> Result<StorePage, StoreError>;
+    /// Waits for records of the operators from an offset on.
+    async fn next_operators(&self, from_offset: u64, wait_ms: u64)
+    -> Result<StorePage, StoreError>;
     /// What entries announced.
     async fn announced(&self) -> Result<Announced, StoreError>;
     /// Announces an entry.
--- a/crates/node/tests/entry.rs
+++ b/crates/node/tests/entry.rs
@@ -64,19 +64,21 @@
 
 #[async_trait(?Send)]
 impl StorePort for FakeStore {
-    async fn newest_configuration(&self) -> Result<StorePage, StoreError> {
+    async fn newest_operators(&self) -> Result<StorePage, StoreError> {
         self.check()?;
         Ok(StorePage {
             table: self.table.borrow().clone(),
+            evacuations: Vec::new(),
             next_offset: 0,
         })
     }
 
-    async fn next_configuration(&self, offset: u64, _: u64) -> Result<StorePage, StoreError> {
+    async fn next_operators(&self, offset: u64, _: u64) -> Result<StorePage, StoreError> {
         self.check()?;
         tokio::time::sleep(Duration::from_millis(20)).await;
         Ok(StorePage {
             table: self.table.borrow().clone(),
+            evacuations: Vec::new(),
             next_offset: offset,
         })
     }
@@ -385,6 +387,7 @@
             entries: Vec::new(),
             table: Some(table(5)),
             has_stored_jobs: false,
+            evacuations: None,
         };
         write_frame(&mut peer, &frame).await;
         assert!(decode::<PeerAck>(&read_frame(&mut peer).await).is_ok());
