--- a/crates/node/tests/entry.rs
+++ b/crates/node/tests/entry.rs
@@ -16,6 +16,7 @@
 use gannetvane_dispatch::AgentHello;
 use gannetvane_dispatch::AppendResult;
 use gannetvane_dispatch::EntryFrame;
+use gannetvane_dispatch::Evacuations;
 use gannetvane_dispatch::Greeting;
 use gannetvane_dispatch::LogRecord;
 use gannetvane_dispatch::Membership;
@@ -41,6 +42,7 @@
 use gannetvane_node::ports::StoreError;
 use gannetvane_node::ports::StorePage;
 use gannetvane_node::ports::StorePort;
+use gannetvane_node::ports::ZoneRecord;
 use gannetvane_node::serve_http;
 use gannetvane_wire::NodeId;
 use http_body_util::Full;
@@ -58,6 +60,7 @@
 #[derive(Default)]
 struct FakeStore {
     table: RefCell<Option<RoutingTable>>,
+    zones: Vec<ZoneRecord>,
     entries: RefCell<Vec<SocketAddr>>,
     is_down: bool,
 }
@@ -68,8 +71,8 @@
         self.check()?;
         Ok(StorePage {
             table: self.table.borrow().clone(),
-            evacuations: Vec::new(),
-            next_offset: 0,
+            evacuations: self.zones.clone(),
+            next_offset: self.zones.len() as u64,
         })
     }
 
@@ -376,6 +379,84 @@
     .await;
 }
 
+/// What an entry tells an agent of emptied zones, up to this record.
+async fn told_until(agent: &mut TcpStream, as_of: u64) -> Vec<Evacuations> {
+    let mut all = Vec::new();
+    while all
+        .last()
+        .is_none_or(|told: &Evacuations| told.as_of < as_of)
+    {
+        let frame = decode::<EntryFrame>(&read_frame(agent).await).expect("a frame");
+        let told = frame.orders.into_iter().filter_map(|order| match order {
+            Order::Evacuations(told) => Some(told),
+            _ => None,
+        });
+        all.extend(told);
+    }
+    all
+}
+
+fn evacuations(as_of: u64, zones: &[&str]) -> Evacuations {
+    Evacuations {
+        as_of,
+        zones: zones.iter().map(|zone| (*zone).into()).collect(),
+    }
+}
+
+#[tokio::test]
+async fn an_agent_hears_of_emptied_zones_through_an_entry_that_the_store_turns_away() {
+    on_one_thread(async {
+        let (first, second) = (free_addr(), free_addr());
+        let serving = FakeStore {
+            table: RefCell::new(Some(table(7))),
+            zones: vec![ZoneRecord {
+                zone: "hella".into(),
+                is_evacuated: true,
+            }],
+            ..FakeStore::default()
+        };
+        let refusing = FakeStore {
+            is_down: true,
+            ..FakeStore::default()
+        };
+        let _first = start(entry(first, Vec::new()), serving);
+        let second_handle = start(entry(second, vec![first]), refusing);
+        until("the configuration", || second_handle.table().version == 7).await;
+        let mut agent = connect(second).await;
+        write_frame(&mut agent, &Greeting::Agent(hello())).await;
+        assert_eq!(
+            told_until(&mut agent, 1).await,
+            [evacuations(1, &["hella"])]
+        );
+        // It hears of newer pictures only, and one that greets later at once.
+        let mut peer = connect(second).await;
+        write_frame(&mut peer, &Greeting::Entry(free_addr())).await;
+        for told in [
+            evacuations(9, &["selfoss"]),
+            evacuations(4, &[]),
+            evacuations(11, &[]),
+        ] {
+            let frame = PeerFrame {
+                evacuations: Some(told),
+                ..PeerFrame::default()
+            };
+            write_frame(&mut peer, &frame).await;
+        }
+        let newer = [evacuations(9, &["selfoss"]), evacuations(11, &[])];
+        assert_eq!(told_until(&mut agent, 11).await, newer);
+        let mut later = connect(second).await;
+        let hello = AgentHello {
+            host: "host-2".into(),
+            ..hello()
+        };
+        write_frame(&mut later, &Greeting::Agent(hello)).await;
+        let frame = decode::<EntryFrame>(&read_frame(&mut later).await).expect("a frame");
+        let told = Order::Evacuations(evacuations(11, &[]));
+        assert!(frame.orders.contains(&told), "{frame:?}");
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn an_entry_answers_its_peers_and_ends_a_connection_that_went_silent() {
     on_one_thread(async {
