--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -54,6 +54,15 @@
 const STORING_PART: usize = 3;
 /// Pause before a client sends a job again whose answer did not come.
 const RESEND_MS: u64 = 1_300;
+/// One agent in this many, with this place among them, is in another zone, which
+/// operators empty.
+const ZONES_PART: usize = 2;
+const EMPTIED_PLACE: usize = 1;
+/// Key of the operators' request to empty it.
+const EVACUATE_KEY: &str = "evacuate/hella";
+/// Time from the request until nothing is started there any more, in calm.
+const EVACUATED_WITHIN_MS: u64 = 1_000;
+
 /// Seeds that every run plays.
 const SEEDS: std::ops::Range<u64> = 0..2;
 /// Seeds that once failed, each with its cause.
@@ -246,7 +255,12 @@
         let proxy = Proxy::start(minion);
         let name = format!("host-{agent}");
         let seed = SocketAddr::new(seed.ip(), link.port());
-        let text = settings(&name, seed, free_addr(), seed, store)
+        let shared = settings(&name, seed, free_addr(), seed, store);
+        let shared = match agent % ZONES_PART {
+            EMPTIED_PLACE => shared.replace("zone = \"selfoss\"", "zone = \"hella\""),
+            _ => shared,
+        };
+        let text = shared
             + &format!(
                 "[agent]\nminion_address = \"{}\"\ncontrol_address = \"{control}\"\n",
                 proxy.addr
@@ -286,7 +300,7 @@
         let minion = &self.minions[rng.random_range(0..self.minions.len())];
         let inner = &self.inner[rng.random_range(0..self.inner.len())];
         let front = &self.fronts[rng.random_range(0..self.fronts.len())];
-        match rng.random_range(0..20) {
+        match rng.random_range(0..23) {
             0 | 1 => {
                 program.signal(Signal::STOP);
                 program.plan(rng.random_range(50..2_500), Due::Resume);
@@ -319,6 +333,12 @@
             14 | 15 => inner.silence_open(),
             16 => front.silence_open(),
             17 => minion.send_late_report(),
+            18 => self.store.put("keyed.op", EVACUATE_KEY, b"{}"),
+            19 => self.store.put("keyed.op", EVACUATE_KEY, b""),
+            20 => {
+                let foreign: Vec<u8> = (0..rng.random_range(0..40)).map(|_| rng.random()).collect();
+                self.store.put_raw("keyed.op", &foreign);
+            }
             _ => {
                 let fault = match rng.random_range(0..6) {
                     0 => ProxyFault::Delays(rng.random_range(1..150)),
@@ -367,6 +387,36 @@
         }
     }
 
+    /// Operators empty a zone and take it back, once all is calm.
+    fn check_evacuation(&self) {
+        let emptied: Vec<&MinionStandIn> = self
+            .minions
+            .iter()
+            .skip(EMPTIED_PLACE)
+            .step_by(ZONES_PART)
+            .collect();
+        let starts = || -> usize { emptied.iter().map(|minion| minion.starts().len()).sum() };
+        // More tasks than the other zone has room for at once.
+        let tasks = (self.minions.len() - emptied.len()) * ROOM + 4;
+        let fill = |id: &str| post_job(self.fronts[0].addr, id, tasks, 50);
+        self.store.put("keyed.op", EVACUATE_KEY, b"{}");
+        thread::sleep(Duration::from_millis(EVACUATED_WITHIN_MS));
+        let before = starts();
+        fill("0000000000e0e0e0");
+        self.wait_served("while a zone is emptied");
+        if starts() > before {
+            self.violate("a task was started in a zone that is emptied".to_owned());
+        }
+        self.store.put("keyed.op", EVACUATE_KEY, b"");
+        let end = Instant::now() + Duration::from_secs(10);
+        while starts() == before && Instant::now() < end {
+            fill("0000000000e0e0e1");
+        }
+        if starts() == before {
+            self.violate("nothing is started in a zone that was taken back".to_owned());
+        }
+    }
+
     /// What callers were told, against what the minions did.
     fn check_answers(&self) {
         let jobs = self.jobs.lock().expect("no panic");
@@ -569,6 +619,7 @@
     }
     soak.wait_served("after the faults");
     soak.wait_stored();
+    soak.check_evacuation();
     stop.store(true, Ordering::Relaxed);
     watcher.join().expect("no panic");
     soak.check_answers();
