Two more guards of emptied zones have a test that fails without them

Cause: taken out one by one, two of nine guards were not found by any test: that an entry orders nothing in a zone it knows of (agents refuse it all the same), and that no further copy of a start is sent there. Ruled out: taking them out (each is a start or an order more in a zone while word is on its way). Change: the session notes calls to start and what agents note; two tests.

--- a/crates/dispatch/tests/evacuation.rs
+++ b/crates/dispatch/tests/evacuation.rs
@@ -154,6 +154,51 @@
     assert!(session.violations.is_empty(), "{:?}", session.violations);
 }
 
+#[test]
+fn no_further_copies_of_a_start_are_sent_in_the_zone() {
+    let mut session = Session::new(1, 2);
+    // Half of the calls stay without an answer, so starts are sent in copies.
+    let mut calls = 0;
+    session.fate = Box::new(move |_, _| {
+        calls += 1;
+        (calls % 2 == 0).then_some(700)
+    });
+    for number in 0..40 {
+        session.submit(0, &format!("warm-up-{number}"), 4, 60);
+        session.run(40);
+    }
+    let mut copies = 0;
+    for number in 0..30 {
+        session.fate = Box::new(|_, _| Some(700));
+        session.tell_all_evacuations(&evacuations(2 * number + 7, &[]));
+        session.submit(0, &format!("copied-{number}"), 8, 60);
+        session.run(4);
+        let begun = session.start_calls.len();
+        session.tell_all_evacuations(&evacuations(2 * number + 8, &["selfoss", "hella"]));
+        session.run(HEARD_MS);
+        let told_ms = session.now_ms;
+        session.run(60);
+        copies += session.start_calls_in("selfoss", told_ms);
+        copies += session.start_calls_in("hella", told_ms);
+        assert!(begun > 0);
+    }
+    assert_eq!(copies, 0);
+}
+
+#[test]
+fn an_entry_that_has_heard_orders_nothing_in_the_zone() {
+    let mut session = Session::new(1, AGENTS);
+    for number in 0..20 {
+        session.tell_all_evacuations(&evacuations(2 * number + 7, &["hella"]));
+        // All of the other zones' room, before agents have said anything.
+        session.submit(0, &format!("wide-{number}"), 40, 20);
+        session.run(60);
+        session.tell_all_evacuations(&evacuations(2 * number + 8, &[]));
+        session.run(60);
+    }
+    assert_eq!(session.notes.get("start-refused-evacuated"), None);
+}
+
 #[test]
 fn an_agent_that_starts_anew_hears_of_it_before_any_order() {
     let mut session = Session::new(ENTRIES, AGENTS);
--- a/crates/dispatch/tests/session/evacuation.rs
+++ b/crates/dispatch/tests/session/evacuation.rs
@@ -5,7 +5,7 @@
 use super::Session;
 use super::zone;
 
-/// A task that a minion began, on an order that was answered in time.
+/// A task that a minion began, or was told to start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SeenStart {
     pub at_ms: u64,
@@ -35,6 +35,12 @@
         }
     }
 
+    /// Calls to start a task in a zone after a moment.
+    pub fn start_calls_in(&self, name: &str, after_ms: u64) -> usize {
+        let is_there = |call: &&SeenStart| zone(call.agent) == name && call.at_ms > after_ms;
+        self.start_calls.iter().filter(is_there).count()
+    }
+
     /// Tasks begun in a zone after a moment.
     pub fn starts_in(&self, name: &str, after_ms: u64) -> usize {
         let is_there = |start: &&SeenStart| zone(start.agent) == name && start.at_ms > after_ms;
--- a/crates/dispatch/tests/session/mod.rs
+++ b/crates/dispatch/tests/session/mod.rs
@@ -287,6 +287,10 @@
     emptied: BTreeSet<String>,
     /// All starts that were answered in time.
     pub seen_starts: Vec<SeenStart>,
+    /// All calls to start a task, answered or not.
+    pub start_calls: Vec<SeenStart>,
+    /// What agents noted, by event.
+    pub notes: BTreeMap<&'static str, usize>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -349,6 +353,8 @@
             just_refused: Vec::new(),
             emptied: BTreeSet::new(),
             seen_starts: Vec::new(),
+            start_calls: Vec::new(),
+            notes: BTreeMap::new(),
         };
         for entry in 0..entries {
             let process = session.new_entry(entry, 1);
@@ -819,6 +825,10 @@
     }
 
     fn agent_action(&mut self, agent: usize, action: AgentAction) {
+        if matches!(action, AgentAction::Start { .. }) {
+            let at_ms = self.now_ms;
+            self.start_calls.push(SeenStart { at_ms, agent });
+        }
         match action {
             AgentAction::Start { .. } | AgentAction::Stop { .. } | AgentAction::Hold { .. } => {
                 let is_lost_stop = self.loses_stops && matches!(action, AgentAction::Stop { .. });
@@ -840,7 +850,10 @@
                     }
                 }
             }
-            AgentAction::Note(note) => self.print(&format!("agent {agent} {note:?}")),
+            AgentAction::Note(note) => {
+                self.print(&format!("agent {agent} {note:?}"));
+                *self.notes.entry(note.event).or_default() += 1;
+            }
             AgentAction::Entries(_) => {}
         }
     }
