--- a/crates/dispatch/tests/evacuation.rs
+++ b/crates/dispatch/tests/evacuation.rs
@@ -1,5 +1,6 @@
 //! Zones that operators empty get no starts, whichever entry has heard of it,
-//! and get them again soon after they are taken back.
+//! and get them again soon after they are taken back. `GANNETVANE_SEEDS=from..to`
+//! plays other seeds by hand.
 
 mod session;
 
@@ -13,6 +14,7 @@
 use session::Session;
 use session::ZONES;
 use session::evacuations;
+use session::seeds;
 
 const ENTRIES: usize = 3;
 /// Two in each of three zones.
@@ -313,7 +315,7 @@
 
 #[test]
 fn no_interleaving_starts_anything_where_all_entries_know_better() {
-    for seed in SEEDS {
+    for seed in seeds(SEEDS, &[]) {
         play(seed);
     }
 }
--- a/crates/dispatch/tests/interleavings.rs
+++ b/crates/dispatch/tests/interleavings.rs
@@ -9,6 +9,7 @@
 use session::LogFate;
 use session::Mood;
 use session::Session;
+use session::seeds;
 use yare::parameterized;
 
 const ENTRIES: usize = 2;
@@ -34,16 +35,6 @@
     1827,
 ];
 
-fn seeds(regressions: &[u64]) -> Vec<u64> {
-    let named = std::env::var("GANNETVANE_SEEDS").ok();
-    let named = named.and_then(|range| {
-        let (from, to) = range.split_once("..")?;
-        Some(from.parse().ok()?..to.parse().ok()?)
-    });
-    let chosen = named.unwrap_or(SEEDS);
-    regressions.iter().copied().chain(chosen).collect()
-}
-
 /// Plays a seed with tasks that work for less than `longest_ms`.
 fn play(seed: u64, longest_ms: u64) -> Session {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
@@ -174,7 +165,7 @@
 
 #[test]
 fn no_interleaving_loses_a_stored_job_or_does_it_twice() {
-    for seed in seeds(STORED_REGRESSIONS) {
+    for seed in seeds(SEEDS, STORED_REGRESSIONS) {
         let session = play_stored(seed);
         let violations = &session.violations;
         assert!(violations.is_empty(), "seed {seed}: {violations:?}");
@@ -190,7 +181,7 @@
     long = { 3_000 },
 )]
 fn no_interleaving_breaks_a_promise(longest_ms: u64) {
-    for seed in seeds(REGRESSIONS) {
+    for seed in seeds(SEEDS, REGRESSIONS) {
         let session = play(seed, longest_ms);
         let violations = &session.violations;
         assert!(violations.is_empty(), "seed {seed}: {violations:?}");
--- a/crates/dispatch/tests/session/mod.rs
+++ b/crates/dispatch/tests/session/mod.rs
@@ -7,6 +7,7 @@
 mod evacuation;
 mod log;
 mod minion;
+mod seeds;
 mod stored;
 
 use std::collections::BTreeMap;
@@ -63,6 +64,8 @@
 pub use minion::FakeMinion;
 #[allow(unused_imports, reason = "each test file uses a part")]
 pub use minion::Mood;
+#[allow(unused_imports, reason = "each test file uses a part")]
+pub use seeds::seeds;
 pub use stored::StoredView;
 
 pub const SERVICE: &str = "bretti-desk";
