--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent/mod.rs
@@ -1,6 +1,20 @@
 //! The agent beside a minion: it alone admits tasks there and answers for
 //! what runs.
 
+mod breaker;
+mod call_loss;
+mod evacuation;
+mod lifetimes;
+mod links;
+mod listings;
+mod minion;
+pub(crate) mod offers;
+mod pace;
+mod run_table;
+mod stalls;
+mod starts;
+mod unsettled;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -12,6 +26,7 @@
 use crate::Busy;
 use crate::End;
 use crate::EntryFrame;
+use crate::Evacuations;
 use crate::KEEPALIVE_MS;
 use crate::LinkId;
 use crate::Order;
@@ -19,15 +34,15 @@
 use crate::Room;
 use crate::RunKey;
 use crate::StartOrder;
-use crate::agent_links::Link;
-use crate::breaker::Breaker;
-use crate::breaker::BreakerState;
-use crate::lifetimes::Candidate;
-use crate::minion::Minion;
-use crate::offers::Offers;
-use crate::pace::Pace;
-use crate::runtable::Run;
-use crate::runtable::RunTable;
+use crate::agent::breaker::Breaker;
+use crate::agent::breaker::BreakerState;
+use crate::agent::lifetimes::Candidate;
+use crate::agent::links::Link;
+use crate::agent::minion::Minion;
+use crate::agent::offers::Offers;
+use crate::agent::pace::Pace;
+use crate::agent::run_table::Run;
+use crate::agent::run_table::RunTable;
 
 /// Who an agent is, for as long as its process runs.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -114,6 +129,7 @@
     pub(crate) offers: Offers,
     pub(crate) breaker: Breaker,
     pub(crate) pace: Pace,
+    pub(crate) evacuations: Evacuations,
     pub(crate) is_stopping: bool,
     pub(crate) next_call: u64,
     pub(crate) actions: Vec<AgentAction>,
@@ -132,6 +148,7 @@
             offers: Offers::default(),
             breaker: Breaker::default(),
             pace: Pace::default(),
+            evacuations: Evacuations::default(),
             is_stopping: false,
             next_call: 1,
             actions: Vec::new(),
@@ -146,7 +163,9 @@
     /// Whether starts are admitted.
     #[must_use]
     pub fn is_open(&self) -> bool {
-        !self.is_stopping && self.minion.as_ref().is_some_and(Minion::is_open)
+        !self.is_stopping
+            && !self.is_evacuated()
+            && self.minion.as_ref().is_some_and(Minion::is_open)
     }
 
     /// Whether a planned stop may end the process now.
@@ -184,6 +203,7 @@
                 Order::Settled(number, settlement) => {
                     self.end_settled(now_ms, number, settlement);
                 }
+                Order::Evacuations(newer) => self.told_evacuations(&newer),
                 Order::Entries(entries) => self.actions.push(AgentAction::Entries(entries)),
             }
         }
@@ -243,6 +263,7 @@
         }
         let order = start.id;
         if !self.admits(now_ms) || is_retiring {
+            self.note_evacuated_start(&start);
             self.report_end(link, order, End::NotStarted(Busy::Closing), 0);
             return;
         }
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -1,5 +1,17 @@
 //! The core of an entry: it keeps each job for as long as its caller waits.
 
+mod ends;
+mod estimate;
+mod evacuation;
+pub(crate) mod fleet;
+mod intake;
+mod jobs;
+mod overload;
+mod probes;
+mod rounds;
+mod stored_runs;
+mod views;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -11,6 +23,7 @@
 use crate::AgentHello;
 use crate::Caller;
 use crate::EntryFrame;
+use crate::Evacuations;
 use crate::GRANT_MS;
 use crate::JobOutcome;
 use crate::KEEPALIVE_MS;
@@ -20,13 +33,13 @@
 use crate::Report;
 use crate::RoutingTable;
 use crate::SAFE_AFTER_MS;
-use crate::estimate::Estimates;
-use crate::fleet::AgentState;
-use crate::fleet::Hosts;
-use crate::jobs::JobState;
-use crate::jobs::TaskPhase;
-use crate::overload::MINION_WAIT_PART;
-use crate::overload::SHED_MS;
+use crate::dispatcher::estimate::Estimates;
+use crate::dispatcher::fleet::AgentState;
+use crate::dispatcher::fleet::Hosts;
+use crate::dispatcher::jobs::JobState;
+use crate::dispatcher::jobs::TaskPhase;
+use crate::dispatcher::overload::MINION_WAIT_PART;
+use crate::dispatcher::overload::SHED_MS;
 use crate::policy::BoxedPolicy;
 use crate::policy::FairShare;
 use crate::policy::Flow;
@@ -93,6 +106,7 @@
 pub struct Dispatcher {
     pub(crate) settings: DispatcherSettings,
     pub(crate) table: RoutingTable,
+    pub(crate) evacuations: Evacuations,
     pub(crate) agents: BTreeMap<LinkId, AgentState>,
     pub(crate) hosts: Hosts,
     pub(crate) jobs: BTreeMap<Name, JobState>,
@@ -129,6 +143,7 @@
             rng: ChaCha8Rng::seed_from_u64(settings.seed),
             settings,
             table: RoutingTable::default(),
+            evacuations: Evacuations::default(),
             agents: BTreeMap::new(),
             hosts: Hosts::default(),
             jobs: BTreeMap::new(),
@@ -226,6 +241,7 @@
             self.agent_down(stale, "greeted-again");
         }
         self.agents.insert(link, AgentState::new(now_ms, hello));
+        self.tell_evacuations(link);
         self.release_orphans(&host);
     }
 
