--- a/crates/dispatch/tests/policy.rs
+++ b/crates/dispatch/tests/policy.rs
@@ -30,6 +30,14 @@
     })
 }
 
+fn arrival(queue: &Queue) -> Arrival<'_> {
+    Arrival {
+        queue,
+        work: WORK,
+        slack_ms: 150.0,
+    }
+}
+
 /// The service while this many times its room comes and this much waits.
 fn view(load: f64, waiting_ms: f64) -> ServiceView {
     ServiceView {
@@ -49,11 +57,7 @@
     for number in 0..2_000 {
         let is_seldom = number % rare == 0;
         let queue = if is_seldom { &seldom } else { &often };
-        let arrival = Arrival {
-            queue,
-            work: WORK,
-            slack_ms: 150.0,
-        };
+        let arrival = arrival(queue);
         let (asked, taken) = &mut counts[usize::from(is_seldom)];
         *asked += 1;
         *taken += usize::from(policy.takes_in(1_000 + number as u64, &arrival, view));
@@ -146,11 +150,7 @@
 fn taken_after(waiting_ms: f64, in_vain: u64, pause_ms: u64) -> f64 {
     let mut policy = FairShare::default();
     let queue = queue("often");
-    let arrival = Arrival {
-        queue: &queue,
-        work: WORK,
-        slack_ms: 150.0,
-    };
+    let arrival = arrival(&queue);
     let mut now_ms = 1_000;
     policy.takes_in(now_ms, &arrival, &view(1.2, waiting_ms));
     for _ in 0..in_vain {
@@ -166,11 +166,7 @@
 fn what_was_taken_in_before_the_room_was_known_tells_nothing_of_the_backlog() {
     let mut policy = FairShare::default();
     let queue = queue("often");
-    let arrival = Arrival {
-        queue: &queue,
-        work: WORK,
-        slack_ms: 150.0,
-    };
+    let arrival = arrival(&queue);
     let unknown = ServiceView::default();
     assert!(policy.takes_in(1_000, &arrival, &unknown));
     for now_ms in (1_050..1_700).step_by(50) {
