--- a/crates/dispatch/src/agent/lifetimes.rs
+++ b/crates/dispatch/src/agent/lifetimes.rs
@@ -330,6 +330,25 @@
         }
     }
 
+    /// Tells what is known of a run that ended with its minion: a crash speaks against
+    /// the task only if the minion had taken the run.
+    fn note_lost_run(&mut self, now_ms: u64, run: &Run, end: End) {
+        let detail = format!(
+            "task={}.{} run={} end={end:?} phase={:?} seen={} listed={} pending={} refusal={:?} unanswered={} ran_ms={}",
+            run.key.task.step,
+            run.key.task.index,
+            run.key.run,
+            run.phase,
+            run.was_seen,
+            run.was_listed,
+            run.pending,
+            run.refusal,
+            run.unanswered,
+            run.ran_ms(now_ms),
+        );
+        self.note("run-lost", Some(run.key.task.job.clone()), detail);
+    }
+
     /// Nothing that was started runs any more.
     pub(crate) fn lose_minion(&mut self, now_ms: u64, loss: Loss) {
         if self.minion.is_none() {
@@ -340,6 +359,7 @@
         for (link, order) in places {
             if let Some(run) = self.runs.remove(link, order) {
                 let end = self.end_with_minion(&run, loss);
+                self.note_lost_run(now_ms, &run, end);
                 self.report_end(link, order, end, run.ran_ms(now_ms));
             }
         }
