Sessions check that a failed job had cause, and a failing test of starts no minion took

Change: each session holds a job that is told as failed against the runs that were on crashed minions and the runs that failed. A test crashes four of eleven minions at once while orders come each millisecond. Minions that crash under a new id can stay away.

--- a/crates/dispatch/tests/crashing.rs
+++ b/crates/dispatch/tests/crashing.rs
@@ -137,3 +137,39 @@
     assert_eq!(end, Some(gannetvane_dispatch::StoredEnd::Failed));
     assert!(session.violations.is_empty(), "{:?}", session.violations);
 }
+
+/// Four of eleven minions crash at once, again and again, beneath short and long jobs.
+/// Some of them are idle, so that their agents learn of it from the next starts.
+#[parameterized(
+    kept_ids = { true },
+    other_ids = { false },
+)]
+fn starts_that_a_crashed_minion_never_took_fail_no_job(keeps_ids: bool) {
+    let mut session = session(11, keeps_ids);
+    for round in 0..3_000 {
+        let (entry, number) = (round % 3, round / 100);
+        match round % 4 {
+            0 => session.submit(entry, &format!("short-{round}"), 8, 60),
+            2 => session.submit(entry, &format!("middle-{round}"), 2, 200),
+            _ if round % 16 == 1 => session.submit(entry, &format!("long-{round}"), 4, 900),
+            _ => session.submit(entry, &format!("single-{round}"), 1, 100),
+        };
+        if round % 100 == 50 {
+            for agent in (0..4).map(|place| (number + 3 * place) % 11) {
+                match keeps_ids {
+                    true => session.rebirth(agent, 600),
+                    false => session.crash_minion_for(agent, 600),
+                }
+            }
+        }
+        // Orders come in quick succession while agents find their minions gone.
+        let pause_ms = if (50..80).contains(&(round % 100)) {
+            1
+        } else {
+            9
+        };
+        session.run(pause_ms);
+    }
+    session.run(5_000);
+    assert!(session.violations.is_empty(), "{:?}", session.violations);
+}
--- /dev/null
+++ b/crates/dispatch/tests/session/failures.rs
@@ -0,0 +1,52 @@
+//! Jobs that were told as failed, held against what became of their tasks.
+
+use std::collections::BTreeMap;
+
+use gannetvane_dispatch::TaskId;
+
+use super::Session;
+
+/// Minions that must have crashed under a task before its job may be given up.
+const CRASHES_OF_A_FAILED_TASK: u32 = 2;
+
+impl Session {
+    /// Notes a job that was told as failed, unless a task of it failed as often as its
+    /// queue allows, or enough minions crashed under one.
+    pub(super) fn check_failed(&mut self, id: &str) {
+        let crashes = self.crashes_under(id);
+        let failures = self.failures_of(id);
+        let attempts = self.queues[0].max_attempts;
+        let has_crashed = crashes
+            .values()
+            .any(|times| *times >= CRASHES_OF_A_FAILED_TASK);
+        let has_failed = failures.values().any(|times| *times >= attempts);
+        if !has_crashed && !has_failed {
+            let what = format!("{} ms: {id}: {crashes:?} {failures:?}", self.now_ms);
+            self.violations.failed_without_cause.push(what);
+        }
+    }
+
+    /// Minions that crashed while a task of the job ran there, by task.
+    fn crashes_under(&self, id: &str) -> BTreeMap<TaskId, u32> {
+        let mut crashes = BTreeMap::new();
+        for minion in &self.past_minions {
+            let of_job = minion.running().filter(|key| *key.task.job == *id);
+            for key in of_job {
+                *crashes.entry(key.task.clone()).or_insert(0) += 1;
+            }
+        }
+        crashes
+    }
+
+    /// Times that runs of the job failed, by task.
+    fn failures_of(&self, id: &str) -> BTreeMap<TaskId, u32> {
+        let mut failures = BTreeMap::new();
+        for minion in self.minions.iter().chain(&self.past_minions) {
+            let of_job = minion.failures.iter().filter(|(task, _)| *task.job == *id);
+            for (task, times) in of_job {
+                *failures.entry(task.clone()).or_insert(0) += times;
+            }
+        }
+        failures
+    }
+}
--- a/crates/dispatch/tests/session/minion.rs
+++ b/crates/dispatch/tests/session/minion.rs
@@ -68,6 +68,8 @@
     pub started_late: Vec<RunKey>,
     /// Done runs of stored tasks whose end counts, and when they ended.
     pub noted: Vec<(RunKey, u64)>,
+    /// Times that a run of each task failed here.
+    pub failures: BTreeMap<TaskId, u32>,
     /// Ends without an acknowledgement, and whether the lease lapsed since.
     unnoted: BTreeMap<u64, (RunKey, u64, bool)>,
     born_ms: u64,
@@ -105,6 +107,7 @@
             started: Vec::new(),
             started_late: Vec::new(),
             noted: Vec::new(),
+            failures: BTreeMap::new(),
             unnoted: BTreeMap::new(),
             born_ms: now_ms,
             tells_birth: false,
@@ -324,8 +327,10 @@
     fn end(&mut self, key: RunKey, end: End) {
         let highest = self.highest.entry(key.task.clone()).or_insert(0);
         *highest = (*highest).max(key.run);
-        if end == End::Done {
-            self.done.push(key.clone());
+        match end {
+            End::Done => self.done.push(key.clone()),
+            End::Failed => *self.failures.entry(key.task.clone()).or_insert(0) += 1,
+            _ => {}
         }
         self.ends += 1;
         if end == End::Done && key.run >= FIRST_STORED_RUN {
--- a/crates/dispatch/tests/session/mod.rs
+++ b/crates/dispatch/tests/session/mod.rs
@@ -5,6 +5,7 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 mod evacuation;
+mod failures;
 mod log;
 mod minion;
 mod seeds;
@@ -227,6 +228,7 @@
     pub overloads: usize,
     pub refused_and_ran: Vec<String>,
     pub lost: Vec<String>,
+    pub failed_without_cause: Vec<String>,
 }
 
 impl Violations {
@@ -235,6 +237,7 @@
             && self.overloads == 0
             && self.refused_and_ran.is_empty()
             && self.lost.is_empty()
+            && self.failed_without_cause.is_empty()
     }
 }
 
@@ -573,22 +576,34 @@
 
     /// The minion crashes and comes back as a new lifetime.
     pub fn crash_minion(&mut self, agent: usize) {
-        self.last_reports.insert(agent, self.report(agent));
-        let runs = self.sequence;
-        let instance = format!("minion-{agent}-x{runs}");
-        let next = self.new_minion(agent, &instance);
-        let past = std::mem::replace(&mut self.minions[agent], next);
-        self.past_minions.push(past);
+        let id = format!("minion-{agent}-x{}", self.sequence);
+        self.replace_minion(agent, &id);
+    }
+
+    /// The same, and it is back after this time.
+    pub fn crash_minion_for(&mut self, agent: usize, down_ms: u64) {
+        self.crash_minion(agent);
+        self.hold_back(agent, down_ms);
     }
 
     /// The minion starts again under its id, and is back after this time.
     pub fn rebirth(&mut self, agent: usize, down_ms: u64) {
-        self.last_reports.insert(agent, self.report(agent));
         let id = self.minions[agent].instance.clone();
-        let mut next = self.new_minion(agent, &id);
-        next.up_at_ms = self.now_ms + down_ms;
+        self.replace_minion(agent, &id);
+        self.hold_back(agent, down_ms);
+    }
+
+    /// The life of a minion ends with all that runs there, and the next one begins.
+    fn replace_minion(&mut self, agent: usize, id: &str) {
+        self.last_reports.insert(agent, self.report(agent));
+        let next = self.new_minion(agent, id);
         let past = std::mem::replace(&mut self.minions[agent], next);
         self.past_minions.push(past);
+    }
+
+    /// A minion takes no calls for this time, and then reports itself.
+    fn hold_back(&mut self, agent: usize, down_ms: u64) {
+        self.minions[agent].up_at_ms = self.now_ms + down_ms;
         let report = self.report(agent);
         let at_ms = self.minions[agent].up_at_ms + DELAY_MS;
         self.post_at(at_ms, Side::Agent(agent), Event::Reported(report));
@@ -1177,6 +1192,10 @@
                     }
                     state.outcome = Some(outcome);
                     state.answered_ms = Some(self.now_ms);
+                    if outcome == JobOutcome::Failed {
+                        let id = state.id.clone();
+                        self.check_failed(&id);
+                    }
                 }
             }
             DispatcherAction::Event(event) => self.print(&format!("{event:?}")),
--- a/crates/dispatch/tests/session/stored.rs
+++ b/crates/dispatch/tests/session/stored.rs
@@ -186,6 +186,10 @@
             StoredAnswer::State(StoredState::Ended(end)) => {
                 state.end = Some(end);
                 state.ended_ms = Some(now_ms);
+                if end == StoredEnd::Failed {
+                    let id = state.id.clone();
+                    self.check_failed(&id);
+                }
             }
             StoredAnswer::Unknown if state.is_accepted => {
                 let what = format!("{now_ms} ms: {} is not known", state.id);
