A crash speaks against a task only if a connection broke while it was at work

Cause: a run that its minion had once answered for counted as crashed, whenever the minion's life ended; what had become of the run since was not asked. Ruled out: progress and expected times as a sign (declared times are off by 0.4); the answer to a start alone (tells no birth). Change: a run counts if the connection of its start broke after the start was sent, or if a listing that waited for an end broke off while the minion had it: an end would have answered that listing. A later listing of the same life voids the sign; a run whose stop was acknowledged does not count. All else is told as lost.

--- a/crates/dispatch/src/agent/lifetimes.rs
+++ b/crates/dispatch/src/agent/lifetimes.rs
@@ -334,14 +334,14 @@
     /// the task only if the minion had taken the run.
     fn note_lost_run(&mut self, now_ms: u64, run: &Run, end: End) {
         let detail = format!(
-            "task={}.{} run={} end={end:?} phase={:?} seen={} listed={} broken={} pending={} refusal={:?} unanswered={} ran_ms={}",
+            "task={}.{} run={} end={end:?} phase={:?} seen={} listed={} cut_off={} pending={} refusal={:?} unanswered={} ran_ms={}",
             run.key.task.step,
             run.key.task.index,
             run.key.run,
             run.phase,
             run.was_seen,
             run.was_listed,
-            run.was_broken,
+            run.cut_off_ms.is_some(),
             run.pending,
             run.refusal,
             run.unanswered,
--- a/crates/dispatch/src/agent/listings.rs
+++ b/crates/dispatch/src/agent/listings.rs
@@ -47,6 +47,7 @@
         if !self.serves(lifetime) {
             return;
         }
+        let is_broken = result == HoldResult::Broken;
         let (contact, listing) = match result {
             HoldResult::Listed(listing) => (Contact::Answered, Some(listing)),
             HoldResult::Unreached => (Contact::Refused, None),
@@ -68,6 +69,9 @@
         let Some(hold) = position.map(|position| minion.holds.remove(position)) else {
             return;
         };
+        if is_broken && hold.is_waiting {
+            self.runs.cut_off(now_ms);
+        }
         let Some(listing) = listing else {
             let longest_ms = if self.runs.is_empty() {
                 ASK_AGAIN_LONGEST_MS
@@ -90,6 +94,7 @@
             self.minion_reborn(now_ms, listing.born_unix_ms);
             return;
         }
+        self.runs.reconnected(hold.sent_ms);
         minion.ask_ms = now_ms + pause_ms;
         minion.is_doubted = false;
         minion.holds.retain(|other| other.sent_ms > hold.sent_ms);
--- a/crates/dispatch/src/agent/minion.rs
+++ b/crates/dispatch/src/agent/minion.rs
@@ -96,6 +96,8 @@
     pub(crate) call: u64,
     pub(crate) sent_ms: u64,
     pub(crate) overdue_ms: u64,
+    /// Whether the answer waits for an end.
+    pub(crate) is_waiting: bool,
     pub(crate) acknowledged_through: u64,
 }
 
@@ -376,6 +378,7 @@
                 call,
                 sent_ms: now_ms,
                 overdue_ms: now_ms + wait_ms + HOLD_PATIENCE_MS,
+                is_waiting: wait_ms > 0,
                 acknowledged_through: acknowledgeable,
             });
             self.actions.push(AgentAction::Hold {
--- a/crates/dispatch/src/agent/run_table.rs
+++ b/crates/dispatch/src/agent/run_table.rs
@@ -62,8 +62,9 @@
     pub(crate) refusal: Option<StartResult>,
     /// Whether a copy of the last start got no answer.
     pub(crate) is_unsure: bool,
-    /// Whether the connection of a start broke after the call was sent.
-    pub(crate) was_broken: bool,
+    /// When a connection broke while the minion had it: that of its start, or that of a
+    /// listing which waited for an end.
+    pub(crate) cut_off_ms: Option<u64>,
     /// Times that a start got no answer.
     pub(crate) unanswered: u32,
     /// When the start is sent again.
@@ -96,7 +97,7 @@
             sent_ms: now_ms,
             refusal: None,
             is_unsure: false,
-            was_broken: false,
+            cut_off_ms: None,
             unanswered: 0,
             repeat_ms: None,
         }
@@ -122,9 +123,9 @@
         !self.was_listed || self.pending > 0 || self.is_unsure || self.unanswered > 0
     }
 
-    /// Whether the minion is known to have taken it, and not to have stopped it since:
-    /// only then does the minion's crash speak against the task. A start that is
-    /// still on its way may have met a minion that was gone already.
+    /// Whether it was at work on the minion when that was last heard of: only then does a
+    /// crash speak against the task. The start may have met a minion that was gone
+    /// already, or the next one, and the work may have ended untold.
     pub(crate) fn was_at_work(&self) -> bool {
         let is_stopped = matches!(
             self.phase,
@@ -133,7 +134,7 @@
                 ..
             }
         );
-        (self.was_seen || self.was_broken) && !is_stopped
+        self.cut_off_ms.is_some() && !is_stopped
     }
 
     pub(crate) fn ran_ms(&self, now_ms: u64) -> u64 {
@@ -198,6 +199,21 @@
         runs.map(|run| run.order).collect()
     }
 
+    /// A listing that waited for an end broke off: what the minion has taken was at work.
+    pub(crate) fn cut_off(&mut self, now_ms: u64) {
+        for run in self.runs.values_mut().filter(|run| run.was_seen) {
+            run.cut_off_ms = Some(now_ms);
+        }
+    }
+
+    /// The minion answered what it was asked at this time, so that connections which
+    /// broke before tell nothing of its end.
+    pub(crate) fn reconnected(&mut self, asked_ms: u64) {
+        for run in self.runs.values_mut() {
+            run.cut_off_ms.take_if(|cut_off_ms| asked_ms > *cut_off_ms);
+        }
+    }
+
     /// Room of all runs that the minion may hold.
     pub(crate) fn taken(&self) -> Room {
         let runs = self.runs.values();
--- a/crates/dispatch/src/agent/starts.rs
+++ b/crates/dispatch/src/agent/starts.rs
@@ -98,7 +98,7 @@
             StartResult::NoAnswer => run.is_unsure = true,
             StartResult::Broken => {
                 run.is_unsure = true;
-                run.was_broken = true;
+                run.cut_off_ms = Some(now_ms);
             }
             refused => run.refusal = Some(refused),
         }
--- a/crates/dispatch/tests/crash_evidence.rs
+++ b/crates/dispatch/tests/crash_evidence.rs
@@ -4,10 +4,14 @@
 mod driver;
 
 use gannetvane_dispatch::End;
+use gannetvane_dispatch::HoldResult;
+use gannetvane_dispatch::Order;
 use gannetvane_dispatch::OrderId;
 use gannetvane_dispatch::StartResult;
 
 use driver::Driver;
+use driver::key;
+use driver::life;
 
 /// How the only run ended with its minion, as the entry was told.
 fn end(driver: &mut Driver) -> End {
@@ -47,3 +51,55 @@
     let end = end(&mut driver);
     assert!(is_crash(end), "{end:?}");
 }
+
+#[test]
+fn a_run_whose_minion_broke_off_a_waiting_listing_is_a_crash_of_its_task() {
+    let mut driver = Driver::new();
+    driver.starts(&["a"]);
+    driver.list_running(&["a"], 0, 0);
+    driver.answer_with(&HoldResult::Broken);
+    let end = end(&mut driver);
+    assert!(is_crash(end), "{end:?}");
+}
+
+#[test]
+fn a_run_that_may_have_ended_untold_is_no_crash_of_its_task() {
+    let mut driver = Driver::new();
+    driver.starts(&["a"]);
+    driver.answer_with(&HoldResult::NoAnswer);
+    let end = end(&mut driver);
+    assert!(!is_crash(end), "{end:?}");
+}
+
+#[test]
+fn a_connection_that_broke_while_the_minion_lived_on_tells_nothing_of_a_later_crash() {
+    let mut driver = Driver::new();
+    driver.starts(&["a"]);
+    driver.answer_with(&HoldResult::Broken);
+    driver.list_running(&["a"], 0, 0);
+    let end = end(&mut driver);
+    assert!(!is_crash(end), "{end:?}");
+}
+
+#[test]
+fn a_start_that_was_taken_after_a_connection_broke_is_no_crash_of_its_task() {
+    let mut driver = Driver::new();
+    driver.start_of(1, "a");
+    driver.answer_with(&HoldResult::Broken);
+    driver.answer(StartResult::Started);
+    let end = end(&mut driver);
+    assert!(!is_crash(end), "{end:?}");
+}
+
+#[test]
+fn a_run_that_was_stopped_before_the_crash_is_no_crash_of_its_task() {
+    let mut driver = Driver::new();
+    driver.starts(&["a"]);
+    driver.order(Order::Stop(OrderId(1)));
+    driver
+        .agent
+        .stop_answered(driver.now_ms(), &life(1_000), &key("a"), true);
+    driver.answer_with(&HoldResult::Broken);
+    let end = end(&mut driver);
+    assert!(!is_crash(end), "{end:?}");
+}
--- a/crates/dispatch/tests/driver/mod.rs
+++ b/crates/dispatch/tests/driver/mod.rs
@@ -77,6 +77,10 @@
         driver
     }
 
+    pub fn now_ms(&self) -> u64 {
+        self.now_ms
+    }
+
     /// A report of this life arrives; returns the calls to it.
     pub fn report_life(&mut self, lifetime: &Lifetime) -> Vec<AgentAction> {
         let report = report(lifetime.clone(), ROOM, 1);
