Crashes without proof weigh less than proven ones instead of nothing

A task that crashes its minions some time after its start could take down one after the other. Change: an agent tells a strong sign (a broken connection) or a weak one (the minion had answered for the run). The entry gives a task up at the weight of two strong signs, or of four weak ones; a stored one at three, or five. An answer of the same life voids a broken connection by the time at which it was made, not asked for, so that of two copies of a listing the later answer counts. The tests of crash_evidence that said 'no crash' say 'weak sign' where one is told now; that a sound job is not given up by them is held by the sessions' check, as before.

--- a/crates/dispatch/src/agent/lifetimes.rs
+++ b/crates/dispatch/src/agent/lifetimes.rs
@@ -320,18 +320,17 @@
     fn end_with_minion(&self, run: &Run, loss: Loss) -> End {
         let lifetime = self.lifetime();
         let may_keep_id = lifetime.is_some_and(|lifetime| lifetime.born_unix_ms().is_some());
-        let is_crash = loss == Loss::Crashed && run.was_at_work();
+        let crash = match loss {
+            Loss::Crashed => run.crash_sign(),
+            Loss::Gone => None,
+        };
         if may_keep_id && run.may_be_of_next_life() {
-            return End::Unsettled { is_crash };
-        }
-        match is_crash {
-            true => End::Crashed,
-            false => End::Lost,
+            return End::Unsettled { crash };
         }
+        crash.map_or(End::Lost, End::Crashed)
     }
 
-    /// Tells what is known of a run that ended with its minion: a crash speaks against
-    /// the task only if the minion had taken the run.
+    /// Tells what is known of a run that ended with its minion.
     fn note_lost_run(&mut self, now_ms: u64, run: &Run, end: End) {
         let detail = format!(
             "task={}.{} run={} end={end:?} phase={:?} seen={} listed={} cut_off={} pending={} refusal={:?} unanswered={} ran_ms={}",
--- a/crates/dispatch/src/agent/listings.rs
+++ b/crates/dispatch/src/agent/listings.rs
@@ -94,7 +94,8 @@
             self.minion_reborn(now_ms, listing.born_unix_ms);
             return;
         }
-        self.runs.reconnected(hold.sent_ms);
+        let made_ms = now_ms.saturating_sub(minion.lag_ms(now_ms, listing.clock_ms));
+        self.runs.answered(made_ms.max(hold.sent_ms));
         minion.ask_ms = now_ms + pause_ms;
         minion.is_doubted = false;
         minion.holds.retain(|other| other.sent_ms > hold.sent_ms);
--- a/crates/dispatch/src/agent/run_table.rs
+++ b/crates/dispatch/src/agent/run_table.rs
@@ -4,6 +4,7 @@
 
 use gannetvane_wire::Name;
 
+use crate::CrashSign;
 use crate::LinkId;
 use crate::OrderId;
 use crate::Report;
@@ -62,8 +63,8 @@
     pub(crate) refusal: Option<StartResult>,
     /// Whether a copy of the last start got no answer.
     pub(crate) is_unsure: bool,
-    /// When a connection broke while the minion had it: that of its start, or that of a
-    /// listing which waited for an end.
+    /// When a connection broke that tells of it: that of its start after the call was
+    /// sent, or that of a listing which waited for an end while the minion had it.
     pub(crate) cut_off_ms: Option<u64>,
     /// Times that a start got no answer.
     pub(crate) unanswered: u32,
@@ -123,10 +124,9 @@
         !self.was_listed || self.pending > 0 || self.is_unsure || self.unanswered > 0
     }
 
-    /// Whether it was at work on the minion when that was last heard of: only then does a
-    /// crash speak against the task. The start may have met a minion that was gone
-    /// already, or the next one, and the work may have ended untold.
-    pub(crate) fn was_at_work(&self) -> bool {
+    /// What a crash of the minion tells of the task: nothing if its start may have met a
+    /// minion that was gone already.
+    pub(crate) fn crash_sign(&self) -> Option<CrashSign> {
         let is_stopped = matches!(
             self.phase,
             Phase::Stopping {
@@ -134,7 +134,11 @@
                 ..
             }
         );
-        self.cut_off_ms.is_some() && !is_stopped
+        match (is_stopped, self.cut_off_ms, self.was_seen) {
+            (false, Some(_), _) => Some(CrashSign::Strong),
+            (false, None, true) => Some(CrashSign::Weak),
+            _ => None,
+        }
     }
 
     pub(crate) fn ran_ms(&self, now_ms: u64) -> u64 {
@@ -206,11 +210,11 @@
         }
     }
 
-    /// The minion answered what it was asked at this time, so that connections which
-    /// broke before tell nothing of its end.
-    pub(crate) fn reconnected(&mut self, asked_ms: u64) {
+    /// The minion was alive at this time: connections that broke before tell nothing of
+    /// its end.
+    pub(crate) fn answered(&mut self, at_ms: u64) {
         for run in self.runs.values_mut() {
-            run.cut_off_ms.take_if(|cut_off_ms| asked_ms > *cut_off_ms);
+            run.cut_off_ms.take_if(|cut_off_ms| at_ms > *cut_off_ms);
         }
     }
 
--- a/crates/dispatch/src/agent/starts.rs
+++ b/crates/dispatch/src/agent/starts.rs
@@ -90,6 +90,7 @@
         match result {
             StartResult::Started => {
                 run.was_seen = true;
+                run.cut_off_ms = None;
                 run.confirmed_ms = now_ms;
                 if run.phase == Phase::Starting {
                     run.phase = Phase::Running;
--- a/crates/dispatch/src/dispatcher/ends.rs
+++ b/crates/dispatch/src/dispatcher/ends.rs
@@ -110,17 +110,17 @@
                 self.task_failed(now_ms, &state, &host);
             }
             End::Stopped => {}
-            End::Unsettled { is_crash } => {
+            End::Unsettled { crash } => {
                 // Greeted again, the agent vouches that nothing of it is left.
                 let until_ms = now_ms + LATE_START_MS;
                 task.phase = TaskPhase::Orphaned { until_ms };
-                task.crashes += u32::from(is_crash);
+                task.suspect(crash);
                 task.avoid(&host);
                 self.hosts.record(&host).strike(now_ms);
                 self.task_event("task-unsettled", &state, &host, end, ran_ms);
             }
-            End::Crashed => {
-                task.crashes += 1;
+            End::Crashed(sign) => {
+                task.suspect(Some(sign));
                 task.avoid(&host);
                 self.hosts.record(&host).strike(now_ms);
                 self.task_event("task-crashed", &state, &host, end, ran_ms);
@@ -135,7 +135,7 @@
                 task.run += 3;
             }
             // Another suspect may run there.
-            End::NotStarted(Busy::Full) if task.crashes > 0 => task.avoid(&host),
+            End::NotStarted(Busy::Full) if task.suspicion > 0 => task.avoid(&host),
             End::NotStarted(Busy::Full | Busy::Closing) => {}
         }
         if is_open {
--- a/crates/dispatch/src/dispatcher/jobs.rs
+++ b/crates/dispatch/src/dispatcher/jobs.rs
@@ -6,6 +6,7 @@
 use gannetvane_wire::Name;
 
 use crate::Caller;
+use crate::CrashSign;
 use crate::Job;
 use crate::JobOutcome;
 use crate::OrderId;
@@ -24,12 +25,17 @@
 /// Hosts that a task keeps away from; more would leave none on a small site.
 const AVOIDED_HOSTS: usize = 3;
 
-/// Minions that may crash under a task before it is given up: each takes down for
-/// seconds all that runs there. A second crash by another cause within the time
-/// that a caller waits is unlikely.
-const CRASHES_OF_A_TASK: u32 = 2;
-/// The same for a stored task, which may meet such crashes in a longer time.
-const CRASHES_OF_A_STORED_TASK: u32 = 3;
+/// Weights of the signs that a task crashes its minions.
+const WEAK_SIGN: u32 = 1;
+const STRONG_SIGN: u32 = 2;
+/// Sum of these with which a task is given up, since each such minion is gone for seconds
+/// with all that ran there: two crashes of which both are sure, and four at most. By
+/// weak signs alone, or one of each kind, a sound task could be given up that met
+/// crashes of other causes.
+const SUSPICION_OF_A_TASK: u32 = 2 * STRONG_SIGN;
+/// The same for a stored task, which may meet such crashes in a longer time: three
+/// crashes, and five at most.
+const SUSPICION_OF_A_STORED_TASK: u32 = 2 * STRONG_SIGN + WEAK_SIGN;
 
 /// Where a task stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -62,8 +68,8 @@
     pub(crate) run: u32,
     /// Runs that failed.
     pub(crate) failures: u32,
-    /// Minions that crashed under it.
-    pub(crate) crashes: u32,
+    /// Weight of the signs that it crashes its minions.
+    pub(crate) suspicion: u32,
     /// Times that it was moved since its host was slow.
     pub(crate) moves: u32,
     /// Hosts on which it failed, hung or got no answer.
@@ -73,6 +79,15 @@
 }
 
 impl TaskState {
+    /// Notes what the crash of a minion tells of it.
+    pub(crate) fn suspect(&mut self, crash: Option<CrashSign>) {
+        self.suspicion += match crash {
+            Some(CrashSign::Strong) => STRONG_SIGN,
+            Some(CrashSign::Weak) => WEAK_SIGN,
+            None => 0,
+        };
+    }
+
     /// Keeps the task from the last few hosts that served it badly.
     pub(crate) fn avoid(&mut self, host: &Name) {
         self.avoid.retain(|other| other != host);
@@ -160,7 +175,7 @@
                 phase,
                 run: 0,
                 failures: 0,
-                crashes: 0,
+                suspicion: 0,
                 moves: 0,
                 avoid: Vec::new(),
                 host: None,
@@ -214,10 +229,10 @@
     /// Whether so many minions crashed under a task that it is given up.
     pub(crate) fn crashes_minions(&self) -> bool {
         let limit = match self.is_stored {
-            true => CRASHES_OF_A_STORED_TASK,
-            false => CRASHES_OF_A_TASK,
+            true => SUSPICION_OF_A_STORED_TASK,
+            false => SUSPICION_OF_A_TASK,
         };
-        self.tasks.iter().any(|task| task.crashes >= limit)
+        self.tasks.iter().any(|task| task.suspicion >= limit)
     }
 
     pub(crate) fn is_done(&self) -> bool {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -61,6 +61,7 @@
 pub use message::AgentFrame;
 pub use message::AgentHello;
 pub use message::Busy;
+pub use message::CrashSign;
 pub use message::Demand;
 pub use message::End;
 pub use message::EntryFrame;
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -255,21 +255,30 @@
     Failed,
     /// It was stopped on the entry's order.
     Stopped,
-    /// It ended with its lease or its minion.
+    /// It ended with its lease or its minion, which may never have taken it.
     Lost,
-    /// Its minion crashed while it was at work there.
-    Crashed,
+    /// Its minion crashed, and had taken it.
+    Crashed(CrashSign),
     /// Its minion ended, and a later life of the minion that keeps the id may carry
     /// out the call that starts it, until the agent has shown its epoch there and
     /// greets again.
     Unsettled {
-        /// Whether the minion crashed while it was at work there.
-        is_crash: bool,
+        /// What that tells of the task, if the minion crashed and had taken it.
+        crash: Option<CrashSign>,
     },
     /// It never began.
     NotStarted(Busy),
 }
 
+/// How surely a task was at work when its minion crashed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum CrashSign {
+    /// The minion had answered for it, and its work may have ended untold since.
+    Weak,
+    /// A connection broke while the minion had it.
+    Strong,
+}
+
 /// Why a run never began.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Busy {
--- a/crates/dispatch/tests/crash_evidence.rs
+++ b/crates/dispatch/tests/crash_evidence.rs
@@ -3,6 +3,7 @@
 
 mod driver;
 
+use gannetvane_dispatch::CrashSign;
 use gannetvane_dispatch::End;
 use gannetvane_dispatch::HoldResult;
 use gannetvane_dispatch::Order;
@@ -21,16 +22,20 @@
     ends[0].1
 }
 
-fn is_crash(end: End) -> bool {
-    matches!(end, End::Crashed | End::Unsettled { is_crash: true })
+/// What the end tells of the task.
+fn sign(end: End) -> Option<CrashSign> {
+    match end {
+        End::Crashed(sign) => Some(sign),
+        End::Unsettled { crash } => crash,
+        _ => None,
+    }
 }
 
 #[test]
 fn a_start_on_its_way_to_a_crashed_minion_is_no_crash_of_its_task() {
     let mut driver = Driver::new();
     driver.start();
-    let end = end(&mut driver);
-    assert!(!is_crash(end), "{end:?}");
+    assert_eq!(sign(end(&mut driver)), None);
 }
 
 #[test]
@@ -39,8 +44,7 @@
     driver.start();
     driver.answer(StartResult::NoAnswer);
     driver.answer(StartResult::NoAnswer);
-    let end = end(&mut driver);
-    assert!(!is_crash(end), "{end:?}");
+    assert_eq!(sign(end(&mut driver)), None);
 }
 
 #[test]
@@ -48,8 +52,7 @@
     let mut driver = Driver::new();
     driver.start();
     driver.answer(StartResult::Broken);
-    let end = end(&mut driver);
-    assert!(is_crash(end), "{end:?}");
+    assert_eq!(sign(end(&mut driver)), Some(CrashSign::Strong));
 }
 
 #[test]
@@ -58,37 +61,33 @@
     driver.starts(&["a"]);
     driver.list_running(&["a"], 0, 0);
     driver.answer_with(&HoldResult::Broken);
-    let end = end(&mut driver);
-    assert!(is_crash(end), "{end:?}");
+    assert_eq!(sign(end(&mut driver)), Some(CrashSign::Strong));
 }
 
 #[test]
-fn a_run_that_may_have_ended_untold_is_no_crash_of_its_task() {
+fn a_run_that_may_have_ended_untold_is_a_weak_sign() {
     let mut driver = Driver::new();
     driver.starts(&["a"]);
     driver.answer_with(&HoldResult::NoAnswer);
-    let end = end(&mut driver);
-    assert!(!is_crash(end), "{end:?}");
+    assert_eq!(sign(end(&mut driver)), Some(CrashSign::Weak));
 }
 
 #[test]
-fn a_connection_that_broke_while_the_minion_lived_on_tells_nothing_of_a_later_crash() {
+fn a_connection_that_broke_while_the_minion_lived_on_is_no_strong_sign_later() {
     let mut driver = Driver::new();
     driver.starts(&["a"]);
     driver.answer_with(&HoldResult::Broken);
     driver.list_running(&["a"], 0, 0);
-    let end = end(&mut driver);
-    assert!(!is_crash(end), "{end:?}");
+    assert_eq!(sign(end(&mut driver)), Some(CrashSign::Weak));
 }
 
 #[test]
-fn a_start_that_was_taken_after_a_connection_broke_is_no_crash_of_its_task() {
+fn a_start_that_was_taken_after_a_connection_broke_is_a_weak_sign() {
     let mut driver = Driver::new();
     driver.start_of(1, "a");
     driver.answer_with(&HoldResult::Broken);
     driver.answer(StartResult::Started);
-    let end = end(&mut driver);
-    assert!(!is_crash(end), "{end:?}");
+    assert_eq!(sign(end(&mut driver)), Some(CrashSign::Weak));
 }
 
 #[test]
@@ -100,6 +99,5 @@
         .agent
         .stop_answered(driver.now_ms(), &life(1_000), &key("a"), true);
     driver.answer_with(&HoldResult::Broken);
-    let end = end(&mut driver);
-    assert!(!is_crash(end), "{end:?}");
+    assert_eq!(sign(end(&mut driver)), None);
 }
--- a/crates/dispatch/tests/crashing.rs
+++ b/crates/dispatch/tests/crashing.rs
@@ -3,11 +3,17 @@
 mod session;
 
 use gannetvane_dispatch::JobOutcome;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 use session::Session;
 use yare::parameterized;
 
 /// Minions that may crash under one task of a job whose caller waits.
 const MOST_CRASHES: usize = 2;
+/// Starts of a task that are too many if each of them crashes its minion: three more
+/// than the crashes that give it up at the latest.
+const STARTS_TOO_MANY: usize = 6;
 
 /// A session whose minions keep their ids, or not.
 fn session(agents: usize, keeps_ids: bool) -> Session {
@@ -173,3 +179,93 @@
     session.run(5_000);
     assert!(session.violations.is_empty(), "{:?}", session.violations);
 }
+
+/// Loses this many of a hundred calls; they are carried out later.
+fn lose_calls(session: &mut Session, percent: u32) {
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    session.fate = Box::new(move |_, _| (rng.random_range(0..100) < percent).then_some(300));
+}
+
+/// Minions that one of twenty crashing jobs took down at most, each some time after its
+/// start was answered, beneath a stream of quick jobs.
+fn most_crashes(after_ms: u64, lost_percent: u32) -> usize {
+    let mut session = session(24, true);
+    session.has_prompt_minions = true;
+    session.crash_after_ms = Some(after_ms);
+    lose_calls(&mut session, lost_percent);
+    for round in 0..3_000 {
+        session.submit(round % 3, &format!("good-{round}"), 2, 20);
+        if round % 120 == 119 && round < 2_500 {
+            let id = format!("bad-{round}");
+            session.crashing.insert(id.clone());
+            session.submit(round % 3, &id, 1, 900);
+        }
+        session.run(3);
+    }
+    session.run(4_000);
+    assert!(session.violations.is_empty(), "{:?}", session.violations);
+    session.crashes.values().max().copied().unwrap_or(0)
+}
+
+#[parameterized(
+    at_once = { 0, 0 },
+    later = { 20, 0 },
+    at_once_with_calls_lost = { 0, 5 },
+    soon_with_calls_lost = { 2, 5 },
+    later_with_calls_lost = { 20, 5 },
+)]
+fn a_task_that_crashes_minions_after_its_start_is_given_up(after_ms: u64, lost_percent: u32) {
+    let most = most_crashes(after_ms, lost_percent);
+    assert!(most < STARTS_TOO_MANY, "{most}");
+}
+
+#[parameterized(
+    calm = { 20, 0 },
+    soon_with_calls_lost = { 2, 3 },
+)]
+fn a_stored_task_that_crashes_minions_after_its_start_is_given_up(
+    after_ms: u64,
+    lost_percent: u32,
+) {
+    let mut session = session(12, true);
+    session.has_prompt_minions = true;
+    let warm = session.store("0000000000000001", 1, 10);
+    session.run_until_ended(warm, 5_000);
+    session.crash_after_ms = Some(after_ms);
+    lose_calls(&mut session, lost_percent);
+    for round in 0..500 {
+        for number in 0..12 {
+            session.store(&format!("{:016x}", 0x1000 + round * 12 + number), 4, 20);
+        }
+        if round % 60 == 20 {
+            let id = format!("{:016x}", 0xbad_0000 + round);
+            session.crashing.insert(id.clone());
+            session.store(&id, 1, 900);
+        }
+        session.run(50);
+    }
+    let most = session.crashes.values().max().copied().unwrap_or(0);
+    assert!(most < STARTS_TOO_MANY, "{most}");
+    assert!(session.violations.is_empty(), "{:?}", session.violations);
+}
+
+/// Minions that read nothing for a while before they crash, one after the other: what
+/// was sent to them meanwhile has no answer but a broken connection.
+#[test]
+fn minions_that_stall_before_they_crash_fail_no_job_without_cause() {
+    let mut session = session(11, false);
+    session.has_prompt_minions = true;
+    for round in 0..600 {
+        session.submit(round % 3, &format!("short-{round}"), 4, 60);
+        session.submit(round % 3, &format!("long-{round}"), 2, 300);
+        if round % 40 == 0 {
+            for place in 0..4 {
+                let agent = (round / 40 + 3 * place) % 11;
+                session.stall_and_crash(agent, 5 + 70 * place as u64);
+            }
+        }
+        session.run(20);
+    }
+    session.run(3_000);
+    assert!(session.violations.is_empty(), "{:?}", session.violations);
+}
--- /dev/null
+++ b/crates/dispatch/tests/session/crashes.rs
@@ -0,0 +1,167 @@
+//! Minions that crash and start again, by themselves or by a task.
+
+use gannetvane_dispatch::AgentAction;
+use gannetvane_dispatch::HoldResult;
+use gannetvane_dispatch::Lifetime;
+use gannetvane_dispatch::RunKey;
+use gannetvane_dispatch::StartResult;
+
+use super::DELAY_MS;
+use super::Event;
+use super::FakeMinion;
+use super::OpenHold;
+use super::Session;
+use super::Side;
+
+/// Time after which a minion that crashed is back, in milliseconds.
+const CRASH_DOWN_MS: u64 = 2_000;
+
+/// Crashes that are about to come, and what minions have not read.
+#[derive(Debug, Default)]
+pub(super) struct Crashes {
+    /// Lives that end at a time, with their agents.
+    due: Vec<(u64, usize, Lifetime)>,
+    /// Minions that read nothing any more, and when they crash.
+    stalled: Vec<(usize, u64)>,
+    /// Starts that such a minion was sent.
+    unread: Vec<(usize, Lifetime, RunKey)>,
+}
+
+impl Session {
+    /// The minion crashes and comes back as a new lifetime.
+    pub fn crash_minion(&mut self, agent: usize) {
+        let id = format!("minion-{agent}-x{}", self.sequence);
+        self.replace_minion(agent, &id);
+    }
+
+    /// The same, and it is back after this time.
+    pub fn crash_minion_for(&mut self, agent: usize, down_ms: u64) {
+        self.crash_minion(agent);
+        self.hold_back(agent, down_ms);
+    }
+
+    /// The minion starts again under its id, and is back after this time.
+    pub fn rebirth(&mut self, agent: usize, down_ms: u64) {
+        let id = self.minions[agent].instance.clone();
+        self.replace_minion(agent, &id);
+        self.hold_back(agent, down_ms);
+    }
+
+    /// The life of a minion ends with all that runs there, and the next one begins.
+    fn replace_minion(&mut self, agent: usize, id: &str) {
+        self.last_reports.insert(agent, self.report(agent));
+        let next = self.new_minion(agent, id);
+        let past = std::mem::replace(&mut self.minions[agent], next);
+        self.break_holds(agent, &past);
+        self.past_minions.push(past);
+    }
+
+    /// The listings that wait at a minion end with its life: what it had to tell is on
+    /// its way already, and the connections of the others break.
+    fn break_holds(&mut self, agent: usize, past: &FakeMinion) {
+        let holds = std::mem::take(&mut self.open_holds);
+        let (broken, rest) = holds.into_iter().partition(|hold| hold.agent == agent);
+        self.open_holds = rest;
+        let broken: Vec<OpenHold> = broken;
+        for hold in broken {
+            let result = match past.has_news() {
+                true => HoldResult::Listed(past.list(self.now_ms, hold.epoch)),
+                false => HoldResult::Broken,
+            };
+            let event = Event::Listed(hold.lifetime, hold.call, result);
+            self.post(Side::Agent(agent), event);
+        }
+    }
+
+    /// A minion takes no calls for this time, and then reports itself.
+    fn hold_back(&mut self, agent: usize, down_ms: u64) {
+        self.minions[agent].up_at_ms = self.now_ms + down_ms;
+        let report = self.report(agent);
+        let at_ms = self.minions[agent].up_at_ms + DELAY_MS;
+        self.post_at(at_ms, Side::Agent(agent), Event::Reported(report));
+    }
+
+    /// The same, and it tells no birth, or that of its last life, as after a step
+    /// back of the time of day.
+    pub fn rebirth_unseen(&mut self, agent: usize, down_ms: u64, tells_birth: bool) {
+        let born_unix_ms = self.minions[agent].lifetime().born_unix_ms();
+        self.rebirth(agent, down_ms);
+        let minion = &mut self.minions[agent];
+        minion.tells_birth = tells_birth;
+        minion.told_birth_unix_ms = born_unix_ms;
+    }
+
+    /// The minion reads no more calls for this time, and then crashes.
+    pub fn stall_and_crash(&mut self, agent: usize, for_ms: u64) {
+        let at_ms = self.now_ms + for_ms;
+        self.due_crashes.stalled.push((agent, at_ms));
+    }
+
+    /// Keeps a call that a stalled minion does not read; false if it reads it.
+    pub(super) fn leave_unread(&mut self, agent: usize, action: &AgentAction) -> bool {
+        let mut stalled = self.due_crashes.stalled.iter();
+        if !stalled.any(|(other, _)| *other == agent) {
+            return false;
+        }
+        match action {
+            AgentAction::Start { lifetime, key, .. } => {
+                let unread = (agent, lifetime.clone(), key.clone());
+                self.due_crashes.unread.push(unread);
+            }
+            AgentAction::Hold {
+                call,
+                lifetime,
+                epoch,
+                ..
+            } => self.open_holds.push(OpenHold {
+                listing: None,
+                until_ms: u64::MAX,
+                agent,
+                lifetime: lifetime.clone(),
+                call: *call,
+                epoch: *epoch,
+            }),
+            _ => {}
+        }
+        true
+    }
+
+    /// A task that crashes each minion was started: in the start, or some time later.
+    /// Returns whether the start is answered.
+    pub(super) fn crash_by(&mut self, agent: usize, lifetime: &Lifetime, key: &RunKey) -> bool {
+        *self.crashes.entry(key.task.job.to_string()).or_default() += 1;
+        if let Some(after_ms) = self.crash_after_ms {
+            let life = self.minions[agent].lifetime();
+            let due = (self.now_ms + after_ms, agent, life);
+            self.due_crashes.due.push(due);
+            return true;
+        }
+        let broken = Event::Started(lifetime.clone(), key.clone(), StartResult::Broken);
+        self.post(Side::Agent(agent), broken);
+        self.rebirth(agent, CRASH_DOWN_MS);
+        false
+    }
+
+    /// Ends the lives that are due.
+    pub(super) fn crash_due(&mut self) {
+        let now_ms = self.now_ms;
+        let is_due = |(at_ms, ..): &mut (u64, usize, Lifetime)| *at_ms <= now_ms;
+        let due: Vec<_> = self.due_crashes.due.extract_if(.., is_due).collect();
+        for (_, agent, life) in due {
+            if self.minions[agent].lifetime() == life {
+                self.rebirth(agent, CRASH_DOWN_MS);
+            }
+        }
+        let is_over = |(_, at_ms): &mut (usize, u64)| *at_ms <= now_ms;
+        let stalled: Vec<_> = self.due_crashes.stalled.extract_if(.., is_over).collect();
+        for (agent, _) in stalled {
+            let is_its = |(other, ..): &mut (usize, Lifetime, RunKey)| *other == agent;
+            let unread: Vec<_> = self.due_crashes.unread.extract_if(.., is_its).collect();
+            self.crash_minion_for(agent, 600);
+            for (_, lifetime, key) in unread {
+                let broken = Event::Started(lifetime, key, StartResult::Broken);
+                self.post(Side::Agent(agent), broken);
+            }
+        }
+    }
+}
--- a/crates/dispatch/tests/session/mod.rs
+++ b/crates/dispatch/tests/session/mod.rs
@@ -4,6 +4,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+mod crashes;
 mod evacuation;
 mod failures;
 mod log;
@@ -56,6 +57,7 @@
 use gannetvane_dispatch::TaskId;
 use gannetvane_wire::NodeId;
 
+use crashes::Crashes;
 #[allow(unused_imports, reason = "each test file uses a part")]
 pub use evacuation::SeenStart;
 #[allow(unused_imports, reason = "each test file uses a part")]
@@ -83,8 +85,6 @@
 const RESEND_MS: u64 = 1_300;
 /// Time after which a lost stop is carried out.
 const LOST_STOP_MS: u64 = 9_000;
-/// Time after which a minion that crashed is back, in milliseconds.
-const CRASH_DOWN_MS: u64 = 2_000;
 /// Time after which a call is carried out that never is.
 const NEVER_MS: u64 = 1_000_000;
 /// Pause of an agent between attempts to connect.
@@ -297,6 +297,9 @@
     pub crashing: BTreeSet<String>,
     /// Minions that each of them crashed.
     pub crashes: BTreeMap<String, usize>,
+    /// How long after an answered start they do; in the start itself if not set.
+    pub crash_after_ms: Option<u64>,
+    due_crashes: Crashes,
     /// The run of each agent and the lifetime of its minion that were last
     /// brought together by a report.
     reported: BTreeMap<usize, (u64, String)>,
@@ -372,6 +375,8 @@
             drops_calls_of_past_lives: false,
             crashing: BTreeSet::new(),
             crashes: BTreeMap::new(),
+            crash_after_ms: None,
+            due_crashes: Crashes::default(),
             reported: BTreeMap::new(),
             just_refused: Vec::new(),
             emptied: BTreeSet::new(),
@@ -574,69 +579,6 @@
         self.break_links(|link| link.agent == agent, Side::Agent(agent));
     }
 
-    /// The minion crashes and comes back as a new lifetime.
-    pub fn crash_minion(&mut self, agent: usize) {
-        let id = format!("minion-{agent}-x{}", self.sequence);
-        self.replace_minion(agent, &id);
-    }
-
-    /// The same, and it is back after this time.
-    pub fn crash_minion_for(&mut self, agent: usize, down_ms: u64) {
-        self.crash_minion(agent);
-        self.hold_back(agent, down_ms);
-    }
-
-    /// The minion starts again under its id, and is back after this time.
-    pub fn rebirth(&mut self, agent: usize, down_ms: u64) {
-        let id = self.minions[agent].instance.clone();
-        self.replace_minion(agent, &id);
-        self.hold_back(agent, down_ms);
-    }
-
-    /// The life of a minion ends with all that runs there, and the next one begins.
-    fn replace_minion(&mut self, agent: usize, id: &str) {
-        self.last_reports.insert(agent, self.report(agent));
-        let next = self.new_minion(agent, id);
-        let past = std::mem::replace(&mut self.minions[agent], next);
-        self.break_holds(agent, &past);
-        self.past_minions.push(past);
-    }
-
-    /// The listings that wait at a minion end with its life: what it had to tell is on
-    /// its way already, and the connections of the others break.
-    fn break_holds(&mut self, agent: usize, past: &FakeMinion) {
-        let holds = std::mem::take(&mut self.open_holds);
-        let (broken, rest) = holds.into_iter().partition(|hold| hold.agent == agent);
-        self.open_holds = rest;
-        let broken: Vec<OpenHold> = broken;
-        for hold in broken {
-            let result = match past.has_news() {
-                true => HoldResult::Listed(past.list(self.now_ms, hold.epoch)),
-                false => HoldResult::Broken,
-            };
-            let event = Event::Listed(hold.lifetime, hold.call, result);
-            self.post(Side::Agent(agent), event);
-        }
-    }
-
-    /// A minion takes no calls for this time, and then reports itself.
-    fn hold_back(&mut self, agent: usize, down_ms: u64) {
-        self.minions[agent].up_at_ms = self.now_ms + down_ms;
-        let report = self.report(agent);
-        let at_ms = self.minions[agent].up_at_ms + DELAY_MS;
-        self.post_at(at_ms, Side::Agent(agent), Event::Reported(report));
-    }
-
-    /// The same, and it tells no birth, or that of its last life, as after a step
-    /// back of the time of day.
-    pub fn rebirth_unseen(&mut self, agent: usize, down_ms: u64, tells_birth: bool) {
-        let born_unix_ms = self.minions[agent].lifetime().born_unix_ms();
-        self.rebirth(agent, down_ms);
-        let minion = &mut self.minions[agent];
-        minion.tells_birth = tells_birth;
-        minion.told_birth_unix_ms = born_unix_ms;
-    }
-
     /// The minion has other room from now on, and says so with its next report.
     pub fn resize_minion(&mut self, agent: usize, capacity: Room) {
         self.minions[agent].resize(self.now_ms, capacity);
@@ -754,6 +696,7 @@
     }
 
     fn step(&mut self) {
+        self.crash_due();
         self.report_minions();
         self.dial();
         self.deliver();
@@ -1027,6 +970,10 @@
             }
             return;
         }
+        if is_answered && self.leave_unread(agent, action) {
+            return;
+        }
+        let minion = &mut self.minions[agent];
         let is_same = **lifetime.id() == *minion.instance;
         let answer = match action {
             AgentAction::Start {
@@ -1036,12 +983,14 @@
                 epoch,
                 ..
             } => {
+                let mut was_started = false;
                 let result = if is_same {
                     let work_ms = spec.trim_start_matches("work_ms=").parse().unwrap_or(100.0);
                     let shape = self.shapes.get(&*key.task.job);
                     let needs = shape.map_or(TASK_ROOM, |shape| shape.needs);
                     let index = key.task.index as usize;
                     let work_ms = shape.map_or(work_ms, |shape| shape.work_ms[index]);
+                    was_started = minion.running().any(|running| running == key);
                     minion.start(now_ms, key, needs, work_ms, *deadline_ms, *epoch)
                 } else {
                     StartResult::OtherInstance
@@ -1050,12 +999,8 @@
                     minion.started_late.push(key.clone());
                 }
                 let is_crash = self.crashing.contains(&*key.task.job) && key.task.index == 0;
-                if is_crash && result == StartResult::Started {
-                    *self.crashes.entry(key.task.job.to_string()).or_default() += 1;
-                    let result = StartResult::Broken;
-                    let broken = Event::Started(lifetime.clone(), key.clone(), result);
-                    self.post(Side::Agent(agent), broken);
-                    self.rebirth(agent, CRASH_DOWN_MS);
+                let is_new = result == StartResult::Started && !was_started;
+                if is_crash && is_new && !self.crash_by(agent, lifetime, key) {
                     return;
                 }
                 if result == StartResult::Started {
