A task under which a minion crashed starts only at a minion that has just answered

Cause: a start whose connection broke counted as proof that the minion had taken it. One that stands still has read nothing, and several crash one after the other. Ruled out: a weak sign for each broken start (a task that crashes its minion in the start would take down three, the test says two). Change: an order for a suspect task waits for the answer of a listing that is asked for after the order came, 50 ms at most; without one the start is never sent, which is told. A start whose connection broke more than 5 ms after it was sent is a weak sign. Until a start is sent, the run asks for no lease and its minion is not given up for its silence. The sessions' minions can stand still before they crash.

--- a/crates/dispatch/src/agent/lifetimes.rs
+++ b/crates/dispatch/src/agent/lifetimes.rs
@@ -354,6 +354,7 @@
         if self.minion.is_none() {
             return;
         }
+        self.give_up_checks();
         let places: Vec<(LinkId, OrderId)> =
             self.runs.iter().map(|run| (run.link, run.order)).collect();
         for (link, order) in places {
--- a/crates/dispatch/src/agent/listings.rs
+++ b/crates/dispatch/src/agent/listings.rs
@@ -69,7 +69,7 @@
         let Some(hold) = position.map(|position| minion.holds.remove(position)) else {
             return;
         };
-        if is_broken && hold.is_waiting {
+        if is_broken && hold.waits {
             self.runs.cut_off(now_ms);
         }
         let Some(listing) = listing else {
@@ -112,6 +112,7 @@
         minion.acknowledged_through = minion.acknowledged_through.max(hold.acknowledged_through);
         self.take_ends(now_ms, &listing);
         self.take_running(now_ms, hold.sent_ms, &listing);
+        self.minion_checked(now_ms, hold.sent_ms);
         if is_fresh {
             self.watch_stalls(now_ms);
         }
@@ -251,7 +252,7 @@
 /// Whether a run that is not listed is gone for good.
 fn is_surely_gone(phase: Phase, confirmed_ms: u64, asked_ms: u64) -> bool {
     match phase {
-        Phase::Starting => false,
+        Phase::Checking | Phase::Starting => false,
         Phase::Running => asked_ms > confirmed_ms,
         Phase::Stopping { acked_ms, .. } => acked_ms.is_some_and(|acked_ms| asked_ms > acked_ms),
     }
--- a/crates/dispatch/src/agent/minion.rs
+++ b/crates/dispatch/src/agent/minion.rs
@@ -97,7 +97,7 @@
     pub(crate) sent_ms: u64,
     pub(crate) overdue_ms: u64,
     /// Whether the answer waits for an end.
-    pub(crate) is_waiting: bool,
+    pub(crate) waits: bool,
     pub(crate) acknowledged_through: u64,
 }
 
@@ -302,7 +302,7 @@
             return;
         };
         let is_silent = now_ms > minion.answered_ms + SILENCE_MS;
-        let has_runs = !self.runs.is_empty();
+        let has_runs = self.runs.has_started();
         let is_over = now_ms > minion.lease_until_ms;
         let has_reports = now_ms <= minion.reported_ms + REPORTS_LOST_MS;
         if minion.is_gone() {
@@ -343,7 +343,7 @@
     /// Lists when there is something to learn and no listing is under way.
     pub(crate) fn hold_if_due(&mut self, now_ms: u64) {
         let may_extend = self.may_extend_lease(now_ms);
-        let has_runs = !self.runs.is_empty();
+        let has_runs = self.runs.has_started();
         let is_resolving = self
             .runs
             .iter()
@@ -356,13 +356,13 @@
         let is_uncertain = !minion.is_clean || minion.is_doubted || !minion.is_answering();
         let is_wanted = has_runs || has_ends || is_uncertain;
         let copies = minion.loss.copies().min(HOLD_COPIES) as usize;
-        let is_waiting = |hold: &&HoldCall| now_ms < hold.overdue_ms;
-        let waiting = minion.holds.iter().filter(is_waiting).count();
+        let is_in_time = |hold: &&HoldCall| now_ms < hold.overdue_ms;
+        let waiting = minion.holds.iter().filter(is_in_time).count();
         if !is_wanted || waiting >= copies || minion.has_left || now_ms < minion.ask_ms {
             return;
         }
-        let is_in_time = waiting == minion.holds.len();
-        let wait_ms = match (has_runs, is_resolving, is_in_time) {
+        let are_in_time = waiting == minion.holds.len();
+        let wait_ms = match (has_runs, is_resolving, are_in_time) {
             (true, false, true) => HOLD_WAIT_MS,
             (true, true, true) => HOLD_WAIT_STOPPING_MS,
             _ => 0,
@@ -372,33 +372,42 @@
         let is_leased = has_runs && may_extend && minion.epoch > 0 && !is_silent;
         let deadline_ms = is_leased.then(|| minion.extend_lease(now_ms));
         for _ in waiting..copies {
-            let call = self.next_call;
-            self.next_call += 1;
-            minion.holds.push(HoldCall {
-                call,
-                sent_ms: now_ms,
-                overdue_ms: now_ms + wait_ms + HOLD_PATIENCE_MS,
-                is_waiting: wait_ms > 0,
-                acknowledged_through: acknowledgeable,
-            });
-            self.actions.push(AgentAction::Hold {
-                call,
-                lifetime: minion.report.lifetime.clone(),
-                epoch: minion.epoch,
-                acknowledged_through: acknowledgeable,
-                deadline_ms,
-                wait_ms,
-            });
+            self.ask_listing(now_ms, deadline_ms, wait_ms);
         }
     }
 
+    /// Asks the minion for a listing.
+    pub(crate) fn ask_listing(&mut self, now_ms: u64, deadline_ms: Option<u64>, wait_ms: u64) {
+        let Some(minion) = &mut self.minion else {
+            return;
+        };
+        let call = self.next_call;
+        self.next_call += 1;
+        let acknowledged_through = minion.acknowledgeable();
+        minion.holds.push(HoldCall {
+            call,
+            sent_ms: now_ms,
+            overdue_ms: now_ms + wait_ms + HOLD_PATIENCE_MS,
+            waits: wait_ms > 0,
+            acknowledged_through,
+        });
+        self.actions.push(AgentAction::Hold {
+            call,
+            lifetime: minion.report.lifetime.clone(),
+            epoch: minion.epoch,
+            acknowledged_through,
+            deadline_ms,
+            wait_ms,
+        });
+    }
+
     pub(crate) fn minion_due_ms(&self, now_ms: u64) -> Option<u64> {
         let candidate_ms = self.candidate.as_ref().map(Candidate::due_ms);
         let Some(minion) = &self.minion else {
             return candidate_ms;
         };
         let holds_ms = minion.holds.iter().map(|hold| hold.overdue_ms).min();
-        let has_runs = !self.runs.is_empty();
+        let has_runs = self.runs.has_started();
         let lease_ms = (has_runs || minion.has_left).then_some(minion.lease_until_ms + 1);
         let reports_ms = Some(minion.reported_ms + REPORTS_LOST_MS + 1);
         let stops = self.runs.iter().filter_map(|run| match run.phase {
@@ -425,6 +434,7 @@
             ask_ms,
             candidate_ms,
             ends_ms,
+            self.check_due_ms(),
         ];
         let due_ms = times
             .into_iter()
--- a/crates/dispatch/src/agent/mod.rs
+++ b/crates/dispatch/src/agent/mod.rs
@@ -15,6 +15,7 @@
 mod run_table;
 mod stalls;
 mod starts;
+mod suspects;
 mod unsettled;
 
 use std::collections::BTreeMap;
@@ -45,6 +46,7 @@
 use crate::agent::minion::Minion;
 use crate::agent::offers::Offers;
 use crate::agent::pace::Pace;
+use crate::agent::run_table::Phase;
 use crate::agent::run_table::Run;
 use crate::agent::run_table::RunTable;
 
@@ -236,6 +238,7 @@
         self.offer_room(now_ms);
         self.greet_links(now_ms);
         self.hold_if_due(now_ms);
+        self.check_minion(now_ms);
         self.send_frames(now_ms);
         self.next_due_ms(now_ms)
     }
@@ -285,8 +288,11 @@
             return;
         }
         self.offers.close(link);
+        let is_checked = run.phase == Phase::Starting;
         self.runs.insert(run);
-        self.start_run(now_ms, link, order);
+        if is_checked {
+            self.start_run(now_ms, link, order);
+        }
     }
 
     fn stop_ordered(&mut self, now_ms: u64, link: LinkId, order: OrderId) {
--- a/crates/dispatch/src/agent/run_table.rs
+++ b/crates/dispatch/src/agent/run_table.rs
@@ -13,9 +13,15 @@
 use crate::StartOrder;
 use crate::StartResult;
 
+/// Time after which a start whose connection breaks may not have been read, in
+/// milliseconds: a minion on the same host reads a call at once.
+const READ_AT_ONCE_MS: u64 = 5;
+
 /// Where a run stands on the minion.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Phase {
+    /// The minion is asked whether it answers before the start is sent.
+    Checking,
     /// The start is on its way to the minion.
     Starting,
     /// The minion runs it.
@@ -66,6 +72,8 @@
     /// When a connection broke that tells of it: that of its start after the call was
     /// sent, or that of a listing which waited for an end while the minion had it.
     pub(crate) cut_off_ms: Option<u64>,
+    /// Whether the connection of a start broke some time after the call was sent.
+    was_sent: bool,
     /// Times that a start got no answer.
     pub(crate) unanswered: u32,
     /// When the start is sent again.
@@ -84,7 +92,10 @@
             spec: start.spec,
             is_suspect: start.is_suspect,
             needs: start.needs,
-            phase: Phase::Starting,
+            phase: match start.is_suspect {
+                true => Phase::Checking,
+                false => Phase::Starting,
+            },
             started_ms: now_ms,
             expected_ms: start.expected_ms,
             percent: 0,
@@ -99,6 +110,7 @@
             refusal: None,
             is_unsure: false,
             cut_off_ms: None,
+            was_sent: false,
             unanswered: 0,
             repeat_ms: None,
         }
@@ -124,6 +136,16 @@
         !self.was_listed || self.pending > 0 || self.is_unsure || self.unanswered > 0
     }
 
+    /// The connection of its start broke after the call was sent. If that took long, the
+    /// minion may have stood still all the while and not have read it.
+    pub(crate) fn start_broke(&mut self, now_ms: u64) {
+        if now_ms <= self.sent_ms + READ_AT_ONCE_MS {
+            self.cut_off_ms = Some(now_ms);
+        } else {
+            self.was_sent = true;
+        }
+    }
+
     /// What a crash of the minion tells of the task: nothing if its start may have met a
     /// minion that was gone already.
     pub(crate) fn crash_sign(&self) -> Option<CrashSign> {
@@ -134,7 +156,7 @@
                 ..
             }
         );
-        match (is_stopped, self.cut_off_ms, self.was_seen) {
+        match (is_stopped, self.cut_off_ms, self.was_seen || self.was_sent) {
             (false, Some(_), _) => Some(CrashSign::Strong),
             (false, None, true) => Some(CrashSign::Weak),
             _ => None,
@@ -157,6 +179,11 @@
         self.runs.is_empty()
     }
 
+    /// Whether the minion was sent the start of some run.
+    pub(crate) fn has_started(&self) -> bool {
+        self.runs.values().any(|run| run.phase != Phase::Checking)
+    }
+
     pub(crate) fn iter(&self) -> impl Iterator<Item = &Run> {
         self.runs.values()
     }
--- a/crates/dispatch/src/agent/starts.rs
+++ b/crates/dispatch/src/agent/starts.rs
@@ -99,7 +99,7 @@
             StartResult::NoAnswer => run.is_unsure = true,
             StartResult::Broken => {
                 run.is_unsure = true;
-                run.cut_off_ms = Some(now_ms);
+                run.start_broke(now_ms);
             }
             refused => run.refusal = Some(refused),
         }
--- /dev/null
+++ b/crates/dispatch/src/agent/suspects.rs
@@ -0,0 +1,82 @@
+//! Starts of tasks under which a minion crashed.
+//!
+//! Such a task is given up after another crash. So that a minion which had crashed or
+//! stalled before the start is not taken for one more, it must answer a listing first.
+
+use crate::Agent;
+use crate::Busy;
+use crate::End;
+use crate::LinkId;
+use crate::OrderId;
+use crate::agent::minion::HoldCall;
+use crate::agent::run_table::Phase;
+
+/// Time for the answer of a minion before a start, in milliseconds; a sound one on the
+/// same host answers within a few.
+const CHECK_MS: u64 = 50;
+
+impl Agent {
+    /// Asks the minion for a listing if a start waits for one, and gives up the starts
+    /// that waited too long.
+    pub(crate) fn check_minion(&mut self, now_ms: u64) {
+        let checking = self.runs.iter().filter(|run| run.phase == Phase::Checking);
+        let checking: Vec<(LinkId, OrderId, u64)> = checking
+            .map(|run| (run.link, run.order, run.started_ms))
+            .collect();
+        let Some(latest_ms) = checking.iter().map(|(.., since_ms)| *since_ms).max() else {
+            return;
+        };
+        for (link, order, since_ms) in checking {
+            if now_ms > since_ms + CHECK_MS {
+                self.give_up_check(link, order, Busy::NoAnswer);
+            }
+        }
+        // One that waits for an end would be answered too late.
+        let is_asked = |hold: &HoldCall| !hold.waits && hold.sent_ms >= latest_ms;
+        let minion = self.minion.as_ref();
+        if minion.is_some_and(|minion| !minion.holds.iter().any(is_asked)) {
+            self.ask_listing(now_ms, None, 0);
+        }
+    }
+
+    /// The minion answered what it was asked at this time: sends the starts that waited
+    /// for it.
+    pub(crate) fn minion_checked(&mut self, now_ms: u64, asked_ms: u64) {
+        let is_due = |phase, since_ms| phase == Phase::Checking && asked_ms >= since_ms;
+        let due = self
+            .runs
+            .iter()
+            .filter(|run| is_due(run.phase, run.started_ms));
+        let due: Vec<(LinkId, OrderId)> = due.map(|run| (run.link, run.order)).collect();
+        for (link, order) in due {
+            if self.is_open() && self.may_extend_lease(now_ms) && self.runs_fit() {
+                self.start_run(now_ms, link, order);
+            } else {
+                self.give_up_check(link, order, Busy::Closing);
+            }
+        }
+    }
+
+    /// Ends the starts that were never sent, with the minion that they waited for.
+    pub(crate) fn give_up_checks(&mut self) {
+        let checking = self.runs.iter().filter(|run| run.phase == Phase::Checking);
+        let checking: Vec<(LinkId, OrderId)> = checking.map(|run| (run.link, run.order)).collect();
+        for (link, order) in checking {
+            self.give_up_check(link, order, Busy::NoAnswer);
+        }
+    }
+
+    fn give_up_check(&mut self, link: LinkId, order: OrderId, busy: Busy) {
+        if let Some(run) = self.runs.remove(link, order) {
+            let detail = format!("run={} busy={busy:?}", run.key.run);
+            self.note("suspect-not-started", Some(run.key.task.job), detail);
+            self.report_end(link, order, End::NotStarted(busy), 0);
+        }
+    }
+
+    /// When a start has waited long enough for an answer of the minion.
+    pub(crate) fn check_due_ms(&self) -> Option<u64> {
+        let checking = self.runs.iter().filter(|run| run.phase == Phase::Checking);
+        checking.map(|run| run.started_ms + CHECK_MS + 1).min()
+    }
+}
--- a/crates/dispatch/tests/crash_evidence.rs
+++ b/crates/dispatch/tests/crash_evidence.rs
@@ -3,6 +3,8 @@
 
 mod driver;
 
+use gannetvane_dispatch::AgentAction;
+use gannetvane_dispatch::Busy;
 use gannetvane_dispatch::CrashSign;
 use gannetvane_dispatch::End;
 use gannetvane_dispatch::HoldResult;
@@ -13,6 +15,8 @@
 use driver::Driver;
 use driver::key;
 use driver::life;
+use driver::listed;
+use driver::starts_in;
 
 /// How the only run ended with its minion, as the entry was told.
 fn end(driver: &mut Driver) -> End {
@@ -101,3 +105,33 @@
     driver.answer_with(&HoldResult::Broken);
     assert_eq!(sign(end(&mut driver)), None);
 }
+
+#[test]
+fn a_start_whose_connection_broke_late_is_a_weak_sign() {
+    let mut driver = Driver::new();
+    driver.start();
+    driver.pass(30);
+    driver.answer(StartResult::Broken);
+    assert_eq!(sign(end(&mut driver)), Some(CrashSign::Weak));
+}
+
+#[test]
+fn a_suspect_task_starts_when_the_minion_has_answered() {
+    let mut driver = Driver::new();
+    let asked = driver.order_start(1, "a", true);
+    assert_eq!(starts_in(&asked), 0);
+    for action in asked {
+        if let AgentAction::Hold { call, lifetime, .. } = action {
+            driver.answer_call(&lifetime, call, listed());
+        }
+    }
+    assert!(starts_in(&driver.pass(1)) > 0);
+}
+
+#[test]
+fn a_suspect_task_is_not_started_at_a_minion_that_does_not_answer() {
+    let mut driver = Driver::new();
+    driver.order_start(1, "a", true);
+    let ended = End::NotStarted(Busy::NoAnswer);
+    assert_eq!(driver.ends_of_refused_minion(), [(OrderId(1), ended)]);
+}
--- a/crates/dispatch/tests/driver/mod.rs
+++ b/crates/dispatch/tests/driver/mod.rs
@@ -155,21 +155,21 @@
 
     /// Orders the only task of a job; returns the starts that went out.
     pub fn start_of(&mut self, order: u64, job: &str) -> usize {
-        let start = StartOrder {
+        starts_in(&self.order_start(order, job, false))
+    }
+
+    /// Orders the only task of a job under which a minion crashed, or of another one.
+    pub fn order_start(&mut self, order: u64, job: &str, is_suspect: bool) -> Vec<AgentAction> {
+        self.order(Order::Start(StartOrder {
             id: OrderId(order),
             task: key(job).task,
             run: 1,
             spec: "".into(),
-            is_suspect: false,
+            is_suspect,
             needs: TASK_ROOM,
             expected_ms: 100,
             is_stored: false,
-        };
-        let actions = self.order(Order::Start(start));
-        let starts = actions
-            .iter()
-            .filter(|action| matches!(action, AgentAction::Start { .. }));
-        starts.count()
+        }))
     }
 
     pub fn answer(&mut self, result: StartResult) {
@@ -270,6 +270,12 @@
     }
 }
 
+/// Starts among what an agent does.
+pub fn starts_in(actions: &[AgentAction]) -> usize {
+    let is_start = |action: &&AgentAction| matches!(action, AgentAction::Start { .. });
+    actions.iter().filter(is_start).count()
+}
+
 /// The order and the end in a report of an end.
 fn ended(report: &Report) -> Option<(OrderId, End)> {
     match report {
--- a/crates/dispatch/tests/session/crashes.rs
+++ b/crates/dispatch/tests/session/crashes.rs
@@ -64,7 +64,7 @@
         self.open_holds = rest;
         let broken: Vec<OpenHold> = broken;
         for hold in broken {
-            let result = match past.has_news() {
+            let result = match past.has_news() && !self.is_stalled(agent) {
                 true => HoldResult::Listed(past.list(self.now_ms, hold.epoch)),
                 false => HoldResult::Broken,
             };
@@ -91,6 +91,12 @@
         minion.told_birth_unix_ms = born_unix_ms;
     }
 
+    /// Whether the minion stands still, with all that it runs.
+    pub(super) fn is_stalled(&self, agent: usize) -> bool {
+        let mut stalled = self.due_crashes.stalled.iter();
+        stalled.any(|(other, _)| *other == agent)
+    }
+
     /// The minion reads no more calls for this time, and then crashes.
     pub fn stall_and_crash(&mut self, agent: usize, for_ms: u64) {
         let at_ms = self.now_ms + for_ms;
@@ -99,8 +105,7 @@
 
     /// Keeps a call that a stalled minion does not read; false if it reads it.
     pub(super) fn leave_unread(&mut self, agent: usize, action: &AgentAction) -> bool {
-        let mut stalled = self.due_crashes.stalled.iter();
-        if !stalled.any(|(other, _)| *other == agent) {
+        if !self.is_stalled(agent) {
             return false;
         }
         match action {
@@ -152,12 +157,15 @@
                 self.rebirth(agent, CRASH_DOWN_MS);
             }
         }
-        let is_over = |(_, at_ms): &mut (usize, u64)| *at_ms <= now_ms;
-        let stalled: Vec<_> = self.due_crashes.stalled.extract_if(.., is_over).collect();
-        for (agent, _) in stalled {
+        let is_over = |(_, at_ms): &&(usize, u64)| *at_ms <= now_ms;
+        let stalled = self.due_crashes.stalled.iter();
+        let stalled: Vec<_> = stalled.filter(is_over).copied().collect();
+        for (agent, at_ms) in stalled {
             let is_its = |(other, ..): &mut (usize, Lifetime, RunKey)| *other == agent;
             let unread: Vec<_> = self.due_crashes.unread.extract_if(.., is_its).collect();
             self.crash_minion_for(agent, 600);
+            let over = (agent, at_ms);
+            self.due_crashes.stalled.retain(|other| *other != over);
             for (_, lifetime, key) in unread {
                 let broken = Event::Started(lifetime, key, StartResult::Broken);
                 self.post(Side::Agent(agent), broken);
--- a/crates/dispatch/tests/session/mod.rs
+++ b/crates/dispatch/tests/session/mod.rs
@@ -705,7 +705,9 @@
         self.log.tick(self.now_ms);
         self.run_stored_callers();
         for agent in 0..self.agents.len() {
-            self.minions[agent].tick(self.now_ms);
+            if !self.is_stalled(agent) {
+                self.minions[agent].tick(self.now_ms);
+            }
             self.run_agent(agent);
         }
         self.answer_holds();
@@ -1073,6 +1075,10 @@
     fn answer_holds(&mut self) {
         let now_ms = self.now_ms;
         for hold in std::mem::take(&mut self.open_holds) {
+            if self.is_stalled(hold.agent) {
+                self.open_holds.push(hold);
+                continue;
+            }
             let minion = &mut self.minions[hold.agent];
             let is_same = **hold.lifetime.id() == *minion.instance && now_ms >= minion.up_at_ms;
             let is_news = hold.listing.is_none() && minion.has_news();
