A minion whose departure was told has not crashed, though it did not say before that it drains

What callers saw: nothing known; found by the review. Cause: a departure without a draining report before it may be an earlier life's word, so the minion is asked; if it was gone by then, its end counted as a crash under its tasks. Change: while a departure is doubted, an end without a word tells nothing of the tasks. Test: a_minion_that_told_its_departure_has_not_crashed failed before (strong sign).

--- a/crates/dispatch/src/agent/lifetimes.rs
+++ b/crates/dispatch/src/agent/lifetimes.rs
@@ -53,10 +53,11 @@
 }
 
 impl Loss {
-    pub(crate) fn of(has_crashed: bool) -> Self {
-        match has_crashed {
-            true => Self::Crashed,
-            false => Self::Gone,
+    /// How a life ended; one whose departure was told, if only perhaps, did not crash.
+    pub(crate) fn of(minion: &Minion) -> Self {
+        match minion.is_leaving() || minion.is_doubted {
+            true => Self::Gone,
+            false => Self::Crashed,
         }
     }
 }
@@ -280,7 +281,7 @@
         let Some(minion) = &self.minion else {
             return;
         };
-        let loss = Loss::of(!minion.is_leaving());
+        let loss = Loss::of(minion);
         let lifetime = minion.report.lifetime.clone();
         let detail = format!("life={lifetime} cause={cause} loss={loss:?}");
         self.note("minion-replaced", None, detail);
--- a/crates/dispatch/src/agent/minion.rs
+++ b/crates/dispatch/src/agent/minion.rs
@@ -307,7 +307,7 @@
         let has_reports = now_ms <= minion.reported_ms + REPORTS_LOST_MS;
         if minion.is_gone() {
             // Its lease need not lapse first.
-            let loss = Loss::of(!minion.is_leaving());
+            let loss = Loss::of(minion);
             self.note("minion-refuses", None, format!("loss={loss:?}"));
             self.lose_minion(now_ms, loss);
         } else if is_over && minion.has_left {
--- a/crates/dispatch/tests/crash_evidence.rs
+++ b/crates/dispatch/tests/crash_evidence.rs
@@ -135,3 +135,13 @@
     let ended = End::NotStarted(Busy::NoAnswer);
     assert_eq!(driver.ends_of_refused_minion(), [(OrderId(1), ended)]);
 }
+
+#[test]
+fn a_minion_that_told_its_departure_has_not_crashed() {
+    let mut driver = Driver::new();
+    driver.starts(&["a"]);
+    driver.list_running(&["a"], 0, 0);
+    driver.agent.minion_left(life(1_000).id());
+    driver.answer_with(&HoldResult::Broken);
+    assert_eq!(sign(end(&mut driver)), None);
+}
