A run that may be at work is not told as never started when a copy meets a higher epoch

What callers saw: nothing known; a job could be refused as not run, or a task be started elsewhere, while one copy of its start was carried out. Cause: of several copies of a start, one without an answer and one refused for a higher epoch ended the run as 'not started', whatever the other had done. Change: the run is stopped, under the epoch that is taken next, and ends as the listing tells. Without another copy it is told as not started, as before. Test: a_run_one_of_whose_copies_got_no_answer_is_not_told_as_never_started_for_an_epoch failed before (the run was forgotten).

--- a/crates/dispatch/src/agent/starts.rs
+++ b/crates/dispatch/src/agent/starts.rs
@@ -123,8 +123,11 @@
                 run.phase = Phase::Running;
                 run.confirmed_ms = now_ms;
             }
-            Some(refusal) if !may_be_there || refusal == StartResult::Fenced => {
-                self.start_refused(link, order, refusal);
+            Some(refusal) if !may_be_there => self.start_refused(link, order, refusal),
+            // Another copy may have been taken before the epoch was seen.
+            Some(StartResult::Fenced) => {
+                self.stop_run(now_ms, link, order);
+                self.epoch_refused();
             }
             // An earlier start may still be carried out, so it is forbidden.
             Some(_) if !run.is_unsure && is_starting => self.stop_run(now_ms, link, order),
--- a/crates/dispatch/tests/starts.rs
+++ b/crates/dispatch/tests/starts.rs
@@ -42,3 +42,12 @@
     driver.answer(StartResult::Unhealthy);
     assert_eq!(driver.agent.active_runs(), 1);
 }
+
+#[test]
+fn a_run_one_of_whose_copies_got_no_answer_is_not_told_as_never_started_for_an_epoch() {
+    let mut driver = Driver::new();
+    driver.start();
+    driver.answer(StartResult::NoAnswer);
+    driver.answer(StartResult::Fenced);
+    assert_eq!(driver.agent.active_runs(), 1);
+}
