Entries without a configuration repeat a call to the store beside one that hangs

What callers saw: after all hosts lost power while the store was away, 1,256 answers 503 (no configuration yet) in the 0.85 s after the store had come back. Cause: an entry's first call to the store, sent while the store gave no answer, hung until its timeout of 1.5 s, and a pause of 0.1 s followed: 0.73 s and 0.10 s of the 0.85 s. Ruled out: refusals with 429 (none), peers (all known 0.3 s before the store was back; nine entries had the configuration from the first within 7 ms), agents (greeted before; first jobs done 0.09 s after the configuration). Change: an entry without a configuration looks every 150 to 450 ms whether to repeat the call, with a chance of 6 divided by the entries it knows, until one of the calls is answered or another entry passes a configuration on. All entries together make 20 such calls a second at any number; entries that know nobody 3.3 each. Timeout and pause of the first call are as before.

--- a/crates/node/src/configuration.rs
+++ b/crates/node/src/configuration.rs
@@ -11,6 +11,8 @@
 use slog::info;
 use slog::warn;
 
+use crate::Standing;
+use crate::hedging;
 use crate::ports::Announced;
 use crate::ports::StoreError;
 use crate::ports::StorePage;
@@ -64,11 +66,15 @@
         Self { store, log }
     }
 
-    /// Passes on what operators write, for ever.
-    pub async fn watch(&self, mut found: impl FnMut(OperatorNews)) {
+    /// Passes on what operators write, for ever; `standing` tells what is known
+    /// without the store.
+    pub async fn watch(
+        &self,
+        standing: impl Fn() -> Standing,
+        mut found: impl FnMut(OperatorNews),
+    ) {
         loop {
-            let newest = || self.store.newest_operators();
-            let page = self.until_done("newest", newest).await;
+            let page = self.newest(&standing).await;
             let mut offset = page.next_offset;
             let mut evacuations = Evacuations::default();
             follow(&mut evacuations, &page);
@@ -116,6 +122,18 @@
             .await
     }
 
+    /// The newest records, from the first call that is answered.
+    async fn newest(&self, standing: impl Fn() -> Standing) -> StorePage {
+        let newest = || self.store.newest_operators();
+        tokio::select! {
+            page = self.until_done("newest", newest) => page,
+            page = hedging::first_answer(standing, newest) => {
+                info!(self.log, "store-regained"; "call" => "newest, repeated");
+                page
+            }
+        }
+    }
+
     async fn until_done<T, R>(&self, call: &'static str, attempt: impl Fn() -> R) -> T
     where
         R: Future<Output = Result<T, StoreError>>,
--- a/crates/node/src/entry_node.rs
+++ b/crates/node/src/entry_node.rs
@@ -40,6 +40,7 @@
 use crate::Clock;
 use crate::Metrics;
 use crate::OpenConnections;
+use crate::Standing;
 use crate::StoreKeeper;
 use crate::Tunables;
 use crate::agent_links;
@@ -201,7 +202,8 @@
             self.inputs.clone(),
             self.log.clone(),
         ));
-        tokio::task::spawn_local(watch_store(store.clone(), self.inputs.clone()));
+        let news = self.news.subscribe();
+        tokio::task::spawn_local(watch_store(store.clone(), news, self.inputs.clone()));
         let own = self.settings.link_addr;
         tokio::task::spawn_local(meet(store.clone(), own, self.inputs.clone()));
         let mut dialers = self.dialers();
@@ -475,13 +477,23 @@
     }
 }
 
-async fn watch_store(store: StoreKeeper, inputs: UnboundedSender<Input>) {
-    store
-        .watch(|news| {
-            // Without a receiver the process is about to end.
-            let _ = inputs.send(Input::Operators(news));
-        })
-        .await;
+async fn watch_store(
+    store: StoreKeeper,
+    news: watch::Receiver<PeerNews>,
+    inputs: UnboundedSender<Input>,
+) {
+    let standing = || {
+        let news = news.borrow();
+        Standing {
+            is_configured: news.table.version > 0,
+            entries: news.entries.len(),
+        }
+    };
+    let found = |news| {
+        // Without a receiver the process is about to end.
+        let _ = inputs.send(Input::Operators(news));
+    };
+    store.watch(standing, found).await;
 }
 
 /// Makes the entry known, and finds those that are known already.
--- /dev/null
+++ b/crates/node/tests/hedging.rs
@@ -0,0 +1,135 @@
+//! Entries that start while the store is away, as many as a deployment may have.
+
+mod fakes;
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use fakes::log;
+use fakes::on_one_thread;
+use gannetvane_dispatch::RoutingTable;
+use gannetvane_node::Standing;
+use gannetvane_node::StoreKeeper;
+use gannetvane_node::ports::Announced;
+use gannetvane_node::ports::StoreError;
+use gannetvane_node::ports::StorePage;
+use gannetvane_node::ports::StorePort;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+/// Time after which a call without an answer is given up.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Usual time of an answer.
+const ANSWER: Duration = Duration::from_millis(4);
+/// Longest time from the store's return to the first answer.
+const LEARNED_WITHIN: Duration = Duration::from_millis(700);
+
+/// A store that answers nothing that it is asked before it is back.
+struct AwayStore {
+    back: Instant,
+    calls: Rc<Cell<usize>>,
+}
+
+#[async_trait(?Send)]
+impl StorePort for AwayStore {
+    async fn newest_operators(&self) -> Result<StorePage, StoreError> {
+        self.calls.set(self.calls.get() + 1);
+        if Instant::now() < self.back {
+            sleep(CALL_TIMEOUT).await;
+            return Err(StoreError::Unreachable("no answer".to_owned()));
+        }
+        sleep(ANSWER).await;
+        Ok(StorePage {
+            table: Some(RoutingTable {
+                version: 7,
+                ..RoutingTable::default()
+            }),
+            ..StorePage::default()
+        })
+    }
+
+    async fn next_operators(&self, _: u64, _: u64) -> Result<StorePage, StoreError> {
+        std::future::pending().await
+    }
+
+    async fn announced(&self) -> Result<Announced, StoreError> {
+        Ok(Announced::default())
+    }
+
+    async fn announce(&self, _: SocketAddr) -> Result<(), StoreError> {
+        Ok(())
+    }
+
+    async fn announce_stored_jobs(&self) -> Result<(), StoreError> {
+        Ok(())
+    }
+}
+
+/// Starts entries that know each other; the time from the store's return to the
+/// first answer, and the calls up to then.
+async fn start(entries: usize, away: Duration) -> (Duration, usize) {
+    let back = Instant::now() + away;
+    let calls = Rc::new(Cell::new(0));
+    let learned = Rc::new(Cell::new(None));
+    for _ in 0..entries {
+        let store = AwayStore {
+            back,
+            calls: Rc::clone(&calls),
+        };
+        let keeper = StoreKeeper::new(Rc::new(store), log());
+        let learned = Rc::clone(&learned);
+        tokio::task::spawn_local(async move {
+            let standing = || Standing {
+                is_configured: learned.get().is_some(),
+                entries,
+            };
+            let found = |_| {
+                if learned.get().is_none() {
+                    learned.set(Some(Instant::now()));
+                }
+            };
+            keeper.watch(standing, found).await;
+        });
+    }
+    loop {
+        if let Some(learned) = learned.get() {
+            return (learned - back, calls.get());
+        }
+        sleep(Duration::from_millis(1)).await;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_configuration_is_learned_soon_after_the_store_is_back_at_any_size() {
+    on_one_thread(async {
+        for entries in [1, 2, 10, 20, 1_000, 2_000] {
+            let (took, _) = start(entries, Duration::from_millis(200)).await;
+            assert!(took < LEARNED_WITHIN, "{entries} entries: {took:?}");
+        }
+    })
+    .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn entries_share_their_repeated_calls_out() {
+    on_one_thread(async {
+        for entries in [10, 1_000, 2_000] {
+            let (_, calls) = start(entries, Duration::from_millis(1_400)).await;
+            let repeated = calls - entries;
+            assert!(repeated < 70, "{entries} entries: {repeated} calls");
+        }
+    })
+    .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_entry_without_others_repeats_a_call_a_few_times_a_second() {
+    on_one_thread(async {
+        let (_, calls) = start(1, Duration::from_millis(1_400)).await;
+        assert!((3..12).contains(&calls), "{calls} calls");
+    })
+    .await;
+}
