An agent without a link searches for entries once at a time

What callers saw: nothing measured; calls to the store are priced, also refused ones, and their limit holds for all processes together. Cause: without a link an agent began another search in the store every 2 s, and each search repeats its call until it is answered. While the store was away they added up. Ruled out: a longer pause between searches, which grows as well, only later. Change: no search begins before the last one has its answer. Test: an_agent_asks_no_more_often_the_longer_the_store_is_away failed before.

--- a/crates/node/src/agent_node.rs
+++ b/crates/node/src/agent_node.rs
@@ -128,6 +128,8 @@
     /// Gains of the directory when it was last looked at for entries to dial.
     dialed_gains: u64,
     searched_ms: u64,
+    /// Whether a search has no answer yet.
+    is_searching: bool,
 }
 
 impl std::fmt::Debug for AgentNode {
@@ -166,6 +168,7 @@
             refreshed_ms: 0,
             dialed_gains: 0,
             searched_ms: 0,
+            is_searching: false,
         }
     }
 
@@ -208,7 +211,8 @@
                 let targets = self.directory.borrow().targets(now_ms);
                 self.agent.keep_links(&targets);
             }
-            if self.links.is_empty() && now_ms >= self.searched_ms + SEARCH_MS {
+            let is_due = now_ms >= self.searched_ms + SEARCH_MS;
+            if self.links.is_empty() && !self.is_searching && is_due {
                 self.search(&store);
             }
         }
@@ -239,9 +243,10 @@
         Dialers::new(Rc::clone(&self.directory), self.clock.clone(), dial)
     }
 
-    /// Looks for entries in the store.
+    /// Looks for entries in the store, until it answers.
     fn search(&mut self, store: &StoreKeeper) {
         self.searched_ms = self.clock.now_ms();
+        self.is_searching = true;
         let store = store.clone();
         let inputs = self.inputs.clone();
         tokio::task::spawn_local(async move {
@@ -275,6 +280,7 @@
                 self.agent.listed(now_ms, &lifetime, call, result);
             }
             Input::Entries(entries) => {
+                self.is_searching = false;
                 self.directory.borrow_mut().learn(now_ms, &entries);
             }
             Input::Reload(tunables) => {
--- /dev/null
+++ b/crates/node/tests/searching.rs
@@ -0,0 +1,135 @@
+//! An agent that knows no entry, while the store is away.
+
+mod fakes;
+
+use std::cell::Cell;
+use std::future::pending;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use fakes::log;
+use fakes::on_one_thread;
+use gannetvane_dispatch::AgentIdentity;
+use gannetvane_dispatch::HoldResult;
+use gannetvane_dispatch::Lifetime;
+use gannetvane_dispatch::RunKey;
+use gannetvane_dispatch::StartResult;
+use gannetvane_node::AgentNode;
+use gannetvane_node::AgentNodeSettings;
+use gannetvane_node::Clock;
+use gannetvane_node::Metrics;
+use gannetvane_node::StoreKeeper;
+use gannetvane_node::TimeSource;
+use gannetvane_node::Tunables;
+use gannetvane_node::ports::Announced;
+use gannetvane_node::ports::HoldCall;
+use gannetvane_node::ports::MinionPort;
+use gannetvane_node::ports::StartCall;
+use gannetvane_node::ports::StoreError;
+use gannetvane_node::ports::StorePage;
+use gannetvane_node::ports::StorePort;
+use gannetvane_wire::NodeId;
+use tokio::time::Instant;
+
+/// A store that refuses everything and counts what it is asked.
+struct RefusingStore {
+    calls: Rc<Cell<usize>>,
+}
+
+impl RefusingStore {
+    fn refuse<T>(&self) -> Result<T, StoreError> {
+        self.calls.set(self.calls.get() + 1);
+        Err(StoreError::Refused(503))
+    }
+}
+
+#[async_trait(?Send)]
+impl StorePort for RefusingStore {
+    async fn newest_operators(&self) -> Result<StorePage, StoreError> {
+        self.refuse()
+    }
+
+    async fn next_operators(&self, _: u64, _: u64) -> Result<StorePage, StoreError> {
+        self.refuse()
+    }
+
+    async fn announced(&self) -> Result<Announced, StoreError> {
+        self.refuse()
+    }
+
+    async fn announce(&self, _: SocketAddr) -> Result<(), StoreError> {
+        self.refuse()
+    }
+
+    async fn announce_stored_jobs(&self) -> Result<(), StoreError> {
+        self.refuse()
+    }
+}
+
+/// A minion that never reports itself, so it is not called.
+struct NoMinion;
+
+#[async_trait(?Send)]
+impl MinionPort for NoMinion {
+    async fn start(&self, _: StartCall) -> StartResult {
+        pending().await
+    }
+
+    async fn stop(&self, _: &Lifetime, _: RunKey, _: u64) -> bool {
+        pending().await
+    }
+
+    async fn hold(&self, _: HoldCall) -> HoldResult {
+        pending().await
+    }
+}
+
+/// The clock of the runtime, which tests advance.
+struct RuntimeTime(Instant);
+
+impl TimeSource for RuntimeTime {
+    fn elapsed(&self) -> Duration {
+        self.0.elapsed()
+    }
+}
+
+fn start_agent(calls: &Rc<Cell<usize>>) {
+    let settings = AgentNodeSettings {
+        identity: AgentIdentity {
+            node: NodeId(1),
+            host: "host-1".into(),
+            zone: "selfoss".into(),
+        },
+        tunables: Tunables {
+            seeds: Vec::new(),
+            remote_factor: 1.5,
+            stop_limit_ms: 4_000,
+        },
+    };
+    let clock = Clock::with_source(Rc::new(RuntimeTime(Instant::now())));
+    let metrics = Rc::new(Metrics::new());
+    let node = AgentNode::new(settings, Rc::new(NoMinion), log(), metrics, clock);
+    let store = RefusingStore {
+        calls: Rc::clone(calls),
+    };
+    let keeper = StoreKeeper::new(Rc::new(store), log());
+    tokio::task::spawn_local(node.run(keeper));
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_agent_asks_no_more_often_the_longer_the_store_is_away() {
+    on_one_thread(async {
+        let calls = Rc::new(Cell::new(0));
+        start_agent(&calls);
+        let minute = Duration::from_mins(1);
+        tokio::time::sleep(minute).await;
+        let first = calls.get();
+        tokio::time::sleep(minute).await;
+        let second = calls.get() - first;
+        assert!(first > 10, "{first} calls");
+        assert!(second <= first, "{first} calls, then {second}");
+    })
+    .await;
+}
