A failing test of a start that is carried out two lives of its minion later

Cause: a copy of the start of run 1 is sent at 6889 ms by agent 0 to minion-0-1 born at 0, gets no answer and lies for 4042 ms. That life ends at 8190. The agent shows the next one an epoch at 8417 and greets; run 2 starts on minion 1 at 9168, as it may: the life that is there refuses the copy. The agent stands still from 9459 to 11576, the third life under the id begins at 10226, has seen no epoch and carries the copy out at 10931. The agent forbids it when it runs again (stop at 11579).

Nothing changes in the decisions.

--- a/crates/dispatch/tests/interleavings.rs
+++ b/crates/dispatch/tests/interleavings.rs
@@ -232,3 +232,12 @@
         assert!(open.is_empty(), "seed {seed}: without an answer: {open:?}");
     }
 }
+
+/// The call lies four seconds while its minion begins two more lives under its id. The
+/// agent shows the first of them an epoch and stands still when the second begins.
+#[test]
+fn a_start_that_outlives_two_lives_runs_nothing_twice() {
+    let session = play(34_102, 3_000, Rebirths::Some);
+    let twice = &session.violations.twice;
+    assert!(twice.is_empty(), "{twice:?}");
+}
