--- /dev/null
+++ b/crates/daemon/tests/soak/faults.rs
@@ -0,0 +1,71 @@
+//! What fails from outside.
+
+use gannetvane_platform_standins::ProxyFault;
+use gannetvane_platform_standins::StoreFault;
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+use rustix::process::Signal;
+
+use crate::program::Due;
+use crate::site::EVACUATE_KEY;
+use crate::site::Soak;
+
+impl Soak {
+    pub fn disturb(&mut self, rng: &mut ChaCha8Rng) {
+        let program = rng.random_range(0..self.programs.len());
+        let program = &mut self.programs[program];
+        let minion = &self.minions[rng.random_range(0..self.minions.len())];
+        let inner = &self.inner[rng.random_range(0..self.inner.len())];
+        let front = &self.fronts[rng.random_range(0..self.fronts.len())];
+        match rng.random_range(0..23) {
+            0 | 1 => {
+                program.signal(Signal::STOP);
+                program.plan(rng.random_range(50..2_500), Due::Resume);
+            }
+            2 | 3 => {
+                program.signal(Signal::KILL);
+                program.plan(rng.random_range(20..1_500), Due::Start);
+                program.plan(2_000, Due::Start);
+            }
+            4 => {
+                program.signal(Signal::TERM);
+                program.plan(6_500, Due::Start);
+            }
+            5 => program.signal(Signal::HUP),
+            6 => self.store.set_fault(StoreFault::Refuses(503)),
+            7 => self.store.set_fault(match rng.random_range(0..3) {
+                0 => StoreFault::Silent,
+                1 => StoreFault::LosesAnswers,
+                _ => {
+                    self.store.rebalance();
+                    StoreFault::None
+                }
+            }),
+            8 => self.store.set_fault(StoreFault::None),
+            9 => minion.crash(),
+            10 => minion.leave_unanswered(rng.random_range(1..6)),
+            11 => minion.set_silent(rng.random()),
+            12 => inner.reset(),
+            13 => front.reset(),
+            14 | 15 => inner.silence_open(),
+            16 => front.silence_open(),
+            17 => minion.send_late_report(),
+            18 => self.store.put("keyed.op", EVACUATE_KEY, b"{}"),
+            19 => self.store.put("keyed.op", EVACUATE_KEY, b""),
+            20 => {
+                let foreign: Vec<u8> = (0..rng.random_range(0..40)).map(|_| rng.random()).collect();
+                self.store.put_raw("keyed.op", &foreign);
+            }
+            _ => {
+                let fault = match rng.random_range(0..6) {
+                    0 => ProxyFault::Delays(rng.random_range(1..150)),
+                    1 => ProxyFault::HoldsRequests,
+                    2 => ProxyFault::HoldsAnswers,
+                    3 => ProxyFault::Silent,
+                    _ => ProxyFault::None,
+                };
+                inner.set_fault(fault);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/soak/main.rs
@@ -0,0 +1,130 @@
+//! A randomized soak of the real programs: entries and agents as processes,
+//! stand-ins for the platform behind proxies, faults from outside in series
+//! that overlap, and promises that are checked all the while.
+//!
+//! `GANNETVANE_SOAK_SEEDS=from..to` plays other seeds by hand.
+
+mod checks;
+mod clients;
+mod faults;
+mod program;
+mod site;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::checks::watch;
+use crate::clients::run_client;
+use crate::clients::run_storing_client;
+use crate::site::Size;
+use crate::site::Soak;
+
+/// Entries, agents and clients of a usual run; `GANNETVANE_SOAK_SIZE=10,40,60`
+/// plays larger ones by hand.
+const USUAL_SIZE: Size = Size {
+    entries: 2,
+    agents: 3,
+    clients: 6,
+};
+/// Time with faults, and time for the last of them to pass, in milliseconds.
+const FAULTS_MS: u64 = 7_000;
+const SETTLE_MS: u64 = 5_000;
+/// One client in this many sends jobs that are stored.
+const STORING_PART: usize = 3;
+
+/// Seeds that every run plays.
+const SEEDS: std::ops::Range<u64> = 0..2;
+/// Seeds that once failed, each with its cause.
+const REGRESSIONS: &[u64] = &[];
+
+fn play(seed: u64) -> (usize, usize) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let size = Size::named().unwrap_or(USUAL_SIZE);
+    let mut soak = Soak::start(seed, size);
+    soak.wait_served("start");
+    let stop = Arc::new(AtomicBool::new(false));
+    let fronts: Vec<SocketAddr> = soak.fronts.iter().map(|proxy| proxy.addr).collect();
+    let watcher = {
+        let (minions, violations, stop) = (
+            soak.minions.clone(),
+            Arc::clone(&soak.violations),
+            Arc::clone(&stop),
+        );
+        thread::spawn(move || watch(&minions, &violations, &stop))
+    };
+    let clients_stop = Arc::new(AtomicBool::new(false));
+    let clients: Vec<_> = (0..size.clients)
+        .map(|number| {
+            let (fronts, jobs, stop) = (
+                fronts.clone(),
+                Arc::clone(&soak.jobs),
+                Arc::clone(&clients_stop),
+            );
+            let run = match number % STORING_PART {
+                0 => run_storing_client,
+                _ => run_client,
+            };
+            thread::spawn(move || run(number, seed, &fronts, &jobs, &stop))
+        })
+        .collect();
+    let faults_end = Instant::now() + Duration::from_millis(FAULTS_MS);
+    while Instant::now() < faults_end {
+        soak.disturb(&mut rng);
+        let pause_end = Instant::now() + Duration::from_millis(rng.random_range(20..500));
+        while Instant::now() < pause_end {
+            soak.carry_out_due();
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+    soak.heal();
+    let settle_end = Instant::now() + Duration::from_millis(SETTLE_MS);
+    while Instant::now() < settle_end {
+        soak.carry_out_due();
+        thread::sleep(Duration::from_millis(5));
+    }
+    clients_stop.store(true, Ordering::Relaxed);
+    clients
+        .into_iter()
+        .for_each(|client| client.join().expect("no panic"));
+    for program in &mut soak.programs {
+        program.due.clear();
+        program.start();
+    }
+    soak.wait_served("after the faults");
+    soak.wait_stored();
+    soak.check_evacuation();
+    stop.store(true, Ordering::Relaxed);
+    watcher.join().expect("no panic");
+    soak.check_answers();
+    let violations = soak.violations.lock().expect("no panic").clone();
+    assert!(violations.is_empty(), "seed {seed}: {violations:?}");
+    let jobs = soak.jobs.lock().expect("no panic");
+    (
+        jobs.len(),
+        jobs.values().filter(|job| job.is_completed).count(),
+    )
+}
+
+#[test]
+fn promises_hold_while_processes_and_connections_fail() {
+    let named = std::env::var("GANNETVANE_SOAK_SEEDS").ok();
+    let named = named.and_then(|range| {
+        let (from, to) = range.split_once("..")?;
+        Some(from.parse().ok()?..to.parse().ok()?)
+    });
+    let seeds = named.unwrap_or(SEEDS);
+    for seed in REGRESSIONS.iter().copied().chain(seeds) {
+        let (jobs, completed) = play(seed);
+        println!("seed {seed}: {completed} of {jobs} jobs complete");
+        assert!(completed > 0, "seed {seed}: nothing was served");
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/soak/program.rs
@@ -0,0 +1,100 @@
+//! Programs as processes that faults end, freeze and start again.
+
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::time::Duration;
+use std::time::Instant;
+
+use rustix::process::Pid;
+use rustix::process::Signal;
+use rustix::process::kill_process;
+
+/// A program that is started again with the same settings.
+pub struct Program {
+    role: &'static str,
+    settings: PathBuf,
+    child: Option<Child>,
+    pub due: Vec<(Instant, Due)>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Due {
+    Resume,
+    Start,
+}
+
+impl Program {
+    pub fn new(role: &'static str, settings: PathBuf) -> Self {
+        let mut program = Self {
+            role,
+            settings,
+            child: None,
+            due: Vec::new(),
+        };
+        program.start();
+        program
+    }
+
+    pub fn start(&mut self) {
+        self.reap();
+        if self.child.is_some() {
+            return;
+        }
+        let child = Command::new(env!("CARGO_BIN_EXE_gannetvaned"))
+            .arg(self.role)
+            .arg("--settings")
+            .arg(&self.settings)
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn();
+        self.child = Some(child.expect("the program starts"));
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        let pid = self
+            .child
+            .as_ref()
+            .and_then(|child| Pid::from_raw(child.id().cast_signed()));
+        if let Some(pid) = pid {
+            // It may have ended a moment ago.
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    fn reap(&mut self) {
+        if let Some(child) = &mut self.child
+            && child.try_wait().is_ok_and(|status| status.is_some())
+        {
+            self.child = None;
+        }
+    }
+
+    pub fn plan(&mut self, after_ms: u64, due: Due) {
+        self.due
+            .push((Instant::now() + Duration::from_millis(after_ms), due));
+    }
+
+    pub fn carry_out_due(&mut self) {
+        let now = Instant::now();
+        let (due, later): (Vec<_>, Vec<_>) = self.due.drain(..).partition(|(at, _)| now >= *at);
+        self.due = later;
+        for (_, due) in due {
+            match due {
+                Due::Resume => self.signal(Signal::CONT),
+                Due::Start => self.start(),
+            }
+        }
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        if let Some(child) = &mut self.child {
+            // Both fail only for a process that has ended.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/soak/site.rs
@@ -0,0 +1,194 @@
+//! The site: entries and agents as processes, and the platform's stand-ins.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use gannetvane_platform_standins::CONFIG;
+use gannetvane_platform_standins::MinionStandIn;
+use gannetvane_platform_standins::Proxy;
+use gannetvane_platform_standins::ProxyFault;
+use gannetvane_platform_standins::StoreFault;
+use gannetvane_platform_standins::StoreStandIn;
+use gannetvane_platform_standins::free_addr;
+use gannetvane_platform_standins::post_job;
+use gannetvane_platform_standins::settings;
+use rustix::process::Signal;
+
+use crate::clients::JobLog;
+use crate::program::Due;
+use crate::program::Program;
+
+/// Tasks of one thousandth of a core times thousand that fit on a minion.
+pub const ROOM: usize = 8;
+/// One agent in this many, with this place among them, is in another zone, which
+/// operators empty.
+pub const ZONES_PART: usize = 2;
+pub const EMPTIED_PLACE: usize = 1;
+/// Key of the operators' request to empty it.
+pub const EVACUATE_KEY: &str = "evacuate/hella";
+
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    pub entries: usize,
+    pub agents: usize,
+    pub clients: usize,
+}
+
+impl Size {
+    pub fn named() -> Option<Self> {
+        let text = std::env::var("GANNETVANE_SOAK_SIZE").ok()?;
+        let mut numbers = text.split(',').map(str::parse);
+        Some(Self {
+            entries: numbers.next()?.ok()?,
+            agents: numbers.next()?.ok()?,
+            clients: numbers.next()?.ok()?,
+        })
+    }
+}
+
+pub struct Soak {
+    pub programs: Vec<Program>,
+    pub minions: Vec<MinionStandIn>,
+    pub store: StoreStandIn,
+    pub fronts: Vec<Proxy>,
+    pub inner: Vec<Proxy>,
+    pub jobs: Arc<Mutex<BTreeMap<String, JobLog>>>,
+    pub violations: Arc<Mutex<Vec<String>>>,
+    folder: PathBuf,
+}
+
+impl Soak {
+    pub fn start(seed: u64, size: Size) -> Self {
+        let folder =
+            std::env::temp_dir().join(format!("gannetvane-soak-{}-{seed}", std::process::id()));
+        fs::create_dir_all(&folder).expect("a folder for settings");
+        let store = StoreStandIn::start();
+        store.configure(CONFIG);
+        let mut soak = Self {
+            programs: Vec::new(),
+            minions: Vec::new(),
+            store,
+            fronts: Vec::new(),
+            inner: Vec::new(),
+            jobs: Arc::default(),
+            violations: Arc::default(),
+            folder,
+        };
+        // All entries have one port: they differ by address.
+        let first = free_addr();
+        let link = |entry: usize| {
+            let SocketAddr::V4(addr) = first else {
+                return first;
+            };
+            let [a, b, c, _] = addr.ip().octets();
+            SocketAddr::from(([a, b, c, 10 + entry as u8], first.port()))
+        };
+        for entry in 0..size.entries {
+            soak.add_entry(entry, link(entry), link(0));
+        }
+        for agent in 0..size.agents {
+            soak.add_agent(agent, link(0), link(agent % size.entries));
+        }
+        soak
+    }
+
+    fn store_proxy(&mut self) -> SocketAddr {
+        let proxy = Proxy::start(self.store.addr);
+        let addr = proxy.addr;
+        self.inner.push(proxy);
+        addr
+    }
+
+    fn add_entry(&mut self, entry: usize, link: SocketAddr, seed: SocketAddr) {
+        let (front, store) = (free_addr(), self.store_proxy());
+        let name = format!("entry-{entry}");
+        let text = settings(&name, link, free_addr(), seed, store)
+            + &format!(
+                "[entry]\nfront_address = \"{front}\"\nready_address = \"{}\"\n",
+                free_addr()
+            );
+        self.add_program("platform-entry", &name, &text);
+        self.fronts.push(Proxy::start(front));
+    }
+
+    fn add_agent(&mut self, agent: usize, link: SocketAddr, seed: SocketAddr) {
+        let (minion, control, store) = (free_addr(), free_addr(), self.store_proxy());
+        let proxy = Proxy::start(minion);
+        let name = format!("host-{agent}");
+        let seed = SocketAddr::new(seed.ip(), link.port());
+        let shared = settings(&name, seed, free_addr(), seed, store);
+        let shared = match agent % ZONES_PART {
+            EMPTIED_PLACE => shared.replace("zone = \"selfoss\"", "zone = \"hella\""),
+            _ => shared,
+        };
+        let text = shared
+            + &format!(
+                "[agent]\nminion_address = \"{}\"\ncontrol_address = \"{control}\"\n",
+                proxy.addr
+            );
+        self.add_program("platform-agent", &name, &text);
+        self.minions.push(MinionStandIn::start(minion, control));
+        self.inner.push(proxy);
+    }
+
+    fn add_program(&mut self, role: &'static str, name: &str, text: &str) {
+        let path = self.folder.join(format!("{name}.toml"));
+        fs::write(&path, text).expect("a settings file");
+        self.programs.push(Program::new(role, path));
+    }
+
+    /// Waits until a job is served through every entry.
+    pub fn wait_served(&self, what: &str) {
+        for (entry, front) in self.fronts.iter().enumerate() {
+            let end = Instant::now() + Duration::from_secs(20);
+            let mut number = 0;
+            loop {
+                number += 1;
+                let id = format!("{:016x}", 0xabc0_0000 + entry * 10_000 + number);
+                let (status, _) = post_job(front.addr, &id, 1, 10);
+                if status == 200 {
+                    break;
+                }
+                assert!(Instant::now() < end, "{what}: entry {entry} does not serve");
+                thread::sleep(Duration::from_millis(50));
+            }
+        }
+    }
+
+    pub fn heal(&mut self) {
+        self.store.set_fault(StoreFault::None);
+        self.inner
+            .iter()
+            .for_each(|proxy| proxy.set_fault(ProxyFault::None));
+        self.minions.iter().for_each(|minion| {
+            minion.set_silent(false);
+            minion.leave_unanswered(0);
+        });
+        for program in &mut self.programs {
+            program.signal(Signal::CONT);
+            program.plan(0, Due::Start);
+        }
+    }
+
+    pub fn carry_out_due(&mut self) {
+        self.programs.iter_mut().for_each(Program::carry_out_due);
+    }
+
+    pub fn violate(&self, what: String) {
+        self.violations.lock().expect("no panic").push(what);
+    }
+}
+
+impl Drop for Soak {
+    fn drop(&mut self) {
+        // The folder is in the system's place for such files in any case.
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
