A task may go back to bad hosts when all others are emptied or too small

Cause: a task keeps away from up to three hosts with crashes or losses as long as more minions of its service are known than that. Minions in zones that are being emptied, and such whose room or labels do not fit it, counted too. So a task of two usable hosts that both had bad ends waited until the zone was taken back.

What callers saw: stored jobs stayed open for 30 s and more with all minions of two hosts idle, and were done within seconds of the zone being taken back.

Ruled out: a lost record of the ledger (the tasks were waiting, none being noted); an entry without a next tick (other jobs were placed meanwhile).

Change: the hosts are kept away from only while another agent that is not being emptied could run the step.

Test that failed before: a_task_goes_back_to_hosts_that_crashed_while_all_others_are_emptied (no end within 5 s; now complete).

A host that drains or is closed for failures still counts as another one; it comes back or goes.

--- a/crates/dispatch/src/dispatcher/intake.rs
+++ b/crates/dispatch/src/dispatcher/intake.rs
@@ -105,13 +105,7 @@
     }
 
     pub(crate) fn has_minions(&self, service: &Name) -> bool {
-        self.minions(service) > 0
-    }
-
-    pub(crate) fn minions(&self, service: &Name) -> usize {
-        let agents = self.agents.values();
-        agents
-            .filter(|agent| agent.hello.service == *service)
-            .count()
+        let mut agents = self.agents.values();
+        agents.any(|agent| agent.hello.service == *service)
     }
 }
--- a/crates/dispatch/src/dispatcher/rounds.rs
+++ b/crates/dispatch/src/dispatcher/rounds.rs
@@ -12,6 +12,7 @@
 use crate::Order;
 use crate::OrderId;
 use crate::StartOrder;
+use crate::Step;
 use crate::dispatcher::Dispatcher;
 use crate::dispatcher::OrderState;
 use crate::dispatcher::STOOD_STILL_MS;
@@ -176,12 +177,7 @@
                 .estimates
                 .expected_ms(&job.queue.name, step.declared_ms),
             left_ms: state.objective_ms as f64 - now_ms as f64,
-            // Where there are no other hosts, a bad one is better than none.
-            avoid: if self.minions(&job.queue.service) > task.avoid.len() {
-                task.avoid.clone()
-            } else {
-                Vec::new()
-            },
+            avoid: self.avoided(&task.avoid, &job.queue.service, step),
             beside,
             remote_factor: self.settings.remote_factor,
             is_ejecting: !self.lenient.contains(&job.queue.service),
@@ -189,6 +185,18 @@
         })
     }
 
+    /// The hosts that a task keeps away from. Where no other could take it, a bad one
+    /// is better than none.
+    fn avoided(&self, avoid: &[Name], service: &Name, step: &Step) -> Vec<Name> {
+        let is_other =
+            |agent: &&AgentState| !agent.is_evacuated && !avoid.contains(&agent.hello.host);
+        let others = self.agents.values().filter(is_other);
+        match placement::fits_somewhere(others, service, step) {
+            true => avoid.to_vec(),
+            false => Vec::new(),
+        }
+    }
+
     pub(crate) fn order(&mut self, now_ms: u64, id: &Name, position: usize, link: LinkId) {
         let order = OrderId(self.next_order);
         let (Some(state), Some(agent)) = (self.jobs.get_mut(id), self.agents.get_mut(&link)) else {
--- a/crates/dispatch/tests/evacuation.rs
+++ b/crates/dispatch/tests/evacuation.rs
@@ -7,6 +7,7 @@
 use gannetvane_dispatch::Evacuations;
 use gannetvane_dispatch::JobOutcome;
 use gannetvane_dispatch::Refusal;
+use gannetvane_dispatch::StoredEnd;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::seq::IndexedRandom;
@@ -93,6 +94,33 @@
     assert!(first_ms.is_some_and(|at_ms| at_ms < back_ms + 1_000));
 }
 
+/// A task keeps away from hosts whose minions crashed under it, but not when all
+/// others are being emptied.
+#[test]
+fn a_task_goes_back_to_hosts_that_crashed_while_all_others_are_emptied() {
+    let mut session = Session::new(1, AGENTS);
+    session.tell_births();
+    session.tell_all_evacuations(&evacuations(7, &["hella", "thorlak"]));
+    let warm = session.store("0000000000000001", 1, 10);
+    session.run_until_ended(warm, 5_000);
+    let job = session.store("0000000000000002", 1, 600);
+    let at_work = |session: &Session| {
+        let mut minions = session.minions.iter();
+        minions.position(|minion| minion.running().next().is_some())
+    };
+    for _ in 0..2 {
+        let agent = (0..5_000).find_map(|_| {
+            session.run(1);
+            at_work(&session)
+        });
+        session.run(100);
+        session.rebirth(agent.expect("a run"), 300);
+    }
+    session.run_until_ended(job, 5_000);
+    let end = session.stored[job].end;
+    assert_eq!(end, Some(StoredEnd::Completed));
+}
+
 #[test]
 fn an_older_picture_undoes_nothing() {
     let mut session = Session::new(ENTRIES, AGENTS);
