Failing tests of crashing tasks that come to another entry

Cause: crashes under a task are counted by the entry that its job is at, and nowhere else. An owner of a stored job that takes it over begins at zero, and so does an entry to which a waited job comes again.

Nothing changes in the decisions: it takes a record of the job log, and a message between entries.

--- a/crates/dispatch/tests/crashing.rs
+++ b/crates/dispatch/tests/crashing.rs
@@ -9,6 +9,9 @@
 /// Minions that may crash under one task of a job whose caller waits.
 const MOST_CRASHES: usize = 2;
 
+/// The same over all entries that a job is at one after the other.
+const MOST_CRASHES_IN_ALL: usize = 3;
+
 /// A session whose minions keep their ids, or not.
 fn session(agents: usize, keeps_ids: bool) -> Session {
     let mut session = Session::new(3, agents);
@@ -173,3 +176,47 @@
     session.run(5_000);
     assert!(session.violations.is_empty(), "{:?}", session.violations);
 }
+
+fn crashes(session: &Session, id: &str) -> usize {
+    session.crashes.get(id).copied().unwrap_or(0)
+}
+
+fn run_until_crashes(session: &mut Session, id: &str, wanted: usize) {
+    for _ in 0..20_000 {
+        if crashes(session, id) >= wanted {
+            return;
+        }
+        session.run(1);
+    }
+}
+
+/// The owner of a crashing stored job is killed when two minions have crashed.
+#[test]
+fn a_crashing_stored_task_is_given_up_by_its_next_owner() {
+    let mut session = session(8, true);
+    let warm = session.store("0000000000000001", 1, 10);
+    session.run_until_ended(warm, 5_000);
+    let id = "00000000000000b1";
+    session.crashing.insert(id.to_owned());
+    let job = session.store(id, 1, 300);
+    run_until_crashes(&mut session, id, 2);
+    session.run(100);
+    let owner = session.owner_of(id).expect("an owner");
+    session.kill_entry(owner, 30_000);
+    session.run_until_ended(job, 60_000);
+    let crashed = crashes(&session, id);
+    assert!(crashed <= MOST_CRASHES_IN_ALL, "{crashed}");
+}
+
+/// A caller whose connection broke sends a crashing job again at another entry.
+#[test]
+fn a_crashing_task_is_given_up_wherever_its_job_comes_again() {
+    let mut session = session(8, true);
+    session.crashing.insert("bad".to_owned());
+    let job = session.submit(0, "bad", 1, 900);
+    run_until_crashes(&mut session, "bad", 2);
+    session.break_caller(job);
+    session.run(8_000);
+    let crashed = crashes(&session, "bad");
+    assert!(crashed <= MOST_CRASHES_IN_ALL, "{crashed}");
+}
