--- a/crates/daemon/tests/soak/site.rs
+++ b/crates/daemon/tests/soak/site.rs
@@ -24,9 +24,11 @@
 use crate::clients::JobLog;
 use crate::program::Due;
 use crate::program::Program;
+use crate::program::logs;
 
 /// Tasks of one thousandth of a core times thousand that fit on a minion.
 pub const ROOM: usize = 8;
+pub const ROOM_MILLI: u32 = 8_000;
 /// One agent in this many, with this place among them, is in another zone, which
 /// operators empty.
 pub const ZONES_PART: usize = 2;
@@ -140,6 +142,10 @@
 
     fn add_program(&mut self, role: &'static str, name: &str, text: &str) {
         let path = self.folder.join(format!("{name}.toml"));
+        let text = match logs() {
+            Some(_) => text.replace("log_level = \"critical\"", "log_level = \"info\""),
+            None => text.to_owned(),
+        };
         fs::write(&path, text).expect("a settings file");
         self.programs.push(Program::new(role, path));
     }
@@ -170,6 +176,7 @@
         self.minions.iter().for_each(|minion| {
             minion.set_silent(false);
             minion.leave_unanswered(0);
+            minion.resize(ROOM_MILLI);
         });
         for program in &mut self.programs {
             program.signal(Signal::CONT);
