--- a/crates/dispatch/tests/crashing.rs
+++ b/crates/dispatch/tests/crashing.rs
@@ -270,6 +270,8 @@
     }
     session.run(3_000);
     assert!(session.violations.is_empty(), "{:?}", session.violations);
+}
+
 fn crashes(session: &Session, id: &str) -> usize {
     session.crashes.get(id).copied().unwrap_or(0)
 }
