--- a/crates/dispatch/tests/interleavings.rs
+++ b/crates/dispatch/tests/interleavings.rs
@@ -233,11 +233,21 @@
     }
 }
 
-/// The call lies four seconds while its minion begins two more lives under its id. The
-/// agent shows the first of them an epoch and stands still when the second begins.
-#[test]
-fn a_start_that_outlives_two_lives_runs_nothing_twice() {
-    let session = play(34_102, 3_000, Rebirths::Some);
+/// A call lies for seconds while its minion begins another life under its id, or two. The
+/// agent shows the first of them an epoch at most, and stands still after that.
+#[parameterized(
+    two_lives_later = { 34_102, 3_000 },
+    in_a_short_job = { 35_029, 900 },
+)]
+fn a_start_that_outlives_its_life_runs_nothing_twice(seed: u64, longest_ms: u64) {
+    let session = play(seed, longest_ms, Rebirths::Some);
     let twice = &session.violations.twice;
     assert!(twice.is_empty(), "{twice:?}");
 }
+
+#[test]
+fn stored_jobs_end_after_changes_of_owner_and_lost_hosts() {
+    let session = play_stored(35_034, Rebirths::None);
+    let lost = &session.violations.lost;
+    assert!(lost.is_empty(), "{lost:?}");
+}
