What processes know of each other is measured at 100 to 4,000 hosts

Cause: tests of the directory hold that entries meet and forget each other at 183 of them; nothing told what a change costs, nor how that grows. Ruled out: processes on loopback (4,000 do not fit, and their clock is the machine's); the session of the other tests (it links agents and entries by hand). Change: crates/dispatch/tests/growth plays entries (one host in five) and agents with the product's directory, frames and orders, each frame 1 ms on its way; processing takes no time on that clock. What was told on a connection between entries moves from crates/node/src/peer_links.rs to crates/dispatch/src/peer_news.rs unchanged, so that the measurement runs the product's code.

--- /dev/null
+++ b/crates/dispatch/tests/growth/agent.rs
@@ -0,0 +1,61 @@
+//! One agent, as far as it knows entries.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use gannetvane_dispatch::AgentHello;
+use gannetvane_dispatch::Directory;
+use gannetvane_dispatch::LINKED_ENTRIES;
+use gannetvane_dispatch::Room;
+use gannetvane_wire::NodeId;
+
+use crate::tally::Tally;
+
+#[derive(Debug)]
+pub struct Agent {
+    pub directory: Directory,
+    pub links: BTreeSet<usize>,
+    pub dialed_gains: u64,
+    pub tally: Tally,
+}
+
+impl Agent {
+    pub fn new(agent: usize, seeds: &[SocketAddr]) -> Self {
+        let directory = Directory::new(None, seeds.iter().copied());
+        Self {
+            directory: directory.with_choice(host(agent).into(), LINKED_ENTRIES),
+            links: BTreeSet::new(),
+            dialed_gains: 0,
+            tally: Tally::default(),
+        }
+    }
+
+    pub fn targets(&mut self, now_ms: u64) -> BTreeSet<SocketAddr> {
+        let directory = &self.directory;
+        self.tally.targets.measure(|| directory.targets(now_ms))
+    }
+
+    pub fn learn(&mut self, now_ms: u64, entries: &[SocketAddr]) {
+        let directory = &mut self.directory;
+        self.tally
+            .learn
+            .measure(|| directory.learn(now_ms, entries));
+    }
+}
+
+pub fn host(agent: usize) -> String {
+    format!("host-{agent}")
+}
+
+pub fn hello(agent: usize) -> AgentHello {
+    AgentHello {
+        node: NodeId(agent as u64),
+        host: host(agent).into(),
+        zone: "selfoss".into(),
+        service: "bretti-desk".into(),
+        labels: Vec::new(),
+        capacity: Room::default(),
+        clock_ms: 0,
+        kept: Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/dispatch/tests/growth/change.rs
@@ -0,0 +1,193 @@
+//! The changes that are played, and when who knew of them.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+use std::time::Duration;
+
+use gannetvane_dispatch::Directory;
+use gannetvane_dispatch::LINKED_ENTRIES;
+
+use crate::agent;
+use crate::fleet::Fleet;
+use crate::fleet::addr;
+use crate::tally::Tally;
+
+/// Hosts for each entry.
+const HOSTS_AN_ENTRY: usize = 5;
+/// Time that is counted after a change, in milliseconds.
+const COUNTED_MS: u64 = 2_000;
+/// Time that is counted in calm, in milliseconds: several lists.
+const CALM_MS: u64 = 10_000;
+/// Time after which an entry that is lost must have been forgotten, in
+/// milliseconds.
+const FORGOTTEN_MS: u64 = 42_000;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// Nothing; what is sent all the time.
+    Calm,
+    NewEntry,
+    LostEntry,
+    Configuration,
+}
+
+/// What was counted for one change at one size.
+#[derive(Clone, Debug)]
+pub struct Findings {
+    pub change: Change,
+    pub hosts: usize,
+    /// When each process that the change concerns knew, after it.
+    known_ms: Vec<u64>,
+    pub all: Tally,
+    pub busiest_bytes: u64,
+    pub busiest_messages: u64,
+    pub busiest_work: Duration,
+    pub counted_ms: u64,
+}
+
+impl Change {
+    fn counted_ms(self) -> RangeInclusive<u64> {
+        match self {
+            Self::Calm => 0..=CALM_MS,
+            Self::LostEntry => 29_000..=FORGOTTEN_MS,
+            _ => 0..=COUNTED_MS,
+        }
+    }
+}
+
+impl Findings {
+    pub fn last_ms(&self) -> u64 {
+        self.known_ms.last().copied().unwrap_or_default()
+    }
+
+    pub fn median_ms(&self) -> u64 {
+        let middle = self.known_ms.len() / 2;
+        self.known_ms.get(middle).copied().unwrap_or_default()
+    }
+}
+
+/// Plays a change in a settled fleet.
+pub fn play(change: Change, hosts: usize) -> Findings {
+    let entries = hosts / HOSTS_AN_ENTRY;
+    let mut fleet = Fleet::settled(entries, hosts - entries);
+    let changed = match change {
+        Change::NewEntry => entries,
+        _ => entries / 2,
+    };
+    let mut waiting = Waiting::new(&fleet, change, changed);
+    fleet.clear_tallies();
+    match change {
+        Change::Calm => {}
+        Change::NewEntry => fleet.add_entry(),
+        Change::LostEntry => fleet.remove_entry(changed),
+        Change::Configuration => fleet.configure(changed),
+    }
+    let begin_ms = fleet.now_ms;
+    let counted = change.counted_ms();
+    let mut known_ms = Vec::new();
+    while fleet.now_ms < begin_ms + counted.end() {
+        let for_ms = fleet.now_ms - begin_ms;
+        if for_ms < *counted.start() {
+            fleet.run(counted.start() - for_ms);
+            fleet.clear_tallies();
+        } else {
+            fleet.run(1);
+        }
+        let now_known = waiting.take_known(&fleet);
+        known_ms.extend(vec![fleet.now_ms - begin_ms; now_known]);
+    }
+    assert!(waiting.is_over(), "{change:?} at {hosts}: {waiting:?}");
+    findings(change, hosts, known_ms, &fleet)
+}
+
+fn findings(change: Change, hosts: usize, known_ms: Vec<u64>, fleet: &Fleet) -> Findings {
+    let entries = fleet.entries.iter().map(|entry| &entry.tally);
+    let agents = fleet.agents.iter().map(|agent| &agent.tally);
+    let tallies: Vec<&Tally> = entries.chain(agents).collect();
+    let sum = |sum: Tally, tally: &&Tally| sum.plus(tally);
+    let most =
+        |figure: fn(&Tally) -> u64| tallies.iter().map(|tally| figure(tally)).max().unwrap_or(0);
+    let counted = change.counted_ms();
+    Findings {
+        change,
+        hosts,
+        known_ms,
+        all: tallies.iter().fold(Tally::default(), sum),
+        busiest_bytes: most(|tally| tally.bytes),
+        busiest_messages: most(|tally| tally.messages),
+        busiest_work: tallies
+            .iter()
+            .map(|tally| tally.work())
+            .max()
+            .unwrap_or_default(),
+        counted_ms: counted.end() - counted.start(),
+    }
+}
+
+/// The processes that have not heard of a change.
+#[derive(Debug)]
+struct Waiting {
+    change: Change,
+    changed: usize,
+    version: u64,
+    entries: BTreeSet<usize>,
+    agents: BTreeSet<usize>,
+}
+
+impl Waiting {
+    fn new(fleet: &Fleet, change: Change, changed: usize) -> Self {
+        let concerns = |agent: &usize| match change {
+            Change::NewEntry => chosen(*agent, changed + 1).contains(&addr(changed)),
+            Change::LostEntry => fleet.agents[*agent].links.contains(&changed),
+            Change::Calm | Change::Configuration => false,
+        };
+        let entries = match change {
+            Change::Calm => 0..0,
+            _ => 0..fleet.entries.len(),
+        };
+        Self {
+            change,
+            changed,
+            version: fleet.entries[0].news.table.version,
+            entries: entries.filter(|entry| *entry != changed).collect(),
+            agents: (0..fleet.agents.len()).filter(concerns).collect(),
+        }
+    }
+
+    fn is_over(&self) -> bool {
+        self.entries.is_empty() && self.agents.is_empty()
+    }
+
+    /// Passes over those that know now; their number.
+    fn take_known(&mut self, fleet: &Fleet) -> usize {
+        let before = self.entries.len() + self.agents.len();
+        let (change, changed, version) = (self.change, self.changed, self.version);
+        self.entries.retain(|entry| {
+            let news = &fleet.entries[*entry].news;
+            let is_listed = || news.entries.binary_search(&addr(changed)).is_ok();
+            match change {
+                Change::Configuration => news.table.version == version,
+                Change::LostEntry => is_listed(),
+                Change::NewEntry | Change::Calm => !is_listed(),
+            }
+        });
+        self.agents.retain(|agent| {
+            let links = &fleet.agents[*agent].links;
+            match change {
+                Change::LostEntry => links.len() < LINKED_ENTRIES,
+                _ => !links.contains(&changed),
+            }
+        });
+        before - self.entries.len() - self.agents.len()
+    }
+}
+
+/// The entries that an agent chooses of so many.
+fn chosen(agent: usize, entries: usize) -> BTreeSet<SocketAddr> {
+    let all: Vec<SocketAddr> = (0..entries).map(addr).collect();
+    let directory = Directory::new(None, []);
+    let mut directory = directory.with_choice(agent::host(agent).into(), LINKED_ENTRIES);
+    directory.learn(0, &all);
+    directory.targets(0)
+}
--- /dev/null
+++ b/crates/dispatch/tests/growth/entry.rs
@@ -0,0 +1,156 @@
+//! One entry, as far as it knows others.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use gannetvane_dispatch::Directory;
+use gannetvane_dispatch::Dispatcher;
+use gannetvane_dispatch::DispatcherAction;
+use gannetvane_dispatch::DispatcherSettings;
+use gannetvane_dispatch::LINKED_PEERS;
+use gannetvane_dispatch::LinkId;
+use gannetvane_dispatch::PeerFrame;
+use gannetvane_dispatch::PeerNews;
+use gannetvane_dispatch::PeerTeller;
+use gannetvane_dispatch::Queue;
+use gannetvane_dispatch::RoutingTable;
+use gannetvane_dispatch::encode;
+
+use crate::agent::hello;
+use crate::tally::Tally;
+
+/// An entry.
+#[derive(Debug)]
+pub struct Entry {
+    pub directory: Directory,
+    pub news: PeerNews,
+    pub told_gains: u64,
+    /// Connections to other entries, with what was told there.
+    pub connections: BTreeMap<usize, Connection>,
+    /// Agents with a link.
+    pub agents: BTreeSet<usize>,
+    pub is_up: bool,
+    pub is_woken: bool,
+    pub tally: Tally,
+}
+
+#[derive(Debug, Default)]
+pub struct Connection {
+    teller: PeerTeller,
+    /// Number of the last frame; a pause that began earlier is over.
+    pub frames: u64,
+}
+
+impl Entry {
+    pub fn new(own: SocketAddr, seeds: &[SocketAddr]) -> Self {
+        let directory = Directory::new(Some(own), seeds.iter().copied());
+        Self {
+            directory: directory.with_choice(own.to_string().into(), LINKED_PEERS),
+            news: PeerNews::default(),
+            told_gains: 0,
+            connections: BTreeMap::new(),
+            agents: BTreeSet::new(),
+            is_up: true,
+            is_woken: false,
+            tally: Tally::default(),
+        }
+    }
+
+    pub fn targets(&mut self, now_ms: u64) -> BTreeSet<SocketAddr> {
+        let directory = &self.directory;
+        self.tally.targets.measure(|| directory.targets(now_ms))
+    }
+
+    /// Takes over what another entry told; whether the configuration is newer.
+    pub fn received(&mut self, now_ms: u64, from: SocketAddr, frame: PeerFrame) -> bool {
+        let directory = &mut self.directory;
+        self.tally.learn.measure(|| {
+            directory.reached(now_ms, from);
+            directory.learn_reached(now_ms, &frame.entries);
+        });
+        match frame.table {
+            Some(table) if table.version > self.news.table.version => {
+                self.news.table = Arc::new(table);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Whether the set of entries changed since others were told.
+    pub fn has_changed(&mut self, now_ms: u64) -> bool {
+        self.told_gains = self.directory.gains();
+        let entries = self.directory.news(now_ms);
+        let has_changed = entries != self.news.entries;
+        self.news.entries = entries;
+        has_changed
+    }
+
+    /// The next frame to another entry; `None` without a connection.
+    pub fn next_frame(&mut self, now_ms: u64, to: usize) -> Option<Vec<u8>> {
+        let connection = self.connections.get_mut(&to)?;
+        connection.frames += 1;
+        let known = || self.directory.known(now_ms);
+        let frame = connection.teller.next_frame(&self.news, known);
+        let bytes = encode(&frame).expect("it has an encoding");
+        self.tally.sent(&bytes);
+        Some(bytes)
+    }
+
+    /// The frames that tell these agents of the entries.
+    pub fn frames_to(&mut self, now_ms: u64, agents: &BTreeSet<usize>) -> Vec<(usize, Vec<u8>)> {
+        let settings = DispatcherSettings {
+            zone: "selfoss".into(),
+            remote_factor: 1.0,
+            seed: 1,
+        };
+        let mut dispatcher = Dispatcher::new(settings, now_ms);
+        for agent in agents {
+            dispatcher.agent_up(now_ms, LinkId(*agent as u64), hello(*agent));
+        }
+        dispatcher.tell_entries(&self.news.entries);
+        dispatcher.tick(now_ms);
+        let frames: Vec<(usize, Vec<u8>)> = dispatcher
+            .take_actions()
+            .into_iter()
+            .filter_map(order)
+            .collect();
+        for (_, frame) in &frames {
+            self.tally.sent(frame);
+        }
+        frames
+    }
+}
+
+/// A configuration of as many queues as the users have teams.
+pub fn table(version: u64) -> RoutingTable {
+    let queue = |number: u32| {
+        Arc::new(Queue {
+            name: format!("queue-{number}").into(),
+            host: "dispatch.example".into(),
+            path_prefix: format!("/queue-{number}/").into(),
+            service: format!("service-{number}").into(),
+            timeout_ms: 8_000,
+            target_latency_ms: 400,
+            priority: number % 3,
+            max_attempts: 3,
+            stretch: 1.5,
+            needs_advice: false,
+        })
+    };
+    RoutingTable {
+        version,
+        queues: (0..84).map(queue).collect(),
+        max_body_bytes: 65_536,
+    }
+}
+
+fn order(action: DispatcherAction) -> Option<(usize, Vec<u8>)> {
+    let DispatcherAction::Send(LinkId(agent), frame) = action else {
+        return None;
+    };
+    let agent = usize::try_from(agent).expect("it is a number of an agent");
+    (!frame.orders.is_empty()).then(|| (agent, encode(&frame).expect("it has an encoding")))
+}
--- /dev/null
+++ b/crates/dispatch/tests/growth/fleet.rs
@@ -0,0 +1,371 @@
+//! Entries and agents that exchange what they know, as `gannetvane-node` does.
+
+use std::collections::BTreeSet;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use gannetvane_dispatch::EntryFrame;
+use gannetvane_dispatch::KnownEntry;
+use gannetvane_dispatch::Order;
+use gannetvane_dispatch::PeerAck;
+use gannetvane_dispatch::PeerFrame;
+use gannetvane_dispatch::decode;
+use gannetvane_dispatch::encode;
+
+use crate::agent::Agent;
+use crate::entry;
+use crate::entry::Connection;
+use crate::entry::Entry;
+use crate::queue::Queue;
+use crate::tally::Tally;
+
+/// Time that a frame takes from one process to another, in milliseconds.
+const DELAY_MS: u64 = 1;
+/// Pause between two looks of a process at its directory, in milliseconds.
+const REFRESH_MS: u64 = 500;
+/// Pause between two frames to another entry, in milliseconds.
+const KEEPALIVE_MS: u64 = 1_000;
+/// Time between two lists of all entries, in milliseconds.
+const LIST_MS: u64 = 5_000;
+const SEEDS: usize = 3;
+const BEGIN_MS: u64 = 100_000;
+
+#[derive(Debug)]
+enum Event {
+    /// An entry looks at its directory.
+    EntryLook(usize),
+    /// An agent looks at its directory.
+    AgentLook(usize),
+    /// An entry has taken in all that came at this moment.
+    Wake(usize),
+    /// A connection between two entries, by the one that opened it, is open.
+    Open(usize, usize),
+    /// The pause after this frame is over.
+    Beat(usize, usize, u64),
+    Frame(usize, usize, Rc<Vec<u8>>),
+    Ack(usize, usize),
+    /// An agent's link to an entry is open.
+    Link(usize, usize),
+    /// An entry's frame to an agent.
+    Orders(usize, usize, Vec<u8>),
+}
+
+#[derive(Debug)]
+pub struct Fleet {
+    pub now_ms: u64,
+    pub entries: Vec<Entry>,
+    pub agents: Vec<Agent>,
+    queue: Queue<Event>,
+}
+
+pub fn addr(entry: usize) -> SocketAddr {
+    let [.., high, low] = entry.to_be_bytes();
+    SocketAddr::from((Ipv4Addr::new(10, 1, high, low), 7_720))
+}
+
+fn number(addr: SocketAddr) -> usize {
+    let SocketAddr::V4(addr) = addr else {
+        unreachable!("all addresses are of version 4");
+    };
+    let [.., high, low] = addr.ip().octets();
+    usize::from(u16::from_be_bytes([high, low]))
+}
+
+impl Fleet {
+    /// So many entries and agents that know each other, connected as they choose.
+    pub fn settled(entries: usize, agents: usize) -> Self {
+        let seeds: Vec<SocketAddr> = (0..SEEDS).map(addr).collect();
+        let mut fleet = Self {
+            now_ms: BEGIN_MS,
+            entries: (0..entries)
+                .map(|entry| Entry::new(addr(entry), &seeds))
+                .collect(),
+            agents: (0..agents).map(|agent| Agent::new(agent, &seeds)).collect(),
+            queue: Queue::new(),
+        };
+        fleet.introduce();
+        for entry in 0..entries {
+            fleet.start_entry(entry);
+        }
+        for agent in 0..agents {
+            fleet.settle_agent(agent);
+            let at_ms = BEGIN_MS + agent as u64 % REFRESH_MS;
+            fleet.queue.add(at_ms, Event::AgentLook(agent));
+        }
+        fleet.run(LIST_MS + KEEPALIVE_MS);
+        fleet
+    }
+
+    fn introduce(&mut self) {
+        let known = |entry| KnownEntry {
+            addr: addr(entry),
+            age_ms: 0,
+        };
+        let known: Vec<KnownEntry> = (0..self.entries.len()).map(known).collect();
+        let table = Arc::new(entry::table(1));
+        for entry in &mut self.entries {
+            entry.directory.learn_reached(BEGIN_MS, &known);
+            entry.news.table = Arc::clone(&table);
+            entry.has_changed(BEGIN_MS);
+        }
+        let addrs: Vec<SocketAddr> = known.iter().map(|known| known.addr).collect();
+        for agent in &mut self.agents {
+            agent.learn(BEGIN_MS, &addrs);
+        }
+    }
+
+    /// Opens the links that an agent chooses.
+    fn settle_agent(&mut self, agent: usize) {
+        let state = &mut self.agents[agent];
+        for target in state.targets(BEGIN_MS) {
+            state.directory.reached(BEGIN_MS, target);
+            state.links.insert(number(target));
+            self.entries[number(target)].agents.insert(agent);
+        }
+        state.dialed_gains = state.directory.gains();
+    }
+
+    fn start_entry(&mut self, entry: usize) {
+        let at_ms = self.now_ms + entry as u64 * 7 % REFRESH_MS;
+        self.queue.add(at_ms, Event::EntryLook(entry));
+    }
+
+    /// One more entry, which the store told of the others.
+    pub fn add_entry(&mut self) {
+        let number = self.entries.len();
+        let seeds: Vec<SocketAddr> = (0..SEEDS).map(addr).collect();
+        let mut new = Entry::new(addr(number), &seeds);
+        let others: Vec<SocketAddr> = (0..number).map(addr).collect();
+        new.directory.learn(self.now_ms, &others);
+        self.entries.push(new);
+        self.queue.add(self.now_ms, Event::EntryLook(number));
+    }
+
+    /// An entry is gone, and its connections with it.
+    pub fn remove_entry(&mut self, gone: usize) {
+        self.entries[gone].is_up = false;
+        for entry in &mut self.entries {
+            entry.connections.remove(&gone);
+        }
+        for agent in &mut self.agents {
+            agent.links.remove(&gone);
+        }
+    }
+
+    /// An entry reads a newer configuration.
+    pub fn configure(&mut self, entry: usize) {
+        let version = self.entries[entry].news.table.version + 1;
+        self.entries[entry].news.table = Arc::new(entry::table(version));
+        self.tell_peers(entry);
+    }
+
+    /// Plays this long.
+    pub fn run(&mut self, for_ms: u64) {
+        let until_ms = self.now_ms + for_ms;
+        while let Some((at_ms, event)) = self.queue.next(until_ms) {
+            self.now_ms = at_ms;
+            self.play(event);
+        }
+        self.now_ms = until_ms;
+    }
+
+    pub fn clear_tallies(&mut self) {
+        for entry in &mut self.entries {
+            entry.tally = Tally::default();
+        }
+        for agent in &mut self.agents {
+            agent.tally = Tally::default();
+        }
+    }
+
+    fn play(&mut self, event: Event) {
+        match event {
+            Event::EntryLook(entry) => self.entry_looks(entry),
+            Event::AgentLook(agent) => {
+                self.agent_dials(agent);
+                self.queue
+                    .add(self.now_ms + REFRESH_MS, Event::AgentLook(agent));
+            }
+            Event::Wake(entry) => self.wake(entry),
+            Event::Open(from, to) => self.open(from, to),
+            Event::Beat(from, to, frames) => {
+                let connection = self.entries[from].connections.get(&to);
+                if connection.is_some_and(|connection| connection.frames == frames) {
+                    self.tell_peer(from, to);
+                }
+            }
+            Event::Frame(from, to, frame) => self.frame(from, to, &frame),
+            Event::Ack(from, to) => {
+                self.entries[to].directory.reached(self.now_ms, addr(from));
+                self.note_input(to);
+            }
+            Event::Link(agent, entry) => self.link(agent, entry),
+            Event::Orders(entry, agent, frame) => self.orders(entry, agent, &frame),
+        }
+    }
+
+    fn entry_looks(&mut self, entry: usize) {
+        if !self.entries[entry].is_up {
+            return;
+        }
+        self.spread(entry);
+        self.entry_dials(entry);
+        self.queue
+            .add(self.now_ms + REFRESH_MS, Event::EntryLook(entry));
+    }
+
+    fn entry_dials(&mut self, entry: usize) {
+        for target in self.entries[entry].targets(self.now_ms) {
+            let to = number(target);
+            if !self.entries[entry].connections.contains_key(&to) && self.is_up(to) {
+                let connection = Connection::default();
+                self.entries[entry].connections.insert(to, connection);
+                self.queue
+                    .add(self.now_ms + 2 * DELAY_MS, Event::Open(entry, to));
+            }
+        }
+    }
+
+    fn agent_dials(&mut self, agent: usize) {
+        let now_ms = self.now_ms;
+        let targets = self.agents[agent].targets(now_ms);
+        for entry in targets.into_iter().map(number) {
+            if !self.is_up(entry) {
+                continue;
+            }
+            if self.agents[agent].links.insert(entry) {
+                self.queue
+                    .add(now_ms + 3 * DELAY_MS, Event::Link(agent, entry));
+            } else {
+                // Frames on the link come far more often than looks.
+                let directory = &mut self.agents[agent].directory;
+                directory.reached(now_ms, addr(entry));
+            }
+        }
+        // The links that are kept.
+        let targets = self.agents[agent].targets(now_ms);
+        let is_wanted = |entry: &usize| targets.contains(&addr(*entry));
+        let links = std::mem::take(&mut self.agents[agent].links);
+        let (kept, retired): (BTreeSet<usize>, BTreeSet<usize>) =
+            links.into_iter().partition(is_wanted);
+        self.agents[agent].links = kept;
+        for entry in retired {
+            self.entries[entry].agents.remove(&agent);
+        }
+        self.agents[agent].dialed_gains = self.agents[agent].directory.gains();
+    }
+
+    fn is_up(&self, entry: usize) -> bool {
+        self.entries.get(entry).is_some_and(|entry| entry.is_up)
+    }
+
+    /// What came is looked at once all of this moment is there.
+    fn note_input(&mut self, entry: usize) {
+        let state = &mut self.entries[entry];
+        if state.directory.gains() != state.told_gains && !state.is_woken {
+            state.is_woken = true;
+            self.queue.add(self.now_ms, Event::Wake(entry));
+        }
+    }
+
+    fn wake(&mut self, entry: usize) {
+        self.entries[entry].is_woken = false;
+        self.spread(entry);
+        self.entry_dials(entry);
+    }
+
+    /// Tells entries and agents when the set of entries changed.
+    fn spread(&mut self, entry: usize) {
+        let now_ms = self.now_ms;
+        if !self.entries[entry].has_changed(now_ms) {
+            return;
+        }
+        let agents = self.entries[entry].agents.clone();
+        self.tell_agents(entry, &agents);
+        self.tell_peers(entry);
+    }
+
+    fn tell_agents(&mut self, entry: usize, agents: &BTreeSet<usize>) {
+        let frames = self.entries[entry].frames_to(self.now_ms, agents);
+        for (agent, frame) in frames {
+            let at_ms = self.now_ms + DELAY_MS;
+            self.queue.add(at_ms, Event::Orders(entry, agent, frame));
+        }
+    }
+
+    fn tell_peers(&mut self, entry: usize) {
+        let connections = self.entries[entry].connections.iter();
+        // One that is not open yet tells everything once it is.
+        let open = connections.filter(|(_, connection)| connection.frames > 0);
+        let open: Vec<usize> = open.map(|(to, _)| *to).collect();
+        for to in open {
+            self.tell_peer(entry, to);
+        }
+    }
+
+    fn open(&mut self, from: usize, to: usize) {
+        if self.is_up(to) {
+            self.tell_peer(from, to);
+        } else {
+            self.entries[from].connections.remove(&to);
+        }
+    }
+
+    fn tell_peer(&mut self, from: usize, to: usize) {
+        let now_ms = self.now_ms;
+        let is_target = self.entries[from].targets(now_ms).contains(&addr(to));
+        if !self.entries[from].is_up || !is_target {
+            self.entries[from].connections.remove(&to);
+            return;
+        }
+        let Some(frame) = self.entries[from].next_frame(now_ms, to) else {
+            return;
+        };
+        let frames = self.entries[from].connections[&to].frames;
+        let frame = Event::Frame(from, to, Rc::new(frame));
+        self.queue.add(now_ms + DELAY_MS, frame);
+        self.queue
+            .add(now_ms + KEEPALIVE_MS, Event::Beat(from, to, frames));
+    }
+
+    fn frame(&mut self, from: usize, to: usize, frame: &[u8]) {
+        if !self.is_up(to) {
+            return;
+        }
+        let frame: PeerFrame = decode(frame).expect("it was encoded");
+        let is_newer = self.entries[to].received(self.now_ms, addr(from), frame);
+        let ack = encode(&PeerAck).expect("it has an encoding");
+        self.entries[to].tally.sent(&ack);
+        self.queue.add(self.now_ms + DELAY_MS, Event::Ack(to, from));
+        if is_newer {
+            self.tell_peers(to);
+        }
+        self.note_input(to);
+    }
+
+    fn link(&mut self, agent: usize, entry: usize) {
+        if self.is_up(entry) && self.agents[agent].links.contains(&entry) {
+            self.entries[entry].agents.insert(agent);
+            self.tell_agents(entry, &BTreeSet::from([agent]));
+        } else {
+            self.agents[agent].links.remove(&entry);
+        }
+    }
+
+    fn orders(&mut self, entry: usize, agent: usize, frame: &[u8]) {
+        let now_ms = self.now_ms;
+        let frame: EntryFrame = decode(frame).expect("it was encoded");
+        let state = &mut self.agents[agent];
+        state.directory.reached(now_ms, addr(entry));
+        for order in frame.orders {
+            if let Order::Entries(entries) = order {
+                state.learn(now_ms, &entries);
+            }
+        }
+        if state.directory.gains() != state.dialed_gains {
+            self.agent_dials(agent);
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/tests/growth/queue.rs
@@ -0,0 +1,31 @@
+//! What is to come, by time.
+
+use std::collections::BTreeMap;
+
+/// Events in the order of their time and, at the same time, of their addition.
+#[derive(Debug)]
+pub struct Queue<T> {
+    events: BTreeMap<(u64, u64), T>,
+    added: u64,
+}
+
+impl<T> Queue<T> {
+    pub fn new() -> Self {
+        Self {
+            events: BTreeMap::new(),
+            added: 0,
+        }
+    }
+
+    pub fn add(&mut self, at_ms: u64, event: T) {
+        self.added += 1;
+        self.events.insert((at_ms, self.added), event);
+    }
+
+    /// The next event, if it is due by then.
+    pub fn next(&mut self, until_ms: u64) -> Option<(u64, T)> {
+        let first = self.events.first_entry()?;
+        let (at_ms, _) = *first.key();
+        (at_ms <= until_ms).then(|| (at_ms, first.remove()))
+    }
+}
--- /dev/null
+++ b/crates/dispatch/tests/growth/report.rs
@@ -0,0 +1,71 @@
+//! Findings as lines of a table.
+
+use std::fmt;
+
+use crate::change::Findings;
+
+const HEADER: &str = "change,hosts,median_ms,last_ms,messages,bytes,\
+    busiest_messages,busiest_bytes,targets_us,targets_per_s,learn_us,learn_per_s,busiest_ms_per_s";
+
+/// One line for each size, and the powers with which the figures grow.
+pub fn table(findings: &[Findings]) -> String {
+    let lines = findings.iter().map(ToString::to_string);
+    let lines = std::iter::once(HEADER.to_owned()).chain(lines);
+    let lines: Vec<String> = lines.chain([power(findings)]).collect();
+    lines.join("\n")
+}
+
+impl fmt::Display for Findings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let seconds = self.counted_ms as f64 / 1e3;
+        let (targets, learn) = (self.all.targets, self.all.learn);
+        write!(
+            f,
+            "{:?},{},{},{},{},{},{},{},{:.1},{:.0},{:.1},{:.0},{:.3}",
+            self.change,
+            self.hosts,
+            self.median_ms(),
+            self.last_ms(),
+            self.all.messages,
+            self.all.bytes,
+            self.busiest_messages,
+            self.busiest_bytes,
+            targets.each_us(),
+            targets.calls as f64 / seconds,
+            learn.each_us(),
+            learn.calls as f64 / seconds,
+            self.busiest_work.as_secs_f64() * 1e3 / seconds,
+        )
+    }
+}
+
+/// The powers of the number of hosts with which the figures grow, by their
+/// logarithms over all sizes.
+fn power(findings: &[Findings]) -> String {
+    let of = |figure: fn(&Findings) -> f64| slope(findings, figure);
+    format!(
+        "power,,,{:.2},{:.2},{:.2},{:.2},{:.2},{:.2},,{:.2},,{:.2}",
+        of(|findings| findings.last_ms() as f64),
+        of(|findings| findings.all.messages as f64),
+        of(|findings| findings.all.bytes as f64),
+        of(|findings| findings.busiest_messages as f64),
+        of(|findings| findings.busiest_bytes as f64),
+        of(|findings| findings.all.targets.each_us()),
+        of(|findings| findings.all.learn.each_us()),
+        of(|findings| findings.busiest_work.as_secs_f64()),
+    )
+}
+
+fn slope(findings: &[Findings], figure: fn(&Findings) -> f64) -> f64 {
+    let points = findings.iter().map(|findings| {
+        let hosts = findings.hosts as f64;
+        (hosts.ln(), figure(findings).max(f64::MIN_POSITIVE).ln())
+    });
+    let points: Vec<(f64, f64)> = points.collect();
+    let count = points.len() as f64;
+    let mean_x = points.iter().map(|(x, _)| x).sum::<f64>() / count;
+    let mean_y = points.iter().map(|(_, y)| y).sum::<f64>() / count;
+    let covariance = points.iter().map(|(x, y)| (x - mean_x) * (y - mean_y));
+    let variance = points.iter().map(|(x, _)| (x - mean_x).powi(2));
+    covariance.sum::<f64>() / variance.sum::<f64>()
+}
--- a/crates/node/src/peer_links.rs
+++ b/crates/node/src/peer_links.rs
@@ -3,15 +3,13 @@
 //! silent, and the opener tells everything anew on the next one.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
-use gannetvane_dispatch::Evacuations;
 use gannetvane_dispatch::Greeting;
-use gannetvane_dispatch::KnownEntry;
 use gannetvane_dispatch::PeerAck;
 use gannetvane_dispatch::PeerFrame;
-use gannetvane_dispatch::RoutingTable;
+use gannetvane_dispatch::PeerNews;
+use gannetvane_dispatch::PeerTeller;
 use gannetvane_dispatch::decode;
 use gannetvane_dispatch::encode;
 use tokio::sync::watch;
@@ -30,19 +28,6 @@
 /// may be late.
 const SILENCE_MS: u64 = 2_200;
 
-/// Frames from one with all known entries to the next; a change of the set is
-/// told at once. The rest keep the connection alive.
-const FRAMES_A_LIST: u32 = 5;
-
-/// What an entry tells the others.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct PeerNews {
-    pub(crate) table: Arc<RoutingTable>,
-    pub(crate) evacuations: Evacuations,
-    pub(crate) entries: Vec<SocketAddr>,
-    pub(crate) has_stored_jobs: bool,
-}
-
 /// Tells another entry what changes, until the connection ends; whether the
 /// other one ever answered.
 pub(crate) async fn dial(
@@ -62,7 +47,7 @@
         return false;
     };
     sender.send(greeting);
-    let mut teller = Teller::default();
+    let mut teller = PeerTeller::default();
     let mut heard_ms = clock.now_ms();
     let mut was_answered = false;
     while clock.now_ms() < heard_ms + SILENCE_MS && is_target(entry, &directory, &clock) {
@@ -122,41 +107,6 @@
     directory.targets(clock.now_ms()).contains(&entry)
 }
 
-/// What was told on a connection.
-#[derive(Debug, Default)]
-struct Teller {
-    version: u64,
-    evacuated_as_of: u64,
-    entries: Vec<SocketAddr>,
-    frames_since_list: u32,
-}
-
-impl Teller {
-    /// What changed since the last frame; everything in the first one.
-    fn next_frame(
-        &mut self,
-        news: &PeerNews,
-        known: impl FnOnce() -> Vec<KnownEntry>,
-    ) -> PeerFrame {
-        let is_newer = news.table.version > self.version;
-        self.version = news.table.version;
-        let is_later = news.evacuations.as_of > self.evacuated_as_of;
-        self.evacuated_as_of = news.evacuations.as_of;
-        self.frames_since_list += 1;
-        let is_list_due = self.frames_since_list >= FRAMES_A_LIST || self.entries != news.entries;
-        if is_list_due {
-            self.frames_since_list = 0;
-            self.entries.clone_from(&news.entries);
-        }
-        PeerFrame {
-            entries: if is_list_due { known() } else { Vec::new() },
-            table: is_newer.then(|| (*news.table).clone()),
-            has_stored_jobs: news.has_stored_jobs,
-            evacuations: is_later.then(|| news.evacuations.clone()),
-        }
-    }
-}
-
 async fn next_ack(reader: &mut FrameReader) -> Option<PeerAck> {
     let frame = links::next_frame(reader).await?;
     decode(&frame).ok()
