An agent is told of the entries that it chooses, not of all

What it cost: of all bytes for a new entry at 4,000 hosts four fifths were lists of 800 entries to each of 38,400 links, for agents that link to 12 each; they grew with the square of the fleet. Ruled out: differences of the list (an agent that lost a link needs an entry that was told before, and forgets after 30 s what it does not reach); telling only agents whose choice changed (an agent that could not reach an entry for 30 s is told of it again by the next change, as today). Change: the choice is a hash of the agent's host and the entry, so that the entry can tell it: Order::Entries holds the 12 highest for that agent. The wire is the same, and with up to 12 entries the orders are. The choice moves to a module of its own; it selects where it sorted. Test: agents_are_told_of_the_entries_that_they_choose fails without the change.

--- a/crates/dispatch/src/directory.rs
+++ b/crates/dispatch/src/directory.rs
@@ -5,9 +5,9 @@
 use std::net::SocketAddr;
 
 use gannetvane_wire::Name;
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::KnownEntry;
+use crate::choice::Choice;
 
 /// Entries that an agent keeps a link to: its messages stay the same in a larger
 /// fleet, and each entry has agents enough while there are fewer entries than agents.
@@ -35,14 +35,6 @@
     gains: u64,
 }
 
-/// A bound on the entries that are targets.
-#[derive(Clone, Debug)]
-struct Choice {
-    /// Whose choice it is; others choose other entries.
-    chooser: Name,
-    most: usize,
-}
-
 impl Directory {
     /// A directory that starts with seeds, which are never forgotten, and
     /// never names the process itself as a target.
@@ -63,7 +55,7 @@
     /// few links.
     #[must_use]
     pub fn with_choice(mut self, chooser: Name, most: usize) -> Self {
-        self.choice = Some(Choice { chooser, most });
+        self.choice = Some(Choice::new(chooser, most));
         self
     }
 
@@ -111,10 +103,7 @@
     #[must_use]
     pub fn targets(&self, now_ms: u64) -> BTreeSet<SocketAddr> {
         let heard: BTreeSet<SocketAddr> = recent(&self.heard, now_ms).collect();
-        let most = self
-            .choice
-            .as_ref()
-            .map_or(usize::MAX, |choice| choice.most);
+        let most = self.choice.as_ref().map_or(usize::MAX, Choice::most);
         let mut targets = heard;
         if targets.len() < most {
             // Seeds may be long gone, so they do not take the places of others.
@@ -152,23 +141,6 @@
     }
 }
 
-impl Choice {
-    fn highest(&self, entries: BTreeSet<SocketAddr>) -> BTreeSet<SocketAddr> {
-        if entries.len() <= self.most {
-            return entries;
-        }
-        let mut ranked: Vec<SocketAddr> = entries.into_iter().collect();
-        ranked.sort_by_cached_key(|entry| std::cmp::Reverse(self.rank(*entry)));
-        ranked.truncate(self.most);
-        ranked.into_iter().collect()
-    }
-
-    fn rank(&self, entry: SocketAddr) -> u64 {
-        let key = format!("{} {entry}", self.chooser);
-        xxh3_64(key.as_bytes())
-    }
-}
-
 /// Notes the time of a contact; whether the entry was not known.
 fn note(times: &mut BTreeMap<SocketAddr, u64>, now_ms: u64, entry: SocketAddr, at_ms: u64) -> bool {
     let known_ms = times.get(&entry).copied();
--- a/crates/dispatch/src/dispatcher/fleet.rs
+++ b/crates/dispatch/src/dispatcher/fleet.rs
@@ -1,6 +1,7 @@
 //! The agents that an entry knows, and what it learned of their hosts.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 use gannetvane_wire::Name;
 
@@ -8,9 +9,11 @@
 use crate::AgentHello;
 use crate::Demand;
 use crate::GRANT_MS;
+use crate::LINKED_ENTRIES;
 use crate::Order;
 use crate::OrderId;
 use crate::Room;
+use crate::choice::Choice;
 
 /// First time for which a host that failed gets no tasks, in milliseconds.
 const FIRST_EJECTION_MS: u64 = 300;
@@ -159,6 +162,15 @@
         orders.map(|(_, needs)| *needs)
     }
 
+    /// Tells the agent of those entries that it chooses. All of them would be a
+    /// list that grows with the fleet, to as many agents.
+    pub(crate) fn tell_entries(&mut self, entries: &[SocketAddr]) {
+        let choice = Choice::new(self.hello.host.clone(), LINKED_ENTRIES);
+        let chosen = choice.highest(entries.iter().copied().collect());
+        let chosen = chosen.into_iter().collect();
+        self.outbox.push(Order::Entries(chosen));
+    }
+
     /// Tells the agent that its offer is of no use, if it made one.
     pub(crate) fn decline_offer(&mut self) {
         if std::mem::take(&mut self.has_offered) {
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -29,7 +29,6 @@
 use crate::JobOutcome;
 use crate::KEEPALIVE_MS;
 use crate::LinkId;
-use crate::Order;
 use crate::OrderId;
 use crate::Report;
 use crate::RoutingTable;
@@ -379,17 +378,17 @@
         }
     }
 
-    /// Tells all agents of the entries that are known.
+    /// Tells each agent of the entries that it is to link to.
     pub fn tell_entries(&mut self, entries: &[SocketAddr]) {
         for agent in self.agents.values_mut() {
-            agent.outbox.push(Order::Entries(entries.to_vec()));
+            agent.tell_entries(entries);
         }
     }
 
-    /// Tells one agent of the entries that are known.
+    /// Tells one agent of the entries that it is to link to.
     pub fn tell_entries_to(&mut self, link: LinkId, entries: &[SocketAddr]) {
         if let Some(agent) = self.agents.get_mut(&link) {
-            agent.outbox.push(Order::Entries(entries.to_vec()));
+            agent.tell_entries(entries);
         }
     }
 
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -16,6 +16,7 @@
 //! ```
 
 mod agent;
+mod choice;
 mod directory;
 mod dispatcher;
 mod evacuations;
--- a/crates/dispatch/tests/growth/change.rs
+++ b/crates/dispatch/tests/growth/change.rs
@@ -184,7 +184,7 @@
 }
 
 /// The entries that an agent chooses of so many.
-fn chosen(agent: usize, entries: usize) -> BTreeSet<SocketAddr> {
+pub fn chosen(agent: usize, entries: usize) -> BTreeSet<SocketAddr> {
     let all: Vec<SocketAddr> = (0..entries).map(addr).collect();
     let directory = Directory::new(None, []);
     let mut directory = directory.with_choice(agent::host(agent).into(), LINKED_ENTRIES);
--- a/crates/dispatch/tests/growth/main.rs
+++ b/crates/dispatch/tests/growth/main.rs
@@ -16,8 +16,15 @@
 mod report;
 mod tally;
 
+use std::collections::BTreeSet;
+
+use gannetvane_dispatch::EntryFrame;
+use gannetvane_dispatch::Order;
+use gannetvane_dispatch::decode;
+
 use change::Change;
 use change::Findings;
+use fleet::Fleet;
 
 const SMALL_SIZES: [usize; 2] = [100, 300];
 const ALL_SIZES: [usize; 5] = [100, 300, 1_000, 2_000, 4_000];
@@ -38,6 +45,22 @@
     }
 }
 
+#[test]
+fn agents_are_told_of_the_entries_that_they_choose() {
+    for entries in [8, 200] {
+        let mut fleet = Fleet::settled(entries, 20);
+        let now_ms = fleet.now_ms;
+        let agents: BTreeSet<usize> = (0..20).collect();
+        let frames = fleet.entries[0].frames_to(now_ms, &agents);
+        assert_eq!(frames.len(), agents.len());
+        for (agent, frame) in frames {
+            let frame: EntryFrame = decode(&frame).unwrap();
+            let chosen = change::chosen(agent, entries).into_iter().collect();
+            assert_eq!(frame.orders, [Order::Entries(chosen)]);
+        }
+    }
+}
+
 #[test]
 #[ignore = "takes minutes; prints a table"]
 fn calm_at_all_sizes() {
