Targets are remembered until the set of entries changes

What it cost: each look at the targets hashed and ranked all entries that are known: 8 connections a second at an entry, two looks at each 500 ms everywhere, and twice in each list that an agent is told. Ruled out: to hash without text (the same hash must come out in all processes; the rank of all entries stays); to rank when told only (entries are forgotten by time as well). Change: the directory keeps its choice until the first entry that it was made of could be forgotten. An entry that becomes known is weighed against the chosen ones only, unless seeds were among them; other seeds discard the choice. What is chosen is the same. Test: targets.rs compares remembered targets with ones chosen anew after any sequence of 1 to 120 words of entries that are new, late, forgotten and known again.

--- a/crates/dispatch/src/directory.rs
+++ b/crates/dispatch/src/directory.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::ops::Range;
 
 use gannetvane_wire::Name;
 
@@ -31,10 +32,21 @@
     /// When each was last reached, by anybody.
     reached: BTreeMap<SocketAddr, u64>,
     choice: Option<Choice>,
+    targets: Option<Targets>,
     /// Times that an entry was named or reached which was not known before.
     gains: u64,
 }
 
+/// The targets as they were last chosen.
+#[derive(Clone, Debug)]
+struct Targets {
+    entries: BTreeSet<SocketAddr>,
+    /// Whether seeds were among those to choose from.
+    has_seeds: bool,
+    /// Since when they hold, and until when none is forgotten.
+    hold_ms: Range<u64>,
+}
+
 impl Directory {
     /// A directory that starts with seeds, which are never forgotten, and
     /// never names the process itself as a target.
@@ -46,6 +58,7 @@
             heard: BTreeMap::new(),
             reached: BTreeMap::new(),
             choice: None,
+            targets: None,
             gains: 0,
         }
     }
@@ -56,19 +69,21 @@
     #[must_use]
     pub fn with_choice(mut self, chooser: Name, most: usize) -> Self {
         self.choice = Some(Choice::new(chooser, most));
+        self.targets = None;
         self
     }
 
     /// Takes over other seeds.
     pub fn set_seeds(&mut self, seeds: impl IntoIterator<Item = SocketAddr>) {
         self.seeds = seeds.into_iter().collect();
+        self.targets = None;
     }
 
     /// Notes addresses that somebody reached; true if one was not a target.
     pub fn learn(&mut self, now_ms: u64, entries: &[SocketAddr]) -> bool {
         let before = self.targets(now_ms).len();
         for entry in entries {
-            self.gains += u64::from(note(&mut self.heard, now_ms, *entry, now_ms));
+            self.note_heard(now_ms, *entry, now_ms);
         }
         self.targets(now_ms).len() > before
     }
@@ -78,19 +93,43 @@
         let recent = |entry: &&KnownEntry| u64::from(entry.age_ms) < FORGET_MS;
         for entry in entries.iter().filter(recent) {
             let at_ms = now_ms.saturating_sub(u64::from(entry.age_ms));
-            for times in [&mut self.heard, &mut self.reached] {
-                self.gains += u64::from(note(times, now_ms, entry.addr, at_ms));
-            }
+            self.note_reached(now_ms, entry.addr, at_ms);
         }
     }
 
     /// Notes an entry that was reached just now.
     pub fn reached(&mut self, now_ms: u64, entry: SocketAddr) {
-        for times in [&mut self.heard, &mut self.reached] {
-            self.gains += u64::from(note(times, now_ms, entry, now_ms));
+        self.note_reached(now_ms, entry, now_ms);
+    }
+
+    fn note_reached(&mut self, now_ms: u64, entry: SocketAddr, at_ms: u64) {
+        self.note_heard(now_ms, entry, at_ms);
+        self.gains += u64::from(note(&mut self.reached, now_ms, entry, at_ms));
+    }
+
+    fn note_heard(&mut self, now_ms: u64, entry: SocketAddr, at_ms: u64) {
+        if note(&mut self.heard, now_ms, entry, at_ms) {
+            self.gains += 1;
+            self.add_target(now_ms, entry, at_ms);
         }
     }
 
+    /// Chooses between the targets and an entry that was not known before.
+    fn add_target(&mut self, now_ms: u64, entry: SocketAddr, at_ms: u64) {
+        let chosen = self.targets.take().zip(self.choice.as_ref());
+        self.targets = chosen.and_then(|(mut targets, choice)| {
+            if targets.has_seeds || !targets.hold_ms.contains(&now_ms) {
+                return None;
+            }
+            if Some(entry) != self.own {
+                targets.entries.insert(entry);
+                targets.entries = choice.highest(targets.entries);
+            }
+            targets.hold_ms.end = targets.hold_ms.end.min(at_ms + FORGET_MS);
+            Some(targets)
+        });
+    }
+
     /// A number that rises when an entry becomes known, so that it is dialed
     /// and told of at once: after a start of all processes, it would be without
     /// agents until the next look.
@@ -99,20 +138,37 @@
         self.gains
     }
 
-    /// The entries, but this one, that are worth a connection.
-    #[must_use]
-    pub fn targets(&self, now_ms: u64) -> BTreeSet<SocketAddr> {
-        let heard: BTreeSet<SocketAddr> = recent(&self.heard, now_ms).collect();
+    /// The entries, but this one, that are worth a connection. Looked at far more
+    /// often than they change, and chosen among all that are known: they are
+    /// remembered until one of those is forgotten.
+    pub fn targets(&mut self, now_ms: u64) -> BTreeSet<SocketAddr> {
+        let held = self.targets.take();
+        let held = held.filter(|targets| targets.hold_ms.contains(&now_ms));
+        let targets = held.unwrap_or_else(|| self.choose(now_ms));
+        self.targets.insert(targets).entries.clone()
+    }
+
+    fn choose(&self, now_ms: u64) -> Targets {
+        let recent = || {
+            let heard = self.heard.iter();
+            heard.filter(|(_, at_ms)| is_recent(now_ms, **at_ms))
+        };
+        let first_ms = recent().map(|(_, at_ms)| *at_ms).min();
+        let mut entries: BTreeSet<SocketAddr> = recent().map(|(entry, _)| *entry).collect();
         let most = self.choice.as_ref().map_or(usize::MAX, Choice::most);
-        let mut targets = heard;
-        if targets.len() < most {
+        let has_seeds = entries.len() < most;
+        if has_seeds {
             // Seeds may be long gone, so they do not take the places of others.
-            targets.extend(self.seeds.iter().copied());
+            entries.extend(self.seeds.iter().copied());
+        }
+        entries.retain(|entry| Some(*entry) != self.own);
+        if let Some(choice) = &self.choice {
+            entries = choice.highest(entries);
         }
-        targets.retain(|entry| Some(*entry) != self.own);
-        match &self.choice {
-            Some(choice) => choice.highest(targets),
-            None => targets,
+        Targets {
+            entries,
+            has_seeds,
+            hold_ms: now_ms..first_ms.map_or(u64::MAX, |first_ms| first_ms + FORGET_MS),
         }
     }
 
@@ -151,10 +207,3 @@
 fn is_recent(now_ms: u64, at_ms: u64) -> bool {
     now_ms < at_ms + FORGET_MS
 }
-
-fn recent(times: &BTreeMap<SocketAddr, u64>, now_ms: u64) -> impl Iterator<Item = SocketAddr> {
-    let recent = times
-        .iter()
-        .filter(move |(_, at_ms)| is_recent(now_ms, **at_ms));
-    recent.map(|(entry, _)| *entry)
-}
--- a/crates/dispatch/tests/growth/entry.rs
+++ b/crates/dispatch/tests/growth/entry.rs
@@ -59,7 +59,7 @@
     }
 
     pub fn targets(&mut self, now_ms: u64) -> BTreeSet<SocketAddr> {
-        let directory = &self.directory;
+        let directory = &mut self.directory;
         self.tally.targets.measure(|| directory.targets(now_ms))
     }
 
--- /dev/null
+++ b/crates/dispatch/tests/targets.rs
@@ -0,0 +1,48 @@
+//! Targets that are remembered are those that would be chosen now.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+
+use gannetvane_dispatch::Directory;
+use gannetvane_dispatch::KnownEntry;
+use gannetvane_dispatch::LINKED_PEERS;
+use proptest::prelude::ProptestConfig;
+use proptest::prop_assert_eq;
+use proptest::proptest;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::RngSeed;
+
+const BEGIN_MS: u64 = 100_000;
+
+fn addr(number: u8) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::new(10, 1, 0, number), 7_720))
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(20_261_203),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn they_are_the_same_after_whatever_was_learned_and_forgotten(
+        news in proptest::collection::vec((0_u8..24, 0_u32..32_000, 0_u64..4_000), 1..120),
+    ) {
+        let seeds = [addr(1), addr(100), addr(101)];
+        let own = addr(0);
+        let never_asked = Directory::new(Some(own), seeds);
+        let mut never_asked = never_asked.with_choice("chooser".into(), LINKED_PEERS);
+        let mut directory = never_asked.clone();
+        let mut now_ms = BEGIN_MS;
+        for (number, age_ms, pause_ms) in news {
+            now_ms += pause_ms;
+            let known = [KnownEntry { addr: addr(number), age_ms }];
+            directory.learn_reached(now_ms, &known);
+            never_asked.learn_reached(now_ms, &known);
+            let chosen = never_asked.clone().targets(now_ms);
+            prop_assert_eq!(directory.targets(now_ms), chosen);
+        }
+    }
+}
--- a/crates/node/src/agent_node.rs
+++ b/crates/node/src/agent_node.rs
@@ -205,7 +205,7 @@
                 self.dialed_gains = gains;
                 self.refreshed_ms = now_ms;
                 dialers.refresh();
-                let targets = self.directory.borrow().targets(now_ms);
+                let targets = self.directory.borrow_mut().targets(now_ms);
                 self.agent.keep_links(&targets);
             }
             if self.links.is_empty() && now_ms >= self.searched_ms + SEARCH_MS {
--- a/crates/node/src/peer_links.rs
+++ b/crates/node/src/peer_links.rs
@@ -103,7 +103,7 @@
 }
 
 fn is_target(entry: SocketAddr, directory: &SharedDirectory, clock: &Clock) -> bool {
-    let directory = directory.borrow();
+    let mut directory = directory.borrow_mut();
     directory.targets(clock.now_ms()).contains(&entry)
 }
 
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -45,7 +45,7 @@
     /// Starts a task for each entry that has none.
     pub(crate) fn refresh(&mut self) {
         self.tasks.retain(|_, task| !task.is_finished());
-        let targets = self.directory.borrow().targets(self.clock.now_ms());
+        let targets = self.directory.borrow_mut().targets(self.clock.now_ms());
         for entry in targets {
             let task = || {
                 let directory = Rc::clone(&self.directory);
@@ -67,7 +67,11 @@
     R: Future<Output = bool>,
 {
     let mut pause_ms = FIRST_PAUSE_MS;
-    while directory.borrow().targets(clock.now_ms()).contains(&entry) {
+    while directory
+        .borrow_mut()
+        .targets(clock.now_ms())
+        .contains(&entry)
+    {
         let was_useful = dial(entry).await;
         pause_ms = if was_useful {
             FIRST_PAUSE_MS
