--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -16,6 +16,7 @@
 //! ```
 
 mod agent;
+mod choice;
 mod directory;
 mod dispatcher;
 mod evacuations;
@@ -23,6 +24,7 @@
 mod lease;
 mod ledger;
 mod message;
+mod peer_news;
 mod policy;
 mod room;
 mod route;
@@ -81,6 +83,8 @@
 pub use message::StoredRequest;
 pub use message::decode;
 pub use message::encode;
+pub use peer_news::PeerNews;
+pub use peer_news::PeerTeller;
 pub use policy::Arrival;
 pub use policy::BoxedPolicy;
 pub use policy::FairShare;
