What an agent is told is weighed by what was added to the set

Ruled out: to remember ranks (entries by agents in each entry); to wait and gather changes (an entry that came is to be told of at once). Change: an agent's next choice is made of its last one and what was added, as long as all of the last one are still known; otherwise, or when it greeted between two changes of which the others were told, of all. Test: told_entries.rs compares it with a choice of all after any sequence of changes and greetings; telling_at_all_sizes measures.

--- a/crates/dispatch/src/dispatcher/fleet.rs
+++ b/crates/dispatch/src/dispatcher/fleet.rs
@@ -1,6 +1,7 @@
 //! The agents that an entry knows, and what it learned of their hosts.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use gannetvane_wire::Name;
@@ -95,6 +96,10 @@
     starts_sent: u64,
     /// Orders without an end, with their number on the link and their need.
     pub(crate) outstanding: BTreeMap<OrderId, (u64, Room)>,
+    /// The entries that it was told of.
+    chosen: BTreeSet<SocketAddr>,
+    /// Whether these are its choice of what all agents were last told.
+    pub(crate) is_choice_of_told: bool,
 }
 
 impl AgentState {
@@ -117,6 +122,8 @@
             starts_seen: 0,
             starts_sent: 0,
             outstanding: BTreeMap::new(),
+            chosen: BTreeSet::new(),
+            is_choice_of_told: false,
         }
     }
 
@@ -164,13 +171,28 @@
 
     /// Tells the agent of those entries that it chooses. All of them would be a
     /// list that grows with the fleet, to as many agents.
-    pub(crate) fn tell_entries(&mut self, entries: &[SocketAddr]) {
+    pub(crate) fn tell_entries(&mut self, entries: BTreeSet<SocketAddr>) {
         let choice = Choice::new(self.hello.host.clone(), LINKED_ENTRIES);
-        let chosen = choice.highest(entries.iter().copied().collect());
-        let chosen = chosen.into_iter().collect();
+        self.chosen = choice.highest(entries);
+        self.is_choice_of_told = true;
+        let chosen = self.chosen.iter().copied().collect();
         self.outbox.push(Order::Entries(chosen));
     }
 
+    /// The same, when these were added to those told last and others may be gone.
+    pub(crate) fn tell_changed_entries(
+        &mut self,
+        entries: &BTreeSet<SocketAddr>,
+        added: &[SocketAddr],
+    ) {
+        if self.is_choice_of_told && self.chosen.is_subset(entries) {
+            let chosen = self.chosen.iter().chain(added);
+            self.tell_entries(chosen.copied().collect());
+        } else {
+            self.tell_entries(entries.clone());
+        }
+    }
+
     /// Tells the agent that its offer is of no use, if it made one.
     pub(crate) fn decline_offer(&mut self) {
         if std::mem::take(&mut self.has_offered) {
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -14,6 +14,7 @@
 mod views;
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use gannetvane_wire::Name;
@@ -108,6 +109,8 @@
     pub(crate) table: RoutingTable,
     pub(crate) evacuations: Evacuations,
     pub(crate) agents: BTreeMap<LinkId, AgentState>,
+    /// The entries that all agents were last told of.
+    told_entries: BTreeSet<SocketAddr>,
     pub(crate) hosts: Hosts,
     pub(crate) jobs: BTreeMap<Name, JobState>,
     pub(crate) orders: BTreeMap<OrderId, OrderState>,
@@ -145,6 +148,7 @@
             table: RoutingTable::default(),
             evacuations: Evacuations::default(),
             agents: BTreeMap::new(),
+            told_entries: BTreeSet::new(),
             hosts: Hosts::default(),
             jobs: BTreeMap::new(),
             orders: BTreeMap::new(),
@@ -380,15 +384,21 @@
 
     /// Tells each agent of the entries that it is to link to.
     pub fn tell_entries(&mut self, entries: &[SocketAddr]) {
+        let told: BTreeSet<SocketAddr> = entries.iter().copied().collect();
+        let added: Vec<SocketAddr> = told.difference(&self.told_entries).copied().collect();
         for agent in self.agents.values_mut() {
-            agent.tell_entries(entries);
+            agent.tell_changed_entries(&told, &added);
         }
+        self.told_entries = told;
     }
 
     /// Tells one agent of the entries that it is to link to.
     pub fn tell_entries_to(&mut self, link: LinkId, entries: &[SocketAddr]) {
         if let Some(agent) = self.agents.get_mut(&link) {
+            let entries = entries.iter().copied().collect();
+            let is_as_told = entries == self.told_entries;
             agent.tell_entries(entries);
+            agent.is_choice_of_told = is_as_told;
         }
     }
 
--- a/crates/dispatch/tests/growth/main.rs
+++ b/crates/dispatch/tests/growth/main.rs
@@ -15,6 +15,7 @@
 mod queue;
 mod report;
 mod tally;
+mod telling;
 
 use std::collections::BTreeSet;
 
@@ -100,6 +101,15 @@
     print_all_sizes(Change::LostEntry);
 }
 
+#[test]
+#[ignore = "prints a table"]
+fn telling_at_all_sizes() {
+    println!("hosts,tell_us");
+    for hosts in ALL_SIZES {
+        println!("{hosts},{:.0}", telling::change_us(hosts / 5));
+    }
+}
+
 fn print_all_sizes(change: Change) {
     let play = |hosts: &usize| change::play(change, *hosts);
     let findings: Vec<Findings> = ALL_SIZES.iter().map(play).collect();
--- /dev/null
+++ b/crates/dispatch/tests/growth/telling.rs
@@ -0,0 +1,37 @@
+//! What it costs an entry to tell its agents of a change.
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use gannetvane_dispatch::Dispatcher;
+use gannetvane_dispatch::DispatcherSettings;
+use gannetvane_dispatch::LinkId;
+
+use crate::agent::hello;
+use crate::fleet::addr;
+
+const NOW_MS: u64 = 1_000;
+/// Agents of an entry: 12 links of each, four agents for each entry.
+const AGENTS: usize = 48;
+const CHANGES: usize = 50;
+
+/// Processor time to choose for all agents after one more entry became known, in
+/// microseconds.
+pub fn change_us(entries: usize) -> f64 {
+    let settings = DispatcherSettings {
+        zone: "selfoss".into(),
+        remote_factor: 1.0,
+        seed: 1,
+    };
+    let mut dispatcher = Dispatcher::new(settings, NOW_MS);
+    for agent in 0..AGENTS {
+        dispatcher.agent_up(NOW_MS, LinkId(agent as u64), hello(agent));
+    }
+    let all: Vec<SocketAddr> = (0..entries + CHANGES).map(addr).collect();
+    dispatcher.tell_entries(&all[..entries]);
+    let began = Instant::now();
+    for known in entries..entries + CHANGES {
+        dispatcher.tell_entries(&all[..=known]);
+    }
+    began.elapsed().as_secs_f64() * 1e6 / CHANGES as f64
+}
--- /dev/null
+++ b/crates/dispatch/tests/told_entries.rs
@@ -0,0 +1,105 @@
+//! An agent is told of what it would choose of all, whatever came and went.
+
+use std::collections::BTreeSet;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+
+use gannetvane_dispatch::AgentHello;
+use gannetvane_dispatch::Directory;
+use gannetvane_dispatch::Dispatcher;
+use gannetvane_dispatch::DispatcherAction;
+use gannetvane_dispatch::DispatcherSettings;
+use gannetvane_dispatch::LINKED_ENTRIES;
+use gannetvane_dispatch::LinkId;
+use gannetvane_dispatch::Order;
+use gannetvane_dispatch::Room;
+use gannetvane_wire::NodeId;
+use proptest::prelude::ProptestConfig;
+use proptest::prop_assert_eq;
+use proptest::proptest;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::RngSeed;
+
+const NOW_MS: u64 = 1_000;
+const AGENT: LinkId = LinkId(1);
+const LATE_AGENT: LinkId = LinkId(2);
+
+fn addr(number: u8) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::new(10, 1, 0, number), 7_720))
+}
+
+fn hello(host: &str) -> AgentHello {
+    AgentHello {
+        node: NodeId(1),
+        host: host.into(),
+        zone: "selfoss".into(),
+        service: "bretti-desk".into(),
+        labels: Vec::new(),
+        capacity: Room::default(),
+        clock_ms: 0,
+        kept: Vec::new(),
+    }
+}
+
+fn chosen(host: &str, entries: &[SocketAddr]) -> Vec<SocketAddr> {
+    let directory = Directory::new(None, []);
+    let mut directory = directory.with_choice(host.into(), LINKED_ENTRIES);
+    directory.learn(NOW_MS, entries);
+    directory.targets(NOW_MS).into_iter().collect()
+}
+
+/// What the agent on this link was told in the last frames.
+fn told(dispatcher: &mut Dispatcher, link: LinkId) -> Option<Vec<SocketAddr>> {
+    dispatcher.tick(NOW_MS);
+    let orders = dispatcher.take_actions().into_iter().filter_map(|action| {
+        let DispatcherAction::Send(to, frame) = action else {
+            return None;
+        };
+        (to == link).then_some(frame.orders)
+    });
+    let entries = orders.flatten().filter_map(|order| match order {
+        Order::Entries(entries) => Some(entries),
+        _ => None,
+    });
+    entries.last()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(20_261_203),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn it_is_its_choice_of_all(
+        changes in proptest::collection::vec((0_u8..40, 0_u8..8), 1..60),
+    ) {
+        let mut dispatcher = Dispatcher::new(
+            DispatcherSettings { zone: "selfoss".into(), remote_factor: 1.0, seed: 1 },
+            NOW_MS,
+        );
+        dispatcher.agent_up(NOW_MS, AGENT, hello("early"));
+        let mut entries: BTreeSet<SocketAddr> = (0..20).map(addr).collect();
+        for (number, kind) in changes {
+            if !entries.remove(&addr(number)) {
+                entries.insert(addr(number));
+            }
+            let list: Vec<SocketAddr> = entries.iter().copied().collect();
+            if kind == 0 {
+                // One that greets before the others are told of the change.
+                dispatcher.agent_up(NOW_MS, LATE_AGENT, hello("late"));
+                dispatcher.tell_entries_to(LATE_AGENT, &list);
+                prop_assert_eq!(told(&mut dispatcher, LATE_AGENT), Some(chosen("late", &list)));
+            } else {
+                dispatcher.tell_entries(&list);
+                let link = if kind % 2 == 0 { LATE_AGENT } else { AGENT };
+                let host = if link == AGENT { "early" } else { "late" };
+                if let Some(told) = told(&mut dispatcher, link) {
+                    prop_assert_eq!(told, chosen(host, &list));
+                }
+            }
+        }
+    }
+}
