A condition and a comment on suspects say what they mean

Cause: read as a newcomer: 'is_checked' named the opposite of what the branch does. Change: names and a comment; behaviour stays.

--- a/crates/dispatch/src/agent/mod.rs
+++ b/crates/dispatch/src/agent/mod.rs
@@ -288,9 +288,9 @@
             return;
         }
         self.offers.close(link);
-        let is_checked = run.phase == Phase::Starting;
+        let needs_check = run.phase == Phase::Checking;
         self.runs.insert(run);
-        if is_checked {
+        if !needs_check {
             self.start_run(now_ms, link, order);
         }
     }
--- a/crates/dispatch/src/dispatcher/jobs.rs
+++ b/crates/dispatch/src/dispatcher/jobs.rs
@@ -29,9 +29,8 @@
 const WEAK_SIGN: u32 = 1;
 const STRONG_SIGN: u32 = 2;
 /// Sum of these with which a task is given up, since each such minion is gone for seconds
-/// with all that ran there: two crashes of which both are sure, and four at most. By
-/// weak signs alone, or one of each kind, a sound task could be given up that met
-/// crashes of other causes.
+/// with all that ran there: two sure crashes, or four at most. A weak sign beside a sure
+/// one is not enough: a sound task may meet a crash of another cause.
 const SUSPICION_OF_A_TASK: u32 = 2 * STRONG_SIGN;
 /// The same for a stored task, which may meet such crashes in a longer time: three
 /// crashes, and five at most.
