A link that both ends closed while it was cut is connected anew in sessions

Cause, from the state at the end of the play: their owner, entry 0, has no agent at all. The session still holds a link of each agent to it (1, 10, 46, 54) that neither the agents nor the entry know: both ends had closed them during a cut, and the session only connects where it holds no link. So the entry stayed alone for the last 27 s. Ruled out: the log (the partition is served, reopened at 16085 ms, its jobs are given to the dispatcher), the dispatcher (tasks wait, no agent). The product dials whenever its connection has ended (`agent_node.rs`, `dial_entry`), so this was a fault of the stand-in alone.

Change: a link is gone once the word that it was closed has arrived at the other end; until then the cut holds both back, as before. The check is untouched, and plays are harder than before: entries keep their agents after a cut. Sessions print starts and counted ends with GANNETVANE_TRACE. A test that is played by hand prints all failing seeds of a range.

--- a/crates/dispatch/tests/interleavings.rs
+++ b/crates/dispatch/tests/interleavings.rs
@@ -251,3 +251,43 @@
     let lost = &session.violations.lost;
     assert!(lost.is_empty(), "{lost:?}");
 }
+
+/// What goes wrong in a seed; empty if nothing does.
+fn failures(session: &Session) -> Vec<String> {
+    let violations = &session.violations;
+    let open = session
+        .callers
+        .iter()
+        .filter(|caller| caller.outcome.is_none());
+    let mut failures: Vec<String> = open
+        .map(|caller| format!("{} has no answer", caller.id))
+        .collect();
+    if !violations.is_empty() {
+        failures.push(format!("{violations:?}"));
+    }
+    failures
+}
+
+/// Prints every seed that fails, and the rate.
+#[parameterized(
+    stored_new_ids = { |seed| play_stored(seed, Rebirths::None) },
+    stored_same_ids = { |seed| play_stored(seed, Rebirths::Some) },
+    stored_calls_end_with_their_life = { |seed| play_stored(seed, Rebirths::WithoutLateCalls) },
+    short = { |seed| play(seed, 900, Rebirths::None) },
+    long = { |seed| play(seed, 3_000, Rebirths::None) },
+    short_same_ids = { |seed| play(seed, 900, Rebirths::Some) },
+    long_same_ids = { |seed| play(seed, 3_000, Rebirths::Some) },
+)]
+#[ignore = "takes minutes: by hand, with GANNETVANE_SEEDS and --nocapture"]
+fn rate_of_failing_seeds(play: fn(u64) -> Session) {
+    let seeds = seeds(SEEDS, &[]);
+    let mut failed = 0;
+    for seed in &seeds {
+        let failures = failures(&play(*seed));
+        if !failures.is_empty() {
+            failed += 1;
+            println!("seed {seed}: {failures:?}");
+        }
+    }
+    println!("{failed} of {} seeds failed", seeds.len());
+}
--- a/crates/dispatch/tests/session/mod.rs
+++ b/crates/dispatch/tests/session/mod.rs
@@ -809,6 +809,10 @@
         self.wires = rest;
         due.sort_by_key(|(_, sequence, ..)| *sequence);
         for (_, _, to, event) in due {
+            if let Event::LinkDown(link) = &event {
+                // Both ends have closed it: the agent may connect anew.
+                self.links.remove(link);
+            }
             match to {
                 Side::Agent(agent) if self.agents[agent].is_up(self.now_ms) => {
                     self.agents[agent].inbox.push_back(event);
@@ -997,6 +1001,10 @@
                 } else {
                     StartResult::OtherInstance
                 };
+                self.print(&format!(
+                    "minion {agent} start answered={is_answered} {key:?} {result:?}"
+                ));
+                let minion = &mut self.minions[agent];
                 if !is_answered {
                     minion.started_late.push(key.clone());
                 }
@@ -1038,7 +1046,14 @@
                     }
                     return;
                 }
+                let noted = minion.noted.len();
                 minion.extend(now_ms, *epoch, *acknowledged_through, *deadline_ms);
+                for (key, _) in &self.minions[agent].noted[noted..] {
+                    self.print(&format!(
+                        "minion {agent} end counts answered={is_answered} {key:?}"
+                    ));
+                }
+                let minion = &self.minions[agent];
                 if is_answered {
                     // Without waiting, the listing is made now and is told as
                     // late as one that waits a little.
