The trial of a minion that had failed passes on to entries with work for it

What callers saw: a stored job that was accepted never ends, though all minions are sound and idle (LOST).

It keeps away from three of the four hosts, on which it had bad ends, and the agent of the fourth tells entry 1 that it is closed. That agent's breaker is half open since 11736 ms: it admits one start, and says so to one entry only, "the one with most work", by the work that was offered to it of late. All offer none by then; the greatest of equal ones is the newest link, to entry 0, which has no job. So the trial never comes, and the task never starts. Ruled out: the log, the links (all there), the room (all free).

Change: who has tasks that wait comes before who was offered work, and the trial goes on to the next entry after 100 ms, so that it reaches one whose task may go there (agent/trial.rs).

--- a/crates/dispatch/src/agent/links.rs
+++ b/crates/dispatch/src/agent/links.rs
@@ -15,7 +15,6 @@
 use crate::OrderId;
 use crate::Report;
 use crate::Room;
-use crate::agent::breaker::BreakerState;
 
 /// Shortest pause between frames that only tell of changed room, in
 /// milliseconds. Room changes about a hundred times a second at full load.
@@ -243,18 +242,6 @@
         }
     }
 
-    /// The entry that may try whether a minion has recovered, if it must show
-    /// that: the one with most work, so that the trial comes soon.
-    fn trial_link(&self, now_ms: u64) -> Option<LinkId> {
-        if self.breaker.state(now_ms) == BreakerState::Closed {
-            return None;
-        }
-        let links = self.links.iter();
-        let links = links.filter(|(_, link)| link.is_greeted && !link.is_retiring);
-        let busiest = links.max_by_key(|(_, link)| link.demand.offered_milli);
-        busiest.map(|(id, _)| *id)
-    }
-
     /// Tells the entry how a run ended, if its link is still open.
     pub(crate) fn report_end(&mut self, link: LinkId, order: OrderId, end: End, ran_ms: u64) {
         if let Some(state) = self.links.get_mut(&link) {
--- a/crates/dispatch/src/agent/mod.rs
+++ b/crates/dispatch/src/agent/mod.rs
@@ -16,6 +16,7 @@
 mod stalls;
 mod starts;
 mod suspects;
+mod trial;
 mod unsettled;
 
 use std::collections::BTreeMap;
@@ -49,6 +50,7 @@
 use crate::agent::run_table::Phase;
 use crate::agent::run_table::Run;
 use crate::agent::run_table::RunTable;
+use crate::agent::trial::Trial;
 
 /// Who an agent is, for as long as its process runs.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -138,6 +140,7 @@
     pub(crate) links: BTreeMap<LinkId, Link>,
     pub(crate) offers: Offers,
     pub(crate) breaker: Breaker,
+    pub(crate) trial: Trial,
     pub(crate) pace: Pace,
     pub(crate) evacuations: Evacuations,
     pub(crate) is_stopping: bool,
@@ -159,6 +162,7 @@
             links: BTreeMap::new(),
             offers: Offers::default(),
             breaker: Breaker::default(),
+            trial: Trial::default(),
             pace: Pace::default(),
             evacuations: Evacuations::default(),
             is_stopping: false,
--- /dev/null
+++ b/crates/dispatch/src/agent/trial.rs
@@ -0,0 +1,64 @@
+//! Which entry may try whether a minion has recovered.
+//!
+//! A minion that failed what it was given gets one start at a time until a run ends
+//! well. One entry is told that it may send that start, since starts of the others
+//! would be refused. The entry may have no task for this minion, so the trial passes on.
+
+use std::cmp::Reverse;
+use std::collections::BTreeSet;
+
+use crate::Agent;
+use crate::LinkId;
+use crate::agent::breaker::BreakerState;
+use crate::agent::links::Link;
+
+/// Time for which an entry may send the start, in milliseconds: its answer to a frame
+/// takes a few.
+const TURN_MS: u64 = 100;
+
+/// Whose turn it is.
+#[derive(Debug, Default)]
+pub(crate) struct Trial {
+    turn: Option<(LinkId, u64)>,
+    /// The links that had a turn since all of them had one.
+    had_turns: BTreeSet<LinkId>,
+}
+
+impl Agent {
+    /// The entry whose start is admitted, if the minion must show that it has
+    /// recovered: the one with most work, and then each of the others.
+    pub(crate) fn trial_link(&mut self, now_ms: u64) -> Option<LinkId> {
+        if !matches!(self.breaker.state(now_ms), BreakerState::HalfOpen { .. }) {
+            self.trial = Trial::default();
+            return None;
+        }
+        let links = self.links.iter();
+        let may_try = |link: &Link| link.is_greeted && !link.is_retiring;
+        let links: Vec<(LinkId, &Link)> = links
+            .filter(|(_, link)| may_try(link))
+            .map(|(id, link)| (*id, link))
+            .collect();
+        let is_there = |id: LinkId| links.iter().any(|(other, _)| *other == id);
+        if let Some((id, until_ms)) = self.trial.turn
+            && is_there(id)
+            && now_ms < until_ms
+        {
+            return Some(id);
+        }
+        if links
+            .iter()
+            .all(|(id, _)| self.trial.had_turns.contains(id))
+        {
+            self.trial.had_turns.clear();
+        }
+        let rank = |(id, link): &&(LinkId, &Link)| {
+            let is_waiting = link.demand.waiting_core_ms > 0;
+            let had_turn = self.trial.had_turns.contains(id);
+            (Reverse(had_turn), is_waiting, link.demand.offered_milli)
+        };
+        let next = links.iter().max_by_key(rank).map(|(id, _)| *id)?;
+        self.trial.had_turns.insert(next);
+        self.trial.turn = Some((next, now_ms + TURN_MS));
+        Some(next)
+    }
+}
--- a/crates/dispatch/tests/interleavings.rs
+++ b/crates/dispatch/tests/interleavings.rs
@@ -252,6 +252,14 @@
     assert!(lost.is_empty(), "{lost:?}");
 }
 
+/// The trial of a minion that had failed was kept for an entry without work.
+#[test]
+fn a_stored_job_is_tried_on_the_only_minion_that_is_left_to_it() {
+    let session = play_stored(50_196, Rebirths::None);
+    let lost = &session.violations.lost;
+    assert!(lost.is_empty(), "{lost:?}");
+}
+
 /// What goes wrong in a seed; empty if nothing does.
 fn failures(session: &Session) -> Vec<String> {
     let violations = &session.violations;
