No end of a stored task is acknowledged while a start may be carried out late

What callers would see: a booking that was done and acknowledged is done once more (TWICE: both ends count, or a start after an end that counts), where minions start again under their ids while calls get no answer.

Ruled out: stops or epochs that forbid the call, since the next life knows neither while its agent stands still. So what is acknowledged has to bear it.

Change (agent/late_calls.rs), for minions that tell their births only: while a start of a stored task has no answer, and for 12 s after one that had none, nothing is acknowledged on that minion; an agent that starts anew takes its predecessor's for such once a call of its own is lost. Acknowledgements go only with calls that tell something new. The lapse of a lease is waited for by `times.longest_lease_ms` (the platform's bound) where a late call may have set it. Elsewhere nothing changes.

--- a/crates/dispatch/src/agent/lifetimes.rs
+++ b/crates/dispatch/src/agent/lifetimes.rs
@@ -135,6 +135,9 @@
         let detail = format!("life={} capacity={:?}", report.lifetime, report.capacity);
         self.note("minion-found", None, detail);
         self.pace = Pace::default();
+        if report.lifetime.born_unix_ms().is_some() {
+            self.late_calls.inherit(now_ms);
+        }
         self.minion = Some(Minion::new(now_ms, report));
         self.hold_if_due(now_ms);
     }
--- a/crates/dispatch/src/agent/listings.rs
+++ b/crates/dispatch/src/agent/listings.rs
@@ -61,6 +61,9 @@
                 return;
             }
         };
+        if contact == Contact::Silent {
+            self.late_calls.lost_call();
+        }
         let Some(minion) = &mut self.minion else {
             return;
         };
@@ -109,6 +112,10 @@
             return;
         }
         self.epochs.accepted();
+        if !minion.is_clean && lifetime.born_unix_ms().is_some() {
+            let longest_ms = self.longest_lease_ms;
+            minion.unsettled.inherit_lease(now_ms, longest_ms);
+        }
         minion.acknowledged_through = minion.acknowledged_through.max(hold.acknowledged_through);
         self.take_ends(now_ms, &listing);
         self.take_running(now_ms, hold.sent_ms, &listing);
--- a/crates/dispatch/src/agent/minion.rs
+++ b/crates/dispatch/src/agent/minion.rs
@@ -205,9 +205,10 @@
         }
     }
 
-    /// The last end that may be acknowledged.
-    fn acknowledgeable(&self) -> u64 {
-        self.unsettled.acknowledgeable(self.finished_through)
+    /// The last end that may be acknowledged, if it is not yet.
+    fn acknowledgeable(&self) -> Option<u64> {
+        let through = self.unsettled.acknowledgeable(self.finished_through);
+        (through > self.acknowledged_through).then_some(through)
     }
 
     fn clock_at(&self, now_ms: u64) -> u64 {
@@ -343,6 +344,7 @@
     /// Lists when there is something to learn and no listing is under way.
     pub(crate) fn hold_if_due(&mut self, now_ms: u64) {
         let may_extend = self.may_extend_lease(now_ms);
+        let acknowledgeable = self.acknowledgeable(now_ms);
         let has_runs = self.runs.has_started();
         let is_resolving = self
             .runs
@@ -351,8 +353,7 @@
         let Some(minion) = &mut self.minion else {
             return;
         };
-        let acknowledgeable = minion.acknowledgeable();
-        let has_ends = acknowledgeable > minion.acknowledged_through;
+        let has_ends = acknowledgeable.is_some();
         let is_uncertain = !minion.is_clean || minion.is_doubted || !minion.is_answering();
         let is_wanted = has_runs || has_ends || is_uncertain;
         let copies = minion.loss.copies().min(HOLD_COPIES) as usize;
@@ -376,14 +377,23 @@
         }
     }
 
+    /// The last end that may be acknowledged now, if there is one.
+    fn acknowledgeable(&self, now_ms: u64) -> Option<u64> {
+        if self.late_calls.until_ms(now_ms).is_some() {
+            return None;
+        }
+        self.minion.as_ref().and_then(Minion::acknowledgeable)
+    }
+
     /// Asks the minion for a listing.
     pub(crate) fn ask_listing(&mut self, now_ms: u64, deadline_ms: Option<u64>, wait_ms: u64) {
+        // A call that is carried out late must not acknowledge more than it has to.
+        let acknowledged_through = self.acknowledgeable(now_ms).unwrap_or(0);
         let Some(minion) = &mut self.minion else {
             return;
         };
         let call = self.next_call;
         self.next_call += 1;
-        let acknowledged_through = minion.acknowledgeable();
         minion.holds.push(HoldCall {
             call,
             sent_ms: now_ms,
@@ -435,6 +445,7 @@
             candidate_ms,
             ends_ms,
             self.check_due_ms(),
+            self.late_calls.until_ms(now_ms),
         ];
         let due_ms = times
             .into_iter()
--- a/crates/dispatch/src/agent/mod.rs
+++ b/crates/dispatch/src/agent/mod.rs
@@ -6,6 +6,7 @@
 mod capacity;
 mod epochs;
 mod evacuation;
+mod late_calls;
 mod lifetimes;
 mod links;
 mod listings;
@@ -34,6 +35,7 @@
 use crate::KEEPALIVE_MS;
 use crate::Lifetime;
 use crate::LinkId;
+use crate::MINION_LEASE_MS;
 use crate::Order;
 use crate::OrderId;
 use crate::Room;
@@ -42,6 +44,7 @@
 use crate::agent::breaker::Breaker;
 use crate::agent::breaker::BreakerState;
 use crate::agent::epochs::Epochs;
+use crate::agent::late_calls::LateCalls;
 use crate::agent::lifetimes::Candidate;
 use crate::agent::links::Link;
 use crate::agent::minion::Minion;
@@ -136,6 +139,9 @@
     /// taken for a minion.
     pub(crate) ended: Option<Lifetime>,
     pub(crate) epochs: Epochs,
+    pub(crate) late_calls: LateCalls,
+    /// Longest lease that the minion grants, in milliseconds.
+    pub(crate) longest_lease_ms: u64,
     pub(crate) runs: RunTable,
     pub(crate) links: BTreeMap<LinkId, Link>,
     pub(crate) offers: Offers,
@@ -158,6 +164,8 @@
             candidate: None,
             ended: None,
             epochs: Epochs::default(),
+            late_calls: LateCalls::default(),
+            longest_lease_ms: MINION_LEASE_MS,
             runs: RunTable::default(),
             links: BTreeMap::new(),
             offers: Offers::default(),
@@ -171,6 +179,14 @@
         }
     }
 
+    /// The same beside a minion that grants leases of this length, in milliseconds,
+    /// where one is asked for that is longer.
+    #[must_use]
+    pub fn with_longest_lease(mut self, lease_ms: u64) -> Self {
+        self.longest_lease_ms = lease_ms.max(MINION_LEASE_MS);
+        self
+    }
+
     /// Takes what there is to do since the last call.
     pub fn take_actions(&mut self) -> Vec<AgentAction> {
         std::mem::take(&mut self.actions)
@@ -233,6 +249,7 @@
     /// Does what is due; returns when to call again at the latest.
     pub fn tick(&mut self, now_ms: u64) -> u64 {
         self.watch_ends(now_ms);
+        self.late_calls.expire(now_ms);
         self.expire_links(now_ms);
         self.close_retired(now_ms);
         self.watch_minion(now_ms);
--- a/crates/dispatch/src/agent/starts.rs
+++ b/crates/dispatch/src/agent/starts.rs
@@ -13,6 +13,7 @@
 use crate::agent::minion::Minion;
 use crate::agent::run_table::Phase;
 use crate::agent::run_table::Run;
+use crate::runs::Contact;
 
 /// Starts that are sent before a run without an answer is given up.
 const START_TRIES: u32 = 3;
@@ -53,8 +54,10 @@
         run.pending += 1;
         run.sent_ms = now_ms;
         let deadline_ms = minion.extend_lease(now_ms);
+        let lifetime = minion.report.lifetime.clone();
+        self.late_calls.sent(&lifetime, &run.key);
         self.actions.push(AgentAction::Start {
-            lifetime: minion.report.lifetime.clone(),
+            lifetime,
             key: run.key.clone(),
             spec: run.spec.clone(),
             deadline_ms,
@@ -70,9 +73,14 @@
         key: &RunKey,
         result: StartResult,
     ) {
+        let is_answered = result.contact() != Contact::Silent;
+        self.late_calls.ended(now_ms, key, is_answered);
         if !self.serves(lifetime) {
             return;
         }
+        if !is_answered {
+            self.late_calls.lost_call();
+        }
         if result == StartResult::OtherInstance {
             self.minion_ended(now_ms, "other id");
             return;
--- a/crates/dispatch/src/agent/unsettled.rs
+++ b/crates/dispatch/src/agent/unsettled.rs
@@ -49,6 +49,12 @@
         }
     }
 
+    /// A call that was meant for an earlier life, with a time on its clock, was
+    /// carried out until now at the latest: the lease may be as long as any.
+    pub(crate) fn inherit_lease(&mut self, now_ms: u64, longest_ms: u64) {
+        self.inherited_until_ms = now_ms + longest_ms + longest_ms / 50;
+    }
+
     /// An end was told to the entry at a link.
     pub(crate) fn tell(&mut self, link: LinkId, end: KeptEnd) {
         self.told.insert(end.number, (link, end));
--- a/crates/dispatch/src/dispatcher/ends.rs
+++ b/crates/dispatch/src/dispatcher/ends.rs
@@ -19,6 +19,7 @@
 use crate::dispatcher::jobs::JobState;
 use crate::dispatcher::jobs::TaskPhase;
 use crate::dispatcher::jobs::TaskState;
+use crate::lease::LATE_CALL_MS;
 use crate::stored::StoredEvent;
 
 /// A run is moved when what remains of it takes longer than this many times
@@ -45,10 +46,6 @@
 const STALLED_SPEED: f64 = 0.3;
 const STALLED_SHARE: f64 = 0.03;
 
-/// Longest time after which a call without an answer is carried out by a later
-/// life of its minion, in milliseconds: the platform's calls come seconds late.
-const LATE_START_MS: u64 = 12_000;
-
 impl Dispatcher {
     pub(crate) fn ended(
         &mut self,
@@ -112,7 +109,7 @@
             End::Stopped => {}
             End::Unsettled { crash } => {
                 // Greeted again, the agent vouches that nothing of it is left.
-                let until_ms = now_ms + LATE_START_MS;
+                let until_ms = now_ms + LATE_CALL_MS;
                 task.phase = TaskPhase::Orphaned { until_ms };
                 task.suspect(crash);
                 task.avoid(&host);
--- a/crates/dispatch/src/lease.rs
+++ b/crates/dispatch/src/lease.rs
@@ -27,6 +27,10 @@
 pub const SAFE_AFTER_MS: u64 =
     GRANT_MS + STOP_PATIENCE_MS + MINION_LEASE_MS + MINION_LEASE_MS / 50 + STOP_GRACE_MS;
 
+/// Longest time after which a call without an answer is carried out, in milliseconds:
+/// the platform's calls come seconds late.
+pub(crate) const LATE_CALL_MS: u64 = 12_000;
+
 const _: () = assert!(
     SAFE_AFTER_MS < 1_300,
     "a job that is sent again must find nothing running"
--- a/crates/dispatch/tests/interleavings.rs
+++ b/crates/dispatch/tests/interleavings.rs
@@ -260,6 +260,21 @@
     assert!(lost.is_empty(), "{lost:?}");
 }
 
+/// An end was acknowledged while a start of the task, or of another one on its minion,
+/// could still be carried out by the next life.
+#[parameterized(
+    of_another_run = { 18 },
+    of_the_same_run = { 35_012 },
+    started_after_its_end = { 50_075 },
+    counted_unseen = { 50_241 },
+    lease_of_a_late_start = { 50_624 },
+)]
+fn an_end_that_counts_stays_the_only_one_in_the_next_life(seed: u64) {
+    let session = play_stored(seed, Rebirths::Some);
+    let twice = &session.violations.twice;
+    assert!(twice.is_empty(), "{twice:?}");
+}
+
 /// What goes wrong in a seed; empty if nothing does.
 fn failures(session: &Session) -> Vec<String> {
     let violations = &session.violations;
--- a/crates/dispatch/tests/session/minion.rs
+++ b/crates/dispatch/tests/session/minion.rs
@@ -20,7 +20,7 @@
 /// shrunk, in milliseconds: a report on its way, and a start that it crosses.
 const RESIZE_GRACE_MS: u64 = 5;
 /// Longest lease that a minion grants, in milliseconds.
-const LONGEST_LEASE_MS: u64 = 1_000;
+pub(super) const LONGEST_LEASE_MS: u64 = 1_000;
 /// Birth of a minion that begins with the session, in milliseconds since 1970.
 const FIRST_BIRTH_UNIX_MS: u64 = 1_700_000_000_000;
 /// Time that a stop takes, in milliseconds.
--- a/crates/dispatch/tests/session/mod.rs
+++ b/crates/dispatch/tests/session/mod.rs
@@ -441,7 +441,7 @@
             zone: zone(agent).into(),
         };
         Process {
-            core: Agent::new(identity),
+            core: Agent::new(identity).with_longest_lease(minion::LONGEST_LEASE_MS),
             inbox: VecDeque::new(),
             due_ms: self.now_ms,
             frozen_until_ms: 0,
--- a/crates/node/src/agent_node.rs
+++ b/crates/node/src/agent_node.rs
@@ -55,6 +55,8 @@
 pub struct AgentNodeSettings {
     /// Who it is.
     pub identity: AgentIdentity,
+    /// Longest lease that the minion grants, in milliseconds.
+    pub longest_lease_ms: u64,
     /// What may change while it runs.
     pub tunables: Tunables,
 }
@@ -154,7 +156,8 @@
         let directory = Directory::new(None, settings.tunables.seeds.iter().copied())
             .with_choice(settings.identity.host.clone(), LINKED_ENTRIES);
         Self {
-            agent: Agent::new(settings.identity.clone()),
+            agent: Agent::new(settings.identity.clone())
+                .with_longest_lease(settings.longest_lease_ms),
             settings,
             clock,
             log,
