A crash under a task counts wherever its job comes again

What callers saw: each start of a task that crashes its minion takes down a minion for seconds, with seven other tasks.

Cause: the count lived in the memory of the entry that had ordered the run. The log had no record of it, entries told each other nothing, and the agent, who sees each crash of its minion, told that entry only.

Change: a crash has a number that the agent and the entry reckon alike from run, order and agent, so that it counts once however often it is told. - In the job log (record ID.crashes, beside what older processes read): a stored task is started anew only once its crashes lie there.

A rack that loses power accuses nobody. The soak's bound is three minions for each task of all jobs again, as at first; for a while it was three for each sending of a waited job and none for stored ones.

--- a/crates/daemon/tests/soak/checks.rs
+++ b/crates/daemon/tests/soak/checks.rs
@@ -28,7 +28,7 @@
 const ATTEMPTS: usize = 2;
 /// Minions that must have crashed under a task before its job may be given up.
 const CRASHES_OF_A_FAILED_TASK: usize = 2;
-/// Minions that a task may take down at each entry that its job comes to.
+/// Minions that a task may take down, wherever its job comes.
 const MOST_CRASHES: usize = 3;
 /// A job whose task crashes minions, sent in calm, and one that is stored.
 const CALM_CRASHES: [(&str, bool); 2] = [("0000000000e0e0e2", false), ("0000000000e0e0e3", true)];
@@ -107,16 +107,11 @@
     pub fn check_limits(&self) {
         let records = self.records();
         let jobs = self.jobs.lock().expect("no panic");
-        // Each time that it is sent, a job may come to another entry; what owners a
-        // stored one had is not seen here.
-        for (id, job) in jobs.iter().filter(|(_, job)| !job.is_accepted) {
+        for id in jobs.keys() {
             let of_job = records.iter().filter(|(task, _)| task.starts_with(id));
             let crashes = of_job.map(|(_, record)| record.crashes).max().unwrap_or(0);
-            if crashes > MOST_CRASHES * job.statuses.len() {
-                let sent = job.statuses.len();
-                self.violate(format!(
-                    "{id}, sent {sent} times, took down {crashes} minions"
-                ));
+            if crashes > MOST_CRASHES {
+                self.violate(format!("{id} took down {crashes} minions"));
             }
         }
         for (id, _) in jobs.iter().filter(|(_, job)| job.is_failed) {
--- a/crates/dispatch/src/agent/lifetimes.rs
+++ b/crates/dispatch/src/agent/lifetimes.rs
@@ -13,6 +13,7 @@
 
 use crate::Agent;
 use crate::AgentAction;
+use crate::Crash;
 use crate::End;
 use crate::HoldResult;
 use crate::Lifetime;
@@ -334,6 +335,15 @@
         crash.map_or(End::Lost, End::Crashed)
     }
 
+    /// Keeps a crash for the entries that are greeted next: the one that ordered the run
+    /// may be gone.
+    fn keep_crash(&mut self, now_ms: u64, run: &Run, end: End) {
+        if let End::Crashed(sign) | End::Unsettled { crash: Some(sign) } = end {
+            let crash = Crash::now(&run.key, run.order, self.identity.node, sign);
+            self.crashes.learn(now_ms, crash);
+        }
+    }
+
     /// Tells what is known of a run that ended with its minion.
     fn note_lost_run(&mut self, now_ms: u64, run: &Run, end: End) {
         let detail = format!(
@@ -364,6 +374,7 @@
         for (link, order) in places {
             if let Some(run) = self.runs.remove(link, order) {
                 let end = self.end_with_minion(&run, loss);
+                self.keep_crash(now_ms, &run, end);
                 self.note_lost_run(now_ms, &run, end);
                 self.report_end(link, order, end, run.ran_ms(now_ms));
             }
--- a/crates/dispatch/src/agent/links.rs
+++ b/crates/dispatch/src/agent/links.rs
@@ -177,7 +177,8 @@
         let Some(minion) = self.minion.as_ref().filter(|minion| minion.is_clean()) else {
             return;
         };
-        let hello = minion.hello(&self.identity, now_ms);
+        let crashes = self.crashes.since(now_ms, 0);
+        let hello = minion.hello(&self.identity, now_ms, crashes);
         let closed = self
             .runs
             .iter()
--- a/crates/dispatch/src/agent/minion.rs
+++ b/crates/dispatch/src/agent/minion.rs
@@ -4,6 +4,7 @@
 use crate::AgentAction;
 use crate::AgentHello;
 use crate::AgentIdentity;
+use crate::Crash;
 use crate::Lifetime;
 use crate::LinkId;
 use crate::Listing;
@@ -192,7 +193,12 @@
         self.report.capacity
     }
 
-    pub(crate) fn hello(&self, identity: &AgentIdentity, now_ms: u64) -> AgentHello {
+    pub(crate) fn hello(
+        &self,
+        identity: &AgentIdentity,
+        now_ms: u64,
+        crashes: Vec<Crash>,
+    ) -> AgentHello {
         AgentHello {
             node: identity.node,
             host: identity.host.clone(),
@@ -202,6 +208,8 @@
             capacity: self.report.capacity,
             clock_ms: now_ms,
             kept: self.unsettled.offered(),
+            crashes,
+            life: self.report.lifetime.to_string().into(),
         }
     }
 
--- a/crates/dispatch/src/agent/mod.rs
+++ b/crates/dispatch/src/agent/mod.rs
@@ -29,6 +29,7 @@
 use crate::AgentFrame;
 use crate::AgentHello;
 use crate::Busy;
+use crate::CrashBook;
 use crate::End;
 use crate::EntryFrame;
 use crate::Evacuations;
@@ -140,6 +141,8 @@
     pub(crate) ended: Option<Lifetime>,
     pub(crate) epochs: Epochs,
     pub(crate) late_calls: LateCalls,
+    /// Crashes of the minion, to tell the entries that are greeted.
+    pub(crate) crashes: CrashBook,
     /// Longest lease that the minion grants, in milliseconds.
     pub(crate) longest_lease_ms: u64,
     pub(crate) runs: RunTable,
@@ -165,6 +168,7 @@
             ended: None,
             epochs: Epochs::default(),
             late_calls: LateCalls::default(),
+            crashes: CrashBook::default(),
             longest_lease_ms: MINION_LEASE_MS,
             runs: RunTable::default(),
             links: BTreeMap::new(),
@@ -250,6 +254,7 @@
     pub fn tick(&mut self, now_ms: u64) -> u64 {
         self.watch_ends(now_ms);
         self.late_calls.expire(now_ms);
+        self.crashes.expire(now_ms);
         self.expire_links(now_ms);
         self.close_retired(now_ms);
         self.watch_minion(now_ms);
--- /dev/null
+++ b/crates/dispatch/src/crashes.rs
@@ -0,0 +1,117 @@
+//! Crashes of minions under tasks, as agents and entries tell each other.
+//!
+//! A job may come again at another entry, or get another owner. So that a task which
+//! crashes its minions does not begin there without a record, entries pass on the
+//! crashes that they know of, and the agents beside these minions tell those that they
+//! greet. Each crash has a number by which it counts once. They are known for a while and
+//! up to a number.
+
+use std::collections::BTreeMap;
+
+use gannetvane_wire::Name;
+use gannetvane_wire::NodeId;
+use serde::Deserialize;
+use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::CrashSign;
+use crate::OrderId;
+use crate::RunKey;
+use crate::TaskId;
+
+/// Time for which a crash is known, in milliseconds: callers come again within seconds.
+const KEEP_MS: u64 = 30_000;
+/// Most crashes that are known; the oldest are forgotten first.
+const MOST_CRASHES: usize = 1_024;
+
+/// A crash of a minion under a task.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Crash {
+    /// Number of the crash: the same wherever it is told.
+    pub number: u64,
+    /// The task.
+    pub task: TaskId,
+    /// How surely the task was at work.
+    pub sign: CrashSign,
+    /// Time since, in milliseconds, when it is told.
+    pub age_ms: u64,
+}
+
+impl Crash {
+    /// A crash that is just seen, under a run that an entry ordered of an agent.
+    pub(crate) fn now(run: &RunKey, order: OrderId, agent: NodeId, sign: CrashSign) -> Self {
+        let task = &run.task;
+        let text = format!(
+            "{}.{}.{}.{} {} {}",
+            task.job, task.step, task.index, run.run, order.0, agent.0
+        );
+        Self {
+            number: xxh3_64(text.as_bytes()),
+            task: task.clone(),
+            sign,
+            age_ms: 0,
+        }
+    }
+}
+
+/// A crash that is known.
+#[derive(Clone, Debug)]
+struct KnownCrash {
+    crash: Crash,
+    at_ms: u64,
+}
+
+/// The crashes that a process knows of.
+#[derive(Clone, Debug, Default)]
+pub struct CrashBook {
+    /// By the order in which they became known.
+    known: BTreeMap<u64, KnownCrash>,
+    last: u64,
+}
+
+impl CrashBook {
+    /// Takes over a crash; false if it is known or too old.
+    pub(crate) fn learn(&mut self, now_ms: u64, crash: Crash) -> bool {
+        let mut known = self.known.values();
+        let is_known = known.any(|other| other.crash.number == crash.number);
+        if is_known || crash.age_ms >= KEEP_MS {
+            return false;
+        }
+        let at_ms = now_ms.saturating_sub(crash.age_ms);
+        self.last += 1;
+        self.known.insert(self.last, KnownCrash { crash, at_ms });
+        if self.known.len() > MOST_CRASHES {
+            self.known.pop_first();
+        }
+        true
+    }
+
+    /// Forgets what is too old.
+    pub(crate) fn expire(&mut self, now_ms: u64) {
+        let is_kept = |_: &u64, known: &mut KnownCrash| now_ms < known.at_ms + KEEP_MS;
+        self.known.retain(is_kept);
+    }
+
+    /// The crashes under tasks of a job.
+    pub(crate) fn of_job<'a>(&'a self, job: &'a Name) -> impl Iterator<Item = &'a Crash> {
+        let crashes = self.known.values().map(|known| &known.crash);
+        crashes.filter(|crash| crash.task.job == *job)
+    }
+
+    /// Number of crashes that became known so far.
+    #[must_use]
+    pub fn last(&self) -> u64 {
+        self.last
+    }
+
+    /// The crashes that became known after so many others, with their ages.
+    #[must_use]
+    pub fn since(&self, now_ms: u64, last: u64) -> Vec<Crash> {
+        let later = self.known.range(last + 1..);
+        let told = later.map(|(_, known)| Crash {
+            age_ms: now_ms.saturating_sub(known.at_ms),
+            ..known.crash.clone()
+        });
+        told.collect()
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/dispatcher/crashes.rs
@@ -0,0 +1,144 @@
+//! What an entry makes of minions that crash under tasks.
+
+use std::collections::VecDeque;
+
+use gannetvane_wire::Name;
+use gannetvane_wire::NodeId;
+
+use crate::AgentHello;
+use crate::Crash;
+use crate::CrashBook;
+use crate::CrashSign;
+use crate::OrderId;
+use crate::RunKey;
+use crate::dispatcher::Dispatcher;
+use crate::dispatcher::OrderState;
+use crate::stored::StoredEvent;
+
+/// Most runs that are remembered after their agents were lost.
+const MOST_LOST_RUNS: usize = 1_024;
+
+/// A run that was out at an agent when that was lost.
+#[derive(Debug)]
+struct LostRun {
+    order: OrderId,
+    run: RunKey,
+    host: Name,
+    agent: NodeId,
+    life: Name,
+}
+
+/// The runs that were out at agents that were lost and have not greeted since.
+#[derive(Debug, Default)]
+pub(crate) struct LostRuns {
+    runs: VecDeque<LostRun>,
+}
+
+impl LostRuns {
+    /// Remembers a run, in place of the oldest one if there are too many.
+    pub(crate) fn add(&mut self, order: OrderId, run: RunKey, agent: &AgentHello) {
+        if self.runs.len() >= MOST_LOST_RUNS {
+            self.runs.pop_front();
+        }
+        self.runs.push_back(LostRun {
+            order,
+            run,
+            host: agent.host.clone(),
+            agent: agent.node,
+            life: agent.life.clone(),
+        });
+    }
+
+    /// The runs of the agent that greets in place of one that was lost, if its minion
+    /// was lost as well. An agent that is still there tells of crashes itself.
+    fn lost_with_minion(&mut self, agent: &AgentHello) -> Vec<Crash> {
+        let (of_host, others): (VecDeque<LostRun>, _) = std::mem::take(&mut self.runs)
+            .into_iter()
+            .partition(|lost| lost.host == agent.host);
+        self.runs = others;
+        let unseen = of_host
+            .iter()
+            .filter(|lost| lost.agent != agent.node && lost.life != agent.life);
+        let crash =
+            |lost: &LostRun| Crash::now(&lost.run, lost.order, lost.agent, CrashSign::Unseen);
+        unseen.map(crash).collect()
+    }
+}
+
+impl Dispatcher {
+    /// A minion crashed under a run that was ordered here.
+    pub(crate) fn crashed(
+        &mut self,
+        now_ms: u64,
+        order: OrderId,
+        state: &OrderState,
+        sign: CrashSign,
+    ) {
+        let (Some(agent), Some(job)) = (self.agents.get(&state.link), self.jobs.get(&state.job))
+        else {
+            return;
+        };
+        let run = job.run_key(state.position);
+        let crash = Crash::now(&run, order, agent.hello.node, sign);
+        self.learn_crash(now_ms, crash);
+    }
+
+    /// The crashes that are known here.
+    #[must_use]
+    pub fn crashes(&self) -> &CrashBook {
+        &self.crashes
+    }
+
+    /// An agent or another entry tells of crashes.
+    pub fn learn_crashes(&mut self, now_ms: u64, crashes: Vec<Crash>) {
+        for crash in crashes {
+            let id = crash.task.job.clone();
+            let is_news = self.learn_crash(now_ms, crash);
+            if is_news && self.jobs.get(&id).is_some_and(|job| job.is_open()) {
+                self.event("crash-told", Some(id.clone()), String::new());
+                self.settle(now_ms, &id);
+            }
+        }
+    }
+
+    /// An agent greets: its predecessor may have been lost together with its minion.
+    pub(crate) fn learn_unseen_crashes(&mut self, now_ms: u64, agent: &AgentHello) {
+        let crashes = self.lost_runs.lost_with_minion(agent);
+        self.learn_crashes(now_ms, crashes);
+    }
+
+    /// Holds what is known of crashes against the tasks of a job that came in.
+    pub(crate) fn recall_crashes(&mut self, id: &Name) {
+        let known: Vec<Crash> = self.crashes.of_job(id).cloned().collect();
+        for crash in known {
+            self.accuse(crash);
+        }
+    }
+
+    /// Notes a crash and holds it against its task; whether it was not known.
+    fn learn_crash(&mut self, now_ms: u64, crash: Crash) -> bool {
+        let is_news = self.crashes.learn(now_ms, crash.clone());
+        if is_news {
+            self.accuse(crash);
+        }
+        is_news
+    }
+
+    /// Holds a crash against its task. That of a stored task is to be recorded before the
+    /// task is started anew.
+    fn accuse(&mut self, crash: Crash) {
+        let Some(job) = self.jobs.get_mut(&crash.task.job) else {
+            return;
+        };
+        let Some(position) = job.hold_against(&crash) else {
+            return;
+        };
+        if job.is_stored && job.is_open() {
+            job.tasks[position].await_record();
+            self.stored_events.push(StoredEvent::Crashed {
+                position: u32::try_from(position).unwrap_or(u32::MAX),
+                crash,
+            });
+        }
+    }
+}
--- a/crates/dispatch/src/dispatcher/ends.rs
+++ b/crates/dispatch/src/dispatcher/ends.rs
@@ -111,15 +111,17 @@
                 // Greeted again, the agent vouches that nothing of it is left.
                 let until_ms = now_ms + LATE_CALL_MS;
                 task.phase = TaskPhase::Orphaned { until_ms };
-                task.suspect(crash);
                 task.avoid(&host);
                 self.hosts.record(&host).strike(now_ms);
+                if let Some(sign) = crash {
+                    self.crashed(now_ms, order, &state, sign);
+                }
                 self.task_event("task-unsettled", &state, &host, end, ran_ms);
             }
             End::Crashed(sign) => {
-                task.suspect(Some(sign));
                 task.avoid(&host);
                 self.hosts.record(&host).strike(now_ms);
+                self.crashed(now_ms, order, &state, sign);
                 self.task_event("task-crashed", &state, &host, end, ran_ms);
             }
             End::Lost | End::NotStarted(Busy::NoAnswer | Busy::Unhealthy) => {
@@ -132,7 +134,7 @@
                 task.run += 3;
             }
             // Another suspect may run there.
-            End::NotStarted(Busy::Full) if task.suspicion > 0 => task.avoid(&host),
+            End::NotStarted(Busy::Full) if task.suspicion() > 0 => task.avoid(&host),
             End::NotStarted(Busy::Full | Busy::Closing) => {}
         }
         if is_open {
@@ -400,10 +402,10 @@
                 if let TaskPhase::Orphaned { until_ms } = task.phase
                     && is_over(task, until_ms)
                 {
-                    task.phase = match job.is_stored {
-                        true => stored,
-                        false => TaskPhase::Waiting,
-                    };
+                    match job.is_stored {
+                        true if stored == TaskPhase::Noting => task.phase = stored,
+                        _ => task.wait(),
+                    }
                     is_touched = true;
                     if task.phase == TaskPhase::Noting {
                         self.stored_events.push(StoredEvent::RunLost {
--- a/crates/dispatch/src/dispatcher/intake.rs
+++ b/crates/dispatch/src/dispatcher/intake.rs
@@ -82,8 +82,11 @@
         let state = JobState::new(received_ms, caller, job, &self.estimates);
         let is_taken = self.takes_in(now_ms, &state);
         self.jobs.insert(id.clone(), state);
+        self.recall_crashes(&id);
         if !is_taken {
             self.refuse_overloaded(now_ms, &id, "over-share");
+        } else if self.jobs.get(&id).is_some_and(JobState::crashes_minions) {
+            self.settle(now_ms, &id);
         }
     }
 
--- a/crates/dispatch/src/dispatcher/jobs.rs
+++ b/crates/dispatch/src/dispatcher/jobs.rs
@@ -6,14 +6,16 @@
 use gannetvane_wire::Name;
 
 use crate::Caller;
+use crate::Crash;
 use crate::CrashSign;
 use crate::Job;
 use crate::JobOutcome;
 use crate::OrderId;
+use crate::RunKey;
 use crate::TaskId;
 use crate::dispatcher::estimate::Estimates;
+use crate::ledger::partition::JobEntry;
 use crate::policy::WaitingJob;
-use crate::stored::Progress;
 use crate::stored::RUNS_PER_EPOCH;
 
 /// Time that messages between caller, entry and minion take, in
@@ -25,16 +27,13 @@
 /// Hosts that a task keeps away from; more would leave none on a small site.
 const AVOIDED_HOSTS: usize = 3;
 
-/// Weights of the signs that a task crashes its minions.
-const WEAK_SIGN: u32 = 1;
-const STRONG_SIGN: u32 = 2;
-/// Sum of these with which a task is given up, since each such minion is gone for seconds
-/// with all that ran there: two sure crashes, or four at most. A weak sign beside a sure
-/// one is not enough: a sound task may meet a crash of another cause.
-const SUSPICION_OF_A_TASK: u32 = 2 * STRONG_SIGN;
+/// Weight of the signs with which a task is given up, since each such minion is gone for
+/// seconds with all that ran there: two sure crashes, or four at most. A weak sign beside
+/// a sure one is not enough: a sound task may meet a crash of another cause.
+const SUSPICION_OF_A_TASK: u32 = 4;
 /// The same for a stored task, which may meet such crashes in a longer time: three
 /// crashes, and five at most.
-const SUSPICION_OF_A_STORED_TASK: u32 = 2 * STRONG_SIGN + WEAK_SIGN;
+const SUSPICION_OF_A_STORED_TASK: u32 = 5;
 
 /// Where a task stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -53,6 +52,9 @@
     /// Its last run may have ended unseen, and it is started anew as soon as
     /// the log tells that such an end must not count.
     Noting,
+    /// A minion crashed under its last run, and it is started anew as soon as the
+    /// log tells of that.
+    Crashed,
     /// Its work is done.
     Done,
 }
@@ -67,8 +69,10 @@
     pub(crate) run: u32,
     /// Runs that failed.
     pub(crate) failures: u32,
-    /// Weight of the signs that it crashes its minions.
-    pub(crate) suspicion: u32,
+    /// Minions that crashed under it, by the number of the crash.
+    pub(crate) crashes: BTreeMap<u64, CrashSign>,
+    /// Crashes that the log does not tell of yet.
+    unrecorded: u32,
     /// Times that it was moved since its host was slow.
     pub(crate) moves: u32,
     /// Hosts on which it failed, hung or got no answer.
@@ -78,12 +82,32 @@
 }
 
 impl TaskState {
-    /// Notes what the crash of a minion tells of it.
-    pub(crate) fn suspect(&mut self, crash: Option<CrashSign>) {
-        self.suspicion += match crash {
-            Some(CrashSign::Strong) => STRONG_SIGN,
-            Some(CrashSign::Weak) => WEAK_SIGN,
-            None => 0,
+    /// Weight of the signs that it crashes its minions.
+    pub(crate) fn suspicion(&self) -> u32 {
+        CrashSign::weight(self.crashes.values().copied())
+    }
+
+    /// A crash is to be recorded before it is started anew.
+    pub(crate) fn await_record(&mut self) {
+        self.unrecorded += 1;
+        if self.phase == TaskPhase::Waiting {
+            self.phase = TaskPhase::Crashed;
+        }
+    }
+
+    /// A crash lies in the log.
+    pub(crate) fn recorded(&mut self) {
+        self.unrecorded = self.unrecorded.saturating_sub(1);
+        if self.phase == TaskPhase::Crashed {
+            self.wait();
+        }
+    }
+
+    /// It can be ordered, once all its crashes lie in the log.
+    pub(crate) fn wait(&mut self) {
+        self.phase = match self.unrecorded {
+            0 => TaskPhase::Waiting,
+            _ => TaskPhase::Crashed,
         };
     }
 
@@ -143,7 +167,7 @@
         now_ms: u64,
         job: Job,
         epoch: u32,
-        progress: &Progress,
+        known: &JobEntry,
         estimates: &Estimates,
     ) -> Self {
         let mut state = Self::without_caller(now_ms, job, estimates);
@@ -151,8 +175,9 @@
         state.worthless_ms = u64::MAX;
         for (position, task) in (0_u32..).zip(&mut state.tasks) {
             task.run = epoch.saturating_mul(RUNS_PER_EPOCH);
-            task.failures = progress.failures(position);
-            if progress.done.contains_key(&position) {
+            task.failures = known.progress.failures(position);
+            task.crashes = known.crashes.get(&position).cloned().unwrap_or_default();
+            if known.progress.done.contains_key(&position) {
                 task.phase = TaskPhase::Done;
             }
         }
@@ -174,7 +199,8 @@
                 phase,
                 run: 0,
                 failures: 0,
-                suspicion: 0,
+                crashes: BTreeMap::new(),
+                unrecorded: 0,
                 moves: 0,
                 avoid: Vec::new(),
                 host: None,
@@ -225,13 +251,26 @@
         self.outcome.is_none()
     }
 
+    /// Holds a crash against its task; the task's position if that is news.
+    pub(crate) fn hold_against(&mut self, crash: &Crash) -> Option<usize> {
+        let is_its = |task: &TaskState| {
+            u32::try_from(task.step).is_ok_and(|step| step == crash.task.step)
+                && task.index == crash.task.index
+        };
+        let position = self.tasks.iter().position(is_its)?;
+        let known = self.tasks[position]
+            .crashes
+            .insert(crash.number, crash.sign);
+        known.is_none().then_some(position)
+    }
+
     /// Whether so many minions crashed under a task that it is given up.
     pub(crate) fn crashes_minions(&self) -> bool {
         let limit = match self.is_stored {
             true => SUSPICION_OF_A_STORED_TASK,
             false => SUSPICION_OF_A_TASK,
         };
-        self.tasks.iter().any(|task| task.suspicion >= limit)
+        self.tasks.iter().any(|task| task.suspicion() >= limit)
     }
 
     pub(crate) fn is_done(&self) -> bool {
@@ -275,6 +314,14 @@
         }
     }
 
+    /// The last run of a task.
+    pub(crate) fn run_key(&self, position: usize) -> RunKey {
+        RunKey {
+            task: self.task_id(position),
+            run: self.tasks[position].run,
+        }
+    }
+
     /// Makes the tasks ready whose earlier steps are done.
     pub(crate) fn unblock(&mut self) {
         let steps = self.job.steps.len();
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -1,5 +1,6 @@
 //! The core of an entry: it keeps each job for as long as its caller waits.
 
+mod crashes;
 mod ends;
 mod estimate;
 mod evacuation;
@@ -24,6 +25,7 @@
 use crate::AgentFrame;
 use crate::AgentHello;
 use crate::Caller;
+use crate::CrashBook;
 use crate::EntryFrame;
 use crate::Evacuations;
 use crate::GRANT_MS;
@@ -34,6 +36,7 @@
 use crate::Report;
 use crate::RoutingTable;
 use crate::SAFE_AFTER_MS;
+use crate::dispatcher::crashes::LostRuns;
 use crate::dispatcher::estimate::Estimates;
 use crate::dispatcher::fleet::AgentState;
 use crate::dispatcher::fleet::Hosts;
@@ -130,6 +133,8 @@
     pub(crate) usual_speed: f64,
     pub(crate) actions: Vec<DispatcherAction>,
     pub(crate) stored_events: Vec<StoredEvent>,
+    pub(crate) crashes: CrashBook,
+    pub(crate) lost_runs: LostRuns,
 }
 
 impl Dispatcher {
@@ -165,6 +170,8 @@
             usual_speed: 1.0,
             actions: Vec::new(),
             stored_events: Vec::new(),
+            crashes: CrashBook::default(),
+            lost_runs: LostRuns::default(),
         }
     }
 
@@ -235,6 +242,8 @@
         self.event("agent-up", None, detail);
         self.hosts.greeted(&hello);
         self.offered(link, hello.kept.clone());
+        self.learn_crashes(now_ms, hello.crashes.clone());
+        self.learn_unseen_crashes(now_ms, &hello);
         let host = hello.host.clone();
         let stale = self
             .agents
@@ -269,6 +278,8 @@
             if let Some(job) = self.jobs.get_mut(&state.job) {
                 job.tasks[state.position].phase = TaskPhase::Orphaned { until_ms };
                 job.has_run = true;
+                let run = job.run_key(state.position);
+                self.lost_runs.add(order, run, &agent.hello);
             }
             let detail = format!(
                 "position={} host={} cause={cause}",
@@ -315,6 +326,7 @@
         self.ticked_ms = now_ms;
         self.drop_silent(now_ms);
         self.expire_orphans(now_ms);
+        self.crashes.expire(now_ms);
         self.give_up(now_ms);
         self.place(now_ms);
         self.probe(now_ms);
--- a/crates/dispatch/src/dispatcher/rounds.rs
+++ b/crates/dispatch/src/dispatcher/rounds.rs
@@ -214,7 +214,7 @@
         task.phase = TaskPhase::Ordered(order);
         task.host = Some(agent.hello.host.clone());
         let run = task.run;
-        let is_suspect = task.suspicion > 0;
+        let is_suspect = task.suspicion() > 0;
         state.first_start_ms.get_or_insert(now_ms);
         agent.add_order(order, step.needs);
         let work = expected_ms * f64::from(step.needs.cpu_milli);
--- a/crates/dispatch/src/dispatcher/stored_runs.rs
+++ b/crates/dispatch/src/dispatcher/stored_runs.rs
@@ -15,7 +15,7 @@
 use crate::StoredJob;
 use crate::dispatcher::jobs::JobState;
 use crate::dispatcher::jobs::TaskPhase;
-use crate::stored::Progress;
+use crate::ledger::partition::JobEntry;
 use crate::stored::RUNS_PER_EPOCH;
 use crate::stored::StoredEvent;
 
@@ -67,14 +67,15 @@
         now_ms: u64,
         stored: &StoredJob,
         epoch: u32,
-        progress: &Progress,
+        known: &JobEntry,
     ) -> bool {
         if self.jobs.contains_key(&stored.id) {
             return false;
         }
         let job = executable(stored);
-        let state = JobState::stored(now_ms, job, epoch, progress, &self.estimates);
+        let state = JobState::stored(now_ms, job, epoch, known, &self.estimates);
         self.jobs.insert(stored.id.clone(), state);
+        self.recall_crashes(&stored.id);
         // All of it may be done, with only the end of the job not recorded.
         self.settle(now_ms, &stored.id);
         true
@@ -162,7 +163,16 @@
         let job = self.jobs.get_mut(id);
         let task = job.and_then(|job| job.tasks.get_mut(position as usize));
         if let Some(task) = task.filter(|task| task.phase == TaskPhase::Noting) {
-            task.phase = TaskPhase::Waiting;
+            task.wait();
+        }
+    }
+
+    /// A crash under a task lies in the log.
+    pub(crate) fn crash_recorded(&mut self, id: &Name, position: u32) {
+        let job = self.jobs.get_mut(id);
+        let task = job.and_then(|job| job.tasks.get_mut(position as usize));
+        if let Some(task) = task {
+            task.recorded();
         }
     }
 
--- a/crates/dispatch/src/ledger/calls.rs
+++ b/crates/dispatch/src/ledger/calls.rs
@@ -214,7 +214,9 @@
         let Some(entry) = owned.jobs.get(id).filter(|entry| entry.is_accepted) else {
             return StoredAnswer::Unknown;
         };
-        let has_begun = entry.progress != Progress::default() || dispatcher.has_stored_begun(id);
+        let has_begun = entry.progress != Progress::default()
+            || !entry.crashes.is_empty()
+            || dispatcher.has_stored_begun(id);
         StoredAnswer::State(match entry.end {
             Some((end, _)) => StoredState::Ended(end),
             None if has_begun => StoredState::Running,
--- a/crates/dispatch/src/ledger/jobs.rs
+++ b/crates/dispatch/src/ledger/jobs.rs
@@ -72,6 +72,18 @@
                     owned.push(now_ms, Change::RunLost(job, position));
                 }
             }
+            StoredEvent::Crashed { position, crash } => {
+                let job = crash.task.job.clone();
+                let partition = self.partition_of(&job);
+                let Some(owned) = self.partitions.get_mut(&partition) else {
+                    return;
+                };
+                if let Some(entry) = owned.jobs.get_mut(&job) {
+                    let of_task = entry.crashes.entry(position).or_default();
+                    of_task.insert(crash.number, crash.sign);
+                    owned.push(now_ms, Change::Crashed(job, position));
+                }
+            }
             StoredEvent::Offered(link, end) => {
                 self.offers.push(Offer {
                     link,
@@ -230,7 +242,7 @@
         return;
     };
     if let Some(job) = &entry.job {
-        entry.is_started = dispatcher.run_stored(now_ms, job, owned.epoch, &entry.progress);
+        entry.is_started = dispatcher.run_stored(now_ms, job, owned.epoch, entry);
     }
 }
 
--- a/crates/dispatch/src/ledger/log.rs
+++ b/crates/dispatch/src/ledger/log.rs
@@ -108,6 +108,7 @@
                     dispatcher.settle_end(link, number, Settlement::Recorded);
                 }
                 Change::RunLost(id, position) => dispatcher.run_noted(&id, position),
+                Change::Crashed(id, position) => dispatcher.crash_recorded(&id, position),
                 Change::JobEnd(id, end, callers) => {
                     if let Some(entry) = owned.jobs.get_mut(&id) {
                         entry.end = Some((end, now_ms));
--- a/crates/dispatch/src/ledger/partition.rs
+++ b/crates/dispatch/src/ledger/partition.rs
@@ -9,6 +9,7 @@
 use crate::StoredCaller;
 use crate::StoredEnd;
 use crate::StoredJob;
+use crate::stored::JobCrashes;
 use crate::stored::Progress;
 
 /// Pause before an append without an answer is sent again, in milliseconds: the
@@ -69,6 +70,8 @@
     pub(crate) progress: Progress,
     /// Whether the log holds progress of it.
     pub(crate) has_progress_record: bool,
+    /// Crashes of minions under its tasks.
+    pub(crate) crashes: JobCrashes,
     /// Whether the log holds it.
     pub(crate) is_accepted: bool,
     /// Whether the dispatcher runs it.
@@ -85,6 +88,7 @@
             job: Some(job),
             progress: Progress::default(),
             has_progress_record: false,
+            crashes: JobCrashes::new(),
             is_accepted: false,
             is_started: false,
             end: None,
@@ -101,6 +105,7 @@
             job: None,
             progress,
             has_progress_record: false,
+            crashes: JobCrashes::new(),
             is_accepted: true,
             is_started: false,
             end: Some((end, now_ms)),
@@ -127,6 +132,8 @@
     TaskEnd(Name, LinkId, u64),
     /// The last run of a task was lost, and its end must not count.
     RunLost(Name, u32),
+    /// A minion crashed under a task.
+    Crashed(Name, u32),
     /// The end of a job.
     JobEnd(Name, StoredEnd, Vec<StoredCaller>),
     /// A job that ended long ago.
--- a/crates/dispatch/src/ledger/records.rs
+++ b/crates/dispatch/src/ledger/records.rs
@@ -13,6 +13,7 @@
 use crate::stored::Entry;
 use crate::stored::JobRecord;
 use crate::stored::RELEASED_KEY;
+use crate::stored::crashes_key;
 use crate::stored::progress_key;
 
 impl OwnedPartition {
@@ -54,6 +55,13 @@
                         add(LogRecord::progress(id, &entry.progress)?);
                     }
                 }
+                Change::Crashed(id, _) if closing.contains(id) => {}
+                Change::Crashed(id, _) => {
+                    let entry = self.jobs.get(id);
+                    if let Some(entry) = entry.filter(|entry| entry.end.is_none()) {
+                        add(LogRecord::crashes(id, &entry.crashes)?);
+                    }
+                }
                 Change::JobEnd(id, end, _) => {
                     let entry = self.jobs.get(id);
                     let done = entry.map(|entry| entry.progress.done.clone());
@@ -65,10 +73,14 @@
                     if entry.is_some_and(|entry| entry.has_progress_record) {
                         add(LogRecord::drop_key(progress_key(id)));
                     }
+                    if entry.is_some_and(|entry| !entry.crashes.is_empty()) {
+                        add(LogRecord::drop_key(crashes_key(id)));
+                    }
                 }
                 Change::Forget(id) => {
                     add(LogRecord::drop_key(id.clone()));
                     add(LogRecord::drop_key(progress_key(id)));
+                    add(LogRecord::drop_key(crashes_key(id)));
                 }
             }
         }
@@ -83,6 +95,7 @@
         }
         let mut errors = Vec::new();
         let mut progress = BTreeMap::new();
+        let mut crashes = BTreeMap::new();
         for record in records.iter().filter(|record| !record.value.is_empty()) {
             match record.entry() {
                 Ok(Entry::Job(id, JobRecord::Open(job))) => {
@@ -96,6 +109,9 @@
                 Ok(Entry::Progress(id, of_job)) => {
                     progress.insert(id, of_job);
                 }
+                Ok(Entry::Crashes(id, of_job)) => {
+                    crashes.insert(id, of_job);
+                }
                 Ok(Entry::Owner) => {}
                 Ok(Entry::Released) => self.reopen(now_ms),
                 Ok(Entry::Started(epoch)) => self.started_epoch = epoch,
@@ -108,6 +124,11 @@
                 entry.has_progress_record = true;
             }
         }
+        for (id, of_job) in crashes {
+            if let Some(entry) = self.jobs.get_mut(&id) {
+                entry.crashes = of_job;
+            }
+        }
         errors
     }
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -17,6 +17,7 @@
 
 mod agent;
 mod choice;
+mod crashes;
 mod directory;
 mod dispatcher;
 mod evacuations;
@@ -35,6 +36,8 @@
 pub use agent::AgentAction;
 pub use agent::AgentIdentity;
 pub use agent::AgentNote;
+pub use crashes::Crash;
+pub use crashes::CrashBook;
 pub use directory::Directory;
 pub use directory::LINKED_ENTRIES;
 pub use directory::LINKED_PEERS;
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -8,6 +8,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::Crash;
 use crate::Evacuations;
 use crate::Room;
 use crate::RoutingTable;
@@ -72,6 +73,10 @@
     pub clock_ms: u64,
     /// Ends that wait for an owner.
     pub kept: Vec<KeptEnd>,
+    /// Crashes of its minions under tasks.
+    pub crashes: Vec<Crash>,
+    /// The life of its minion: its id and its birth.
+    pub life: Name,
 }
 
 /// Work that comes for a service, and work that waits for room there.
@@ -277,6 +282,22 @@
     Weak,
     /// A connection broke while the minion had it.
     Strong,
+    /// The agent was lost with the minion, so that nobody saw the end of the run.
+    Unseen,
+}
+
+impl CrashSign {
+    /// How much all signs together speak against a task. A host that is lost with all
+    /// that runs there says nothing by itself.
+    pub(crate) fn weight(signs: impl Iterator<Item = Self> + Clone) -> u32 {
+        let is_proven = signs.clone().any(|sign| sign == Self::Strong);
+        let weights = signs.map(|sign| match sign {
+            Self::Strong => 2,
+            Self::Weak => 1,
+            Self::Unseen => u32::from(is_proven),
+        });
+        weights.sum()
+    }
 }
 
 /// Why a run never began.
@@ -315,6 +336,8 @@
     /// The zones that are being emptied, when the sender's picture changed since
     /// the last frame.
     pub evacuations: Option<Evacuations>,
+    /// Crashes of minions under tasks that became known since the last frame.
+    pub crashes: Vec<Crash>,
 }
 
 /// Answer of an entry to each frame of another one: the connection works.
--- a/crates/dispatch/src/peer_news.rs
+++ b/crates/dispatch/src/peer_news.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use crate::CrashBook;
 use crate::Evacuations;
 use crate::KnownEntry;
 use crate::PeerFrame;
@@ -23,6 +24,8 @@
     pub entries: Vec<SocketAddr>,
     /// Whether there are stored jobs.
     pub has_stored_jobs: bool,
+    /// Crashes of minions under tasks.
+    pub crashes: CrashBook,
 }
 
 /// What was told on a connection.
@@ -30,6 +33,7 @@
 pub struct PeerTeller {
     version: u64,
     evacuated_as_of: u64,
+    last_crash: u64,
     entries: Vec<SocketAddr>,
     listed_ms: Option<u64>,
 }
@@ -46,11 +50,14 @@
         self.version = news.table.version;
         let is_later = news.evacuations.as_of > self.evacuated_as_of;
         self.evacuated_as_of = news.evacuations.as_of;
+        let crashes = news.crashes.since(now_ms, self.last_crash);
+        self.last_crash = news.crashes.last();
         PeerFrame {
             entries: self.next_entries(now_ms, news, known),
             table: is_newer.then(|| (*news.table).clone()),
             has_stored_jobs: news.has_stored_jobs,
             evacuations: is_later.then(|| news.evacuations.clone()),
+            crashes,
         }
     }
 
--- a/crates/dispatch/src/stored.rs
+++ b/crates/dispatch/src/stored.rs
@@ -13,6 +13,8 @@
 use thiserror::Error;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::Crash;
+use crate::CrashSign;
 use crate::Job;
 use crate::KeptEnd;
 use crate::LinkId;
@@ -37,6 +39,8 @@
 const OWNER_KEY: &str = "owner";
 /// What follows a job's id in the key of its progress.
 const PROGRESS_SUFFIX: &str = ".progress";
+/// What follows a job's id in the key of its crashes.
+const CRASHES_SUFFIX: &str = ".crashes";
 
 /// One part of the job log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -195,6 +199,13 @@
         /// Number of the run.
         run: u32,
     },
+    /// A minion crashed under a task, which is started anew once that is recorded.
+    Crashed {
+        /// The task's position in its job.
+        position: u32,
+        /// The crash.
+        crash: Crash,
+    },
     /// An agent offers an end that waits for an owner.
     Offered(LinkId, KeptEnd),
     /// All tasks are done, or one cannot be.
@@ -264,6 +275,9 @@
     }
 }
 
+/// Crashes of minions under the tasks of a job, by position and number.
+pub(crate) type JobCrashes = BTreeMap<u32, BTreeMap<u64, CrashSign>>;
+
 /// A record that cannot be read.
 #[derive(Clone, Debug, Error, PartialEq, Eq)]
 #[error("record {key}: {cause}")]
@@ -279,6 +293,7 @@
 pub(crate) enum Entry {
     Job(Name, JobRecord),
     Progress(Name, Progress),
+    Crashes(Name, JobCrashes),
     Owner,
     Released,
     Started(u32),
@@ -301,6 +316,14 @@
         })
     }
 
+    pub(crate) fn crashes(id: &Name, crashes: &JobCrashes) -> Result<Self, postcard::Error> {
+        let value = postcard::to_stdvec(crashes)?;
+        Ok(Self {
+            key: crashes_key(id),
+            value,
+        })
+    }
+
     /// The claim of an owner. The append counts, so that none of an earlier time
     /// with the same epoch can follow it.
     pub(crate) fn owner(epoch: u32) -> Self {
@@ -363,6 +386,10 @@
             let progress = postcard::from_bytes(&self.value).map_err(failed)?;
             return Ok(Entry::Progress(id.into(), progress));
         }
+        if let Some(id) = self.key.strip_suffix(CRASHES_SUFFIX) {
+            let crashes = postcard::from_bytes(&self.value).map_err(failed)?;
+            return Ok(Entry::Crashes(id.into(), crashes));
+        }
         let record = postcard::from_bytes(&self.value).map_err(failed)?;
         Ok(Entry::Job(self.key.clone(), record))
     }
@@ -372,3 +399,8 @@
 pub(crate) fn progress_key(id: &Name) -> Name {
     format!("{id}{PROGRESS_SUFFIX}").into()
 }
+
+/// Key of the record with the crashes under a job's tasks.
+pub(crate) fn crashes_key(id: &Name) -> Name {
+    format!("{id}{CRASHES_SUFFIX}").into()
+}
--- a/crates/dispatch/tests/crashing.rs
+++ b/crates/dispatch/tests/crashing.rs
@@ -6,6 +6,7 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use session::LogFate;
 use session::Session;
 use yare::parameterized;
 
@@ -315,3 +316,80 @@
     let crashed = crashes(&session, "bad");
     assert!(crashed <= MOST_CRASHES_IN_ALL, "{crashed}");
 }
+
+/// Each entry is killed before it hears of the crash under its run: only the agents know.
+#[test]
+fn crashes_that_no_entry_heard_of_are_told_by_the_agents() {
+    let mut session = session(8, true);
+    session.crashing.insert("bad".to_owned());
+    session.submit(0, "bad", 1, 900);
+    for (entry, crashed) in [(0, 1), (1, 2)] {
+        run_until_crashes(&mut session, "bad", crashed);
+        session.kill_entry(entry, 30_000);
+    }
+    session.run(8_000);
+    let crashed = crashes(&session, "bad");
+    assert!(crashed <= MOST_CRASHES_IN_ALL, "{crashed}");
+}
+
+/// The log takes nothing from the first crash on, until all have lost their partitions.
+#[parameterized(
+    kept_ids = { true },
+    other_ids = { false },
+)]
+fn a_crash_that_the_log_did_not_take_counts_for_the_next_owner(keeps_ids: bool) {
+    let mut session = session(8, keeps_ids);
+    let warm = session.store("0000000000000001", 1, 10);
+    session.run_until_ended(warm, 5_000);
+    let id = "00000000000000b1";
+    session.crashing.insert(id.to_owned());
+    let job = session.store(id, 1, 300);
+    run_until_crashes(&mut session, id, 1);
+    session.log_fate = Box::new(|_, _| LogFate::Refused);
+    session.run(4_000);
+    assert_eq!(
+        crashes(&session, id),
+        1,
+        "no other start before it is recorded"
+    );
+    session.log_fate = Box::new(|_, _| LogFate::Served);
+    session.run_until_ended(job, 60_000);
+    let crashed = crashes(&session, id);
+    assert!(crashed <= MOST_CRASHES_IN_ALL, "{crashed}");
+}
+
+/// All processes are killed after each crash, so that only the log tells of it.
+#[test]
+fn crashes_that_only_the_log_tells_of_count() {
+    let mut session = session(8, true);
+    let warm = session.store("0000000000000001", 1, 10);
+    session.run_until_ended(warm, 5_000);
+    let id = "00000000000000b1";
+    session.crashing.insert(id.to_owned());
+    let job = session.store(id, 1, 300);
+    for crashed in 1..=2 {
+        run_until_crashes(&mut session, id, crashed);
+        session.run(100);
+        (0..3).for_each(|entry| session.kill_entry(entry, 500));
+        (0..8).for_each(|agent| session.kill_agent(agent, 500));
+    }
+    session.run_until_ended(job, 60_000);
+    let crashed = crashes(&session, id);
+    assert!(crashed <= MOST_CRASHES_IN_ALL, "{crashed}");
+}
+
+/// The agent dies with its minion each time, so that nobody sees how the run ended.
+#[test]
+fn a_crash_that_took_its_agent_along_counts_beside_one_that_was_seen() {
+    let mut session = session(8, true);
+    let warm = session.store("0000000000000001", 1, 10);
+    session.run_until_ended(warm, 5_000);
+    let id = "00000000000000b1";
+    session.crashing.insert(id.to_owned());
+    let job = session.store(id, 1, 300);
+    run_until_crashes(&mut session, id, 1);
+    (0..8).for_each(|agent| session.kill_agent(agent, 100));
+    session.run_until_ended(job, 60_000);
+    let crashed = crashes(&session, id);
+    assert!(crashed <= MOST_CRASHES_IN_ALL, "{crashed}");
+}
--- a/crates/dispatch/tests/growth/agent.rs
+++ b/crates/dispatch/tests/growth/agent.rs
@@ -57,5 +57,7 @@
         capacity: Room::default(),
         clock_ms: 0,
         kept: Vec::new(),
+        crashes: Vec::new(),
+        life: "minion-1".into(),
     }
 }
--- a/crates/dispatch/tests/overload.rs
+++ b/crates/dispatch/tests/overload.rs
@@ -146,6 +146,8 @@
         capacity: MINION_ROOM,
         clock_ms: now_ms,
         kept: Vec::new(),
+        crashes: Vec::new(),
+        life: "minion-1".into(),
     };
     dispatcher.agent_up(now_ms, link, hello);
 }
--- a/crates/dispatch/tests/session/mod.rs
+++ b/crates/dispatch/tests/session/mod.rs
@@ -27,6 +27,7 @@
 use gannetvane_dispatch::AppendResult;
 use gannetvane_dispatch::BoxedPolicy;
 use gannetvane_dispatch::Caller;
+use gannetvane_dispatch::Crash;
 use gannetvane_dispatch::Directory;
 use gannetvane_dispatch::Dispatcher;
 use gannetvane_dispatch::DispatcherAction;
@@ -131,6 +132,7 @@
     Joined(u64, Option<Membership>),
     Appended(Partition, u32, u64, AppendResult),
     Loaded(Partition, u64, Option<Vec<LogRecord>>),
+    Crashes(Vec<Crash>),
 }
 
 /// An entry: its dispatcher and its part of the job log.
@@ -300,6 +302,8 @@
     /// How long after an answered start they do; in the start itself if not set.
     pub crash_after_ms: Option<u64>,
     due_crashes: Crashes,
+    /// The last crash that an entry told another one.
+    told_crashes: BTreeMap<(usize, usize), u64>,
     /// The run of each agent and the lifetime of its minion that were last
     /// brought together by a report.
     reported: BTreeMap<usize, (u64, String)>,
@@ -377,6 +381,7 @@
             crashes: BTreeMap::new(),
             crash_after_ms: None,
             due_crashes: Crashes::default(),
+            told_crashes: BTreeMap::new(),
             reported: BTreeMap::new(),
             just_refused: Vec::new(),
             emptied: BTreeSet::new(),
@@ -564,6 +569,8 @@
         let runs = self.entries[entry].runs + 1;
         self.entries[entry] = self.new_entry(entry, runs);
         self.entries[entry].down_until_ms = self.now_ms + for_ms;
+        self.told_crashes
+            .retain(|(from, to), _| *from != entry && *to != entry);
         self.break_links(|link| link.entry == entry, Side::Entry(entry));
         for state in &mut self.callers {
             if state.entry == entry && state.outcome.is_none() && state.caller.take().is_some() {
@@ -1134,6 +1141,7 @@
                 Event::Appended(partition, epoch, number, result) => {
                     ledger.appended(now_ms, partition, epoch, number, result, dispatcher);
                 }
+                Event::Crashes(crashes) => dispatcher.learn_crashes(now_ms, crashes),
                 Event::Loaded(partition, load, records) => {
                     ledger.loaded(now_ms, partition, load, records.as_deref());
                 }
@@ -1144,6 +1152,7 @@
         let due_ms = dispatcher.tick(now_ms);
         process.due_ms = ledger_due_ms.map_or(due_ms, |ledger_ms| ledger_ms.min(due_ms));
         let (actions, calls) = (dispatcher.take_actions(), ledger.take_actions());
+        self.tell_crashes(entry);
         for action in actions {
             self.entry_action(entry, action);
         }
@@ -1152,6 +1161,20 @@
         }
     }
 
+    /// Entries tell each other of crashes under tasks.
+    fn tell_crashes(&mut self, entry: usize) {
+        let now_ms = self.now_ms;
+        for other in (0..self.entries.len()).filter(|other| *other != entry) {
+            let book = self.entries[entry].core.dispatcher.crashes();
+            let told = self.told_crashes.entry((entry, other)).or_default();
+            let crashes = book.since(now_ms, *told);
+            *told = book.last();
+            if !crashes.is_empty() {
+                self.post(Side::Entry(other), Event::Crashes(crashes));
+            }
+        }
+    }
+
     fn entry_action(&mut self, entry: usize, action: DispatcherAction) {
         match action {
             DispatcherAction::Send(id, frame) => {
--- a/crates/dispatch/tests/told_entries.rs
+++ b/crates/dispatch/tests/told_entries.rs
@@ -38,6 +38,8 @@
         capacity: Room::default(),
         clock_ms: 0,
         kept: Vec::new(),
+        crashes: Vec::new(),
+        life: "minion-1".into(),
     }
 }
 
--- a/crates/node/src/entry_node.rs
+++ b/crates/node/src/entry_node.rs
@@ -235,6 +235,7 @@
             self.follow_stop();
             self.carry_out();
             self.carry_out_stored();
+            self.tell_crashes();
         }
         info!(self.log, "stopped"; "open_jobs" => self.dispatcher.open_jobs());
         tokio::time::sleep(Duration::from_millis(FLUSH_MS)).await;
@@ -339,6 +340,16 @@
         if let Some(table) = frame.table {
             self.configure(table);
         }
+        self.dispatcher.learn_crashes(now_ms, frame.crashes);
+    }
+
+    /// Tells other entries of crashes that became known here.
+    fn tell_crashes(&mut self) {
+        let crashes = self.dispatcher.crashes();
+        if self.news.borrow().crashes.last() != crashes.last() {
+            let crashes = crashes.clone();
+            self.news.send_modify(|news| news.crashes = crashes);
+        }
     }
 
     /// Takes over which zones are being emptied, ahead of a configuration that is
--- a/crates/node/tests/entry.rs
+++ b/crates/node/tests/entry.rs
@@ -245,6 +245,8 @@
         capacity: Room::default(),
         clock_ms: 1,
         kept: Vec::new(),
+        crashes: Vec::new(),
+        life: "minion-1".into(),
     }
 }
 
@@ -365,6 +367,7 @@
             table: Some(table(5)),
             has_stored_jobs: false,
             evacuations: None,
+            crashes: Vec::new(),
         };
         write_frame(&mut peer, &frame).await;
         assert!(decode::<PeerAck>(&read_frame(&mut peer).await).is_ok());
