--- a/crates/dispatch/src/dispatcher/crashes.rs
+++ b/crates/dispatch/src/dispatcher/crashes.rs
@@ -13,6 +13,7 @@
 use crate::RunKey;
 use crate::dispatcher::Dispatcher;
 use crate::dispatcher::OrderState;
+use crate::dispatcher::jobs::JobState;
 use crate::stored::StoredEvent;
 
 /// Most runs that are remembered after their agents were lost.
@@ -94,7 +95,7 @@
         for crash in crashes {
             let id = crash.task.job.clone();
             let is_news = self.learn_crash(now_ms, crash);
-            if is_news && self.jobs.get(&id).is_some_and(|job| job.is_open()) {
+            if is_news && self.jobs.get(&id).is_some_and(JobState::is_open) {
                 self.event("crash-told", Some(id.clone()), String::new());
                 self.settle(now_ms, &id);
             }
