--- a/crates/dispatch/tests/interleavings.rs
+++ b/crates/dispatch/tests/interleavings.rs
@@ -275,6 +275,30 @@
     assert!(twice.is_empty(), "{twice:?}");
 }
 
+/// The next life of a minion carries a start out while its agent stands still, and the
+/// task is at work elsewhere or was done by another run.
+#[parameterized(
+    after_a_lost_link = { 50_256 },
+    after_a_change_of_owner = { 50_605 },
+    after_another_run_was_done = { 50_416 },
+)]
+fn a_late_start_of_a_stored_task_is_never_a_second_run(seed: u64) {
+    let session = play_stored(seed, Rebirths::Some);
+    let twice = &session.violations.twice;
+    assert!(twice.is_empty(), "{twice:?}");
+}
+
+/// The same for jobs whose callers wait.
+#[parameterized(
+    of_a_long_task = { 50_758, 3_000 },
+    of_a_short_task = { 50_175, 900 },
+)]
+fn a_late_start_of_a_waited_task_is_never_a_second_run(seed: u64, longest_ms: u64) {
+    let session = play(seed, longest_ms, Rebirths::Some);
+    let twice = &session.violations.twice;
+    assert!(twice.is_empty(), "{twice:?}");
+}
+
 /// What goes wrong in a seed; empty if nothing does.
 fn failures(session: &Session) -> Vec<String> {
     let violations = &session.violations;
--- a/crates/dispatch/tests/peer_news.rs
+++ b/crates/dispatch/tests/peer_news.rs
@@ -3,9 +3,14 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 
+use gannetvane_dispatch::Crash;
+use gannetvane_dispatch::CrashSign;
+use gannetvane_dispatch::Dispatcher;
+use gannetvane_dispatch::DispatcherSettings;
 use gannetvane_dispatch::KnownEntry;
 use gannetvane_dispatch::PeerNews;
 use gannetvane_dispatch::PeerTeller;
+use gannetvane_dispatch::TaskId;
 
 const BEGIN_MS: u64 = 100_000;
 /// Pause between two frames, in milliseconds.
@@ -68,3 +73,76 @@
     }
     assert!((4..=6).contains(&listed), "{listed} lists in 20 s");
 }
+
+fn entry(now_ms: u64) -> Dispatcher {
+    let settings = DispatcherSettings {
+        zone: "selfoss".into(),
+        remote_factor: 1.5,
+        seed: 1,
+    };
+    Dispatcher::new(settings, now_ms)
+}
+
+fn crash(number: u64) -> Crash {
+    Crash {
+        number,
+        task: TaskId {
+            job: format!("job-{number}").into(),
+            step: 0,
+            index: 0,
+        },
+        sign: CrashSign::Strong,
+        age_ms: 1_000,
+    }
+}
+
+/// Numbers of the crashes in the next frame of an entry, with their ages.
+fn crashes_told(teller: &mut PeerTeller, now_ms: u64, entry: &Dispatcher) -> Vec<(u64, u64)> {
+    let news = PeerNews {
+        crashes: entry.crashes().clone(),
+        ..PeerNews::default()
+    };
+    let frame = teller.next_frame(now_ms, &news, Vec::new);
+    let crashes = frame.crashes.into_iter();
+    crashes.map(|crash| (crash.number, crash.age_ms)).collect()
+}
+
+#[test]
+fn a_crash_is_told_once_on_a_connection_and_with_its_age() {
+    let mut entry = entry(BEGIN_MS);
+    let mut teller = PeerTeller::default();
+    entry.learn_crashes(BEGIN_MS, vec![crash(1), crash(2), crash(1)]);
+    let told = crashes_told(&mut teller, BEGIN_MS + 50, &entry);
+    assert_eq!(told, [(1, 1_050), (2, 1_050)]);
+    entry.learn_crashes(BEGIN_MS + 60, vec![crash(2), crash(3)]);
+    assert_eq!(
+        crashes_told(&mut teller, BEGIN_MS + 60, &entry),
+        [(3, 1_000)]
+    );
+    let mut next = PeerTeller::default();
+    assert_eq!(crashes_told(&mut next, BEGIN_MS + 60, &entry).len(), 3);
+}
+
+#[test]
+fn crashes_are_forgotten_by_age_and_number() {
+    let mut entry = entry(BEGIN_MS);
+    entry.learn_crashes(BEGIN_MS, (0..2_000).map(crash).collect());
+    let told = crashes_told(&mut PeerTeller::default(), BEGIN_MS, &entry);
+    assert_eq!(told.first(), Some(&(976, 1_000)));
+    assert_eq!(told.len(), 1_024);
+    let later_ms = BEGIN_MS + 29_000;
+    entry.tick(later_ms);
+    assert_eq!(
+        crashes_told(&mut PeerTeller::default(), later_ms, &entry),
+        []
+    );
+    let old = Crash {
+        age_ms: 30_000,
+        ..crash(5_000)
+    };
+    entry.learn_crashes(later_ms, vec![old]);
+    assert_eq!(
+        crashes_told(&mut PeerTeller::default(), later_ms, &entry),
+        []
+    );
+}
