--- a/crates/dispatch/src/agent/mod.rs
+++ b/crates/dispatch/src/agent/mod.rs
@@ -6,6 +6,7 @@
 mod capacity;
 mod epochs;
 mod evacuation;
+mod holds;
 mod late_calls;
 mod lifetimes;
 mod links;
--- a/crates/dispatch/tests/crashing.rs
+++ b/crates/dispatch/tests/crashing.rs
@@ -286,22 +286,35 @@
     }
 }
 
+/// A stored job whose task crashes minions.
+const BAD_ID: &str = "00000000000000b1";
+
+/// A session in which that job has just been sent, and its position.
+fn crashing_stored(keeps_ids: bool) -> (Session, usize) {
+    let mut session = session(8, keeps_ids);
+    let warm = session.store("0000000000000001", 1, 10);
+    session.run_until_ended(warm, 5_000);
+    session.crashing.insert(BAD_ID.to_owned());
+    let job = session.store(BAD_ID, 1, 300);
+    (session, job)
+}
+
+fn assert_given_up(session: &Session, id: &str) {
+    let crashed = crashes(session, id);
+    assert!(crashed <= MOST_CRASHES_IN_ALL, "{crashed}");
+}
+
 /// The owner of a crashing stored job is killed when two minions have crashed.
 #[test]
 fn a_crashing_stored_task_is_given_up_by_its_next_owner() {
-    let mut session = session(8, true);
-    let warm = session.store("0000000000000001", 1, 10);
-    session.run_until_ended(warm, 5_000);
-    let id = "00000000000000b1";
-    session.crashing.insert(id.to_owned());
-    let job = session.store(id, 1, 300);
+    let (mut session, job) = crashing_stored(true);
+    let id = BAD_ID;
     run_until_crashes(&mut session, id, 2);
     session.run(100);
     let owner = session.owner_of(id).expect("an owner");
     session.kill_entry(owner, 30_000);
     session.run_until_ended(job, 60_000);
-    let crashed = crashes(&session, id);
-    assert!(crashed <= MOST_CRASHES_IN_ALL, "{crashed}");
+    assert_given_up(&session, id);
 }
 
 /// A caller whose connection broke sends a crashing job again at another entry.
@@ -313,8 +326,7 @@
     run_until_crashes(&mut session, "bad", 2);
     session.break_caller(job);
     session.run(8_000);
-    let crashed = crashes(&session, "bad");
-    assert!(crashed <= MOST_CRASHES_IN_ALL, "{crashed}");
+    assert_given_up(&session, "bad");
 }
 
 /// Each entry is killed before it hears of the crash under its run: only the agents know.
@@ -328,8 +340,7 @@
         session.kill_entry(entry, 30_000);
     }
     session.run(8_000);
-    let crashed = crashes(&session, "bad");
-    assert!(crashed <= MOST_CRASHES_IN_ALL, "{crashed}");
+    assert_given_up(&session, "bad");
 }
 
 /// The log takes nothing from the first crash on, until all have lost their partitions.
@@ -338,12 +349,8 @@
     other_ids = { false },
 )]
 fn a_crash_that_the_log_did_not_take_counts_for_the_next_owner(keeps_ids: bool) {
-    let mut session = session(8, keeps_ids);
-    let warm = session.store("0000000000000001", 1, 10);
-    session.run_until_ended(warm, 5_000);
-    let id = "00000000000000b1";
-    session.crashing.insert(id.to_owned());
-    let job = session.store(id, 1, 300);
+    let (mut session, job) = crashing_stored(keeps_ids);
+    let id = BAD_ID;
     run_until_crashes(&mut session, id, 1);
     session.log_fate = Box::new(|_, _| LogFate::Refused);
     session.run(4_000);
@@ -354,19 +361,14 @@
     );
     session.log_fate = Box::new(|_, _| LogFate::Served);
     session.run_until_ended(job, 60_000);
-    let crashed = crashes(&session, id);
-    assert!(crashed <= MOST_CRASHES_IN_ALL, "{crashed}");
+    assert_given_up(&session, id);
 }
 
 /// All processes are killed after each crash, so that only the log tells of it.
 #[test]
 fn crashes_that_only_the_log_tells_of_count() {
-    let mut session = session(8, true);
-    let warm = session.store("0000000000000001", 1, 10);
-    session.run_until_ended(warm, 5_000);
-    let id = "00000000000000b1";
-    session.crashing.insert(id.to_owned());
-    let job = session.store(id, 1, 300);
+    let (mut session, job) = crashing_stored(true);
+    let id = BAD_ID;
     for crashed in 1..=2 {
         run_until_crashes(&mut session, id, crashed);
         session.run(100);
@@ -374,22 +376,16 @@
         (0..8).for_each(|agent| session.kill_agent(agent, 500));
     }
     session.run_until_ended(job, 60_000);
-    let crashed = crashes(&session, id);
-    assert!(crashed <= MOST_CRASHES_IN_ALL, "{crashed}");
+    assert_given_up(&session, id);
 }
 
 /// The agent dies with its minion each time, so that nobody sees how the run ended.
 #[test]
 fn a_crash_that_took_its_agent_along_counts_beside_one_that_was_seen() {
-    let mut session = session(8, true);
-    let warm = session.store("0000000000000001", 1, 10);
-    session.run_until_ended(warm, 5_000);
-    let id = "00000000000000b1";
-    session.crashing.insert(id.to_owned());
-    let job = session.store(id, 1, 300);
+    let (mut session, job) = crashing_stored(true);
+    let id = BAD_ID;
     run_until_crashes(&mut session, id, 1);
     (0..8).for_each(|agent| session.kill_agent(agent, 100));
     session.run_until_ended(job, 60_000);
-    let crashed = crashes(&session, id);
-    assert!(crashed <= MOST_CRASHES_IN_ALL, "{crashed}");
+    assert_given_up(&session, id);
 }
