--- a/crates/dispatch/src/crashes.rs
+++ b/crates/dispatch/src/crashes.rs
@@ -20,7 +20,7 @@
 use crate::TaskId;
 
 /// Time for which a crash is known, in milliseconds: callers come again within seconds.
-const KEEP_MS: u64 = 30_000;
+pub(crate) const KEEP_MS: u64 = 30_000;
 /// Most crashes that are known; the oldest are forgotten first.
 const MOST_CRASHES: usize = 1_024;
 
--- a/crates/dispatch/src/dispatcher/crashes.rs
+++ b/crates/dispatch/src/dispatcher/crashes.rs
@@ -11,6 +11,7 @@
 use crate::CrashSign;
 use crate::OrderId;
 use crate::RunKey;
+use crate::crashes::KEEP_MS;
 use crate::dispatcher::Dispatcher;
 use crate::dispatcher::OrderState;
 use crate::dispatcher::jobs::JobState;
@@ -22,6 +23,7 @@
 /// A run that was out at an agent when that was lost.
 #[derive(Debug)]
 struct LostRun {
+    lost_ms: u64,
     order: OrderId,
     run: RunKey,
     host: Name,
@@ -37,11 +39,12 @@
 
 impl LostRuns {
     /// Remembers a run, in place of the oldest one if there are too many.
-    pub(crate) fn add(&mut self, order: OrderId, run: RunKey, agent: &AgentHello) {
+    pub(crate) fn add(&mut self, now_ms: u64, order: OrderId, run: RunKey, agent: &AgentHello) {
         if self.runs.len() >= MOST_LOST_RUNS {
             self.runs.pop_front();
         }
         self.runs.push_back(LostRun {
+            lost_ms: now_ms,
             order,
             run,
             host: agent.host.clone(),
@@ -52,7 +55,8 @@
 
     /// The runs of the agent that greets in place of one that was lost, if its minion
     /// was lost as well. An agent that is still there tells of crashes itself.
-    fn lost_with_minion(&mut self, agent: &AgentHello) -> Vec<Crash> {
+    fn lost_with_minion(&mut self, now_ms: u64, agent: &AgentHello) -> Vec<Crash> {
+        self.runs.retain(|lost| now_ms < lost.lost_ms + KEEP_MS);
         let (of_host, others): (VecDeque<LostRun>, _) = std::mem::take(&mut self.runs)
             .into_iter()
             .partition(|lost| lost.host == agent.host);
@@ -104,7 +108,7 @@
 
     /// An agent greets: its predecessor may have been lost together with its minion.
     pub(crate) fn learn_unseen_crashes(&mut self, now_ms: u64, agent: &AgentHello) {
-        let crashes = self.lost_runs.lost_with_minion(agent);
+        let crashes = self.lost_runs.lost_with_minion(now_ms, agent);
         self.learn_crashes(now_ms, crashes);
     }
 
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -279,7 +279,7 @@
                 job.tasks[state.position].phase = TaskPhase::Orphaned { until_ms };
                 job.has_run = true;
                 let run = job.run_key(state.position);
-                self.lost_runs.add(order, run, &agent.hello);
+                self.lost_runs.add(self.ticked_ms, order, run, &agent.hello);
             }
             let detail = format!(
                 "position={} host={} cause={cause}",
