--- a/crates/dispatch/tests/session/mod.rs
+++ b/crates/dispatch/tests/session/mod.rs
@@ -279,6 +279,8 @@
     /// `None` for a call that is answered in time, or the delay in milliseconds
     /// after which an unanswered call is carried out.
     pub call_delay: Box<dyn FnMut(u64, usize) -> Option<u64>>,
+    /// Decides about each start call, by time and agent, before `call_delay` does.
+    pub start_delay: Box<dyn FnMut(u64, usize) -> Option<u64>>,
     /// Whether stops are unanswered and carried out `STOP_DELAY_MS` later, while
     /// other calls are answered.
     pub delays_stops: bool,
@@ -386,6 +388,7 @@
             cuts: BTreeSet::new(),
             delayed_calls: Vec::new(),
             call_delay: Box::new(|_, _| None),
+            start_delay: Box::new(|_, _| None),
             delays_stops: false,
             callers: Vec::new(),
             starts: BTreeMap::new(),
@@ -939,7 +942,11 @@
             AgentAction::Start { .. } | AgentAction::Stop { .. } | AgentAction::List { .. } => {
                 let is_delayed_stop =
                     self.delays_stops && matches!(action, AgentAction::Stop { .. });
-                match (self.call_delay)(self.now_ms, agent) {
+                let start_delay_ms = match action {
+                    AgentAction::Start { .. } => (self.start_delay)(self.now_ms, agent),
+                    _ => None,
+                };
+                match start_delay_ms.or_else(|| (self.call_delay)(self.now_ms, agent)) {
                     None if is_delayed_stop => self.delay_call(agent, &action, STOP_DELAY_MS),
                     None => self.carry_out(agent, &action, true),
                     Some(delay_ms) => self.delay_call(agent, &action, delay_ms),
