Delayed starts, first try: their tasks start on the same host only

Hypothesis: a task may go on at the host of its delayed start, since the agent there shows its epoch to each incarnation before it starts anything; so only other hosts need to be ruled out, and a task loses little time.

--- a/crates/dispatch/src/agent/incarnations.rs
+++ b/crates/dispatch/src/agent/incarnations.rs
@@ -142,6 +142,7 @@
         self.speed = MinionSpeed::default();
         if report.incarnation.started_unix_ms().is_some() {
             self.delayed_calls.inherit(now_ms);
+            self.minion_id_reported(now_ms, report.incarnation.id());
         }
         self.minion = Some(Minion::new(now_ms, report));
         self.list_if_due(now_ms);
@@ -391,7 +392,7 @@
         let active_runs: Vec<(LinkId, OrderId)> =
             self.runs.iter().map(|run| (run.link, run.order)).collect();
         for (link, order) in active_runs {
-            if let Some(run) = self.runs.remove(link, order) {
+            if let Some(run) = self.remove_run(now_ms, link, order) {
                 let end = self.end_of_lost_run(&run, loss);
                 self.record_crash(now_ms, &run, end);
                 self.log_lost_run(now_ms, &run, end);
--- a/crates/dispatch/src/agent/links.rs
+++ b/crates/dispatch/src/agent/links.rs
@@ -7,6 +7,7 @@
 use crate::Agent;
 use crate::AgentAction;
 use crate::AgentFrame;
+use crate::DelayedStart;
 use crate::Demand;
 use crate::KEEPALIVE_MS;
 use crate::LinkId;
@@ -43,6 +44,8 @@
     last_used_ms: u64,
     /// Reports for the next frame.
     reports: Vec<Report>,
+    /// Delayed starts for the next frame.
+    delayed_starts: Vec<DelayedStart>,
     pub(crate) last_sent_ms: u64,
     /// Free resources in the last frame.
     last_free: Resources,
@@ -71,6 +74,7 @@
             starts_received: 0,
             last_used_ms: now_ms,
             reports: Vec::new(),
+            delayed_starts: Vec::new(),
             last_sent_ms: now_ms,
             last_free: Resources::default(),
             has_offer: false,
@@ -191,7 +195,9 @@
             return;
         };
         let crashes = self.crashes.since(now_ms, 0);
-        let hello = minion.hello(&self.identity, now_ms, crashes);
+        let mut hello = minion.hello(&self.identity, now_ms, crashes);
+        hello.delayed_starts = self.known_delayed_starts(now_ms);
+        hello.max_start_delay_ms = self.max_start_delay_ms();
         let leftover_runs = self
             .runs
             .iter()
@@ -230,6 +236,7 @@
             let is_accepting_starts =
                 is_accepting_starts && !link.is_retiring && trial.is_none_or(|trial| trial == *id);
             let is_due = !link.reports.is_empty()
+                || !link.delayed_starts.is_empty()
                 || has_free_change
                 || is_keepalive
                 || link.has_offer
@@ -241,17 +248,20 @@
             if is_keepalive {
                 reports.extend(self.runs.progress(*id));
             }
+            let first_unsettled = self.runs.first_unsettled(*id);
             link.last_sent_ms = now_ms;
             link.last_free = free;
             link.was_accepting_starts = is_accepting_starts;
             let frame = AgentFrame {
                 clock_ms: now_ms,
                 starts_received: link.starts_received,
+                starts_settled: first_unsettled.map_or(link.starts_received, |first| first - 1),
                 free,
                 speed_permille,
                 is_accepting_starts,
                 has_offer: std::mem::take(&mut link.has_offer),
                 demand,
+                delayed_starts: std::mem::take(&mut link.delayed_starts),
                 reports,
             };
             self.actions.push(AgentAction::Send(*id, frame));
@@ -292,6 +302,14 @@
         }
     }
 
+    /// Tells all greeted entries of a delayed start. An entry that is greeted later learns
+    /// of it from the greeting.
+    pub(crate) fn tell_delayed_start(&mut self, start: &DelayedStart) {
+        for link in self.links.values_mut().filter(|link| link.is_greeted) {
+            link.delayed_starts.push(start.clone());
+        }
+    }
+
     /// Sends a report to all greeted entries.
     pub(crate) fn report_to_all(&mut self, report: &Report) {
         for link in self.links.values_mut().filter(|link| link.is_greeted) {
--- a/crates/dispatch/src/agent/listings.rs
+++ b/crates/dispatch/src/agent/listings.rs
@@ -173,7 +173,7 @@
             let Some((link, order)) = found else {
                 continue;
             };
-            if let Some(mut run) = self.runs.remove(link, order) {
+            if let Some(mut run) = self.remove_run(now_ms, link, order) {
                 self.record_end_for_breaker(now_ms, &run, ended.end);
                 if ended.end == RunEnd::Done {
                     let (done_ms, spent_ms) = run.advance(now_ms, DONE_PERCENT);
@@ -233,7 +233,7 @@
 
     /// Ends a run that the minion does not list any more.
     pub(crate) fn end_unlisted_run(&mut self, now_ms: u64, link: LinkId, order: OrderId) {
-        let Some(run) = self.runs.remove(link, order) else {
+        let Some(run) = self.remove_run(now_ms, link, order) else {
             return;
         };
         let end = match run.phase {
--- a/crates/dispatch/src/agent/minion.rs
+++ b/crates/dispatch/src/agent/minion.rs
@@ -173,6 +173,10 @@
         self.report.is_draining || self.has_left
     }
 
+    pub(crate) fn incarnation(&self) -> &Incarnation {
+        &self.report.incarnation
+    }
+
     pub(crate) fn has_no_leftovers(&self) -> bool {
         self.has_no_leftovers
     }
@@ -198,6 +202,8 @@
             retained_ends: self.retained_ends.unowned(),
             crashes,
             incarnation: self.report.incarnation.to_string().into(),
+            delayed_starts: Vec::new(),
+            max_start_delay_ms: 0,
         }
     }
 
--- a/crates/dispatch/src/agent/mod.rs
+++ b/crates/dispatch/src/agent/mod.rs
@@ -303,9 +303,11 @@
     /// be held up behind long tasks while resources become free elsewhere.
     fn start_ordered(&mut self, now_ms: u64, link: LinkId, start: StartOrder) {
         let mut is_retiring = false;
+        let mut number = 0;
         if let Some(state) = self.links.get_mut(&link) {
             state.starts_received += 1;
             is_retiring = state.is_retiring;
+            number = state.starts_received;
         }
         let order = start.id;
         if !self.admits(now_ms) || is_retiring {
@@ -318,7 +320,7 @@
             );
             return;
         }
-        let run = Run::new(now_ms, link, start);
+        let run = Run::new(now_ms, link, number, start);
         let has_resources = self.free_resources_for(link).can_fit(&run.needs);
         let is_isolated = !run.is_suspect || !self.runs.has_other_suspect(&run.key.task.job);
         let can_start = has_resources && is_isolated && !self.runs.is_task_active(&run.key);
--- a/crates/dispatch/src/agent/run_table.rs
+++ b/crates/dispatch/src/agent/run_table.rs
@@ -43,6 +43,8 @@
     /// Link of the entry that ordered the run.
     pub(crate) link: LinkId,
     pub(crate) order: OrderId,
+    /// Number of the start order on its link.
+    pub(crate) number: u64,
     pub(crate) key: RunKey,
     pub(crate) spec: Name,
     /// Whether minions crashed under its task before.
@@ -89,10 +91,11 @@
 }
 
 impl Run {
-    pub(crate) fn new(now_ms: u64, link: LinkId, start: StartOrder) -> Self {
+    pub(crate) fn new(now_ms: u64, link: LinkId, number: u64, start: StartOrder) -> Self {
         Self {
             link,
             order: start.id,
+            number,
             key: RunKey {
                 task: start.task,
                 run: start.run,
@@ -145,6 +148,12 @@
         !self.was_listed || self.pending > 0 || self.is_outcome_unknown || self.unanswered > 0
     }
 
+    /// Whether no start of the run is sent any more and none is pending.
+    fn is_start_settled(&self) -> bool {
+        let may_send_starts = matches!(self.phase, Phase::Checking | Phase::Starting);
+        !may_send_starts && self.pending == 0
+    }
+
     /// Records that the connection of a start broke after the call was sent. If that
     /// took long, the minion may have been suspended for all that time and not have
     /// read the call.
@@ -239,6 +248,15 @@
         suspects.any(|run| run.key.task.job != *job)
     }
 
+    /// Number of the first run of a link whose start is not settled, if there is one.
+    pub(crate) fn first_unsettled(&self, link: LinkId) -> Option<u64> {
+        let unsettled = self
+            .runs
+            .values()
+            .filter(|run| run.link == link && !run.is_start_settled());
+        unsettled.map(|run| run.number).min()
+    }
+
     pub(crate) fn orders_of(&self, link: LinkId) -> Vec<OrderId> {
         let runs = self.runs.values().filter(|run| run.link == link);
         runs.map(|run| run.order).collect()
--- a/crates/dispatch/src/agent/starts.rs
+++ b/crates/dispatch/src/agent/starts.rs
@@ -74,7 +74,7 @@
         result: StartResult,
     ) {
         let is_answered = result.call_outcome() != CallOutcome::Unanswered;
-        self.delayed_calls.start_ended(now_ms, key, is_answered);
+        self.delayed_call_ended(now_ms, incarnation, key, is_answered);
         if !self.serves(incarnation) {
             return;
         }
--- /dev/null
+++ b/crates/dispatch/src/delayed_starts.rs
@@ -0,0 +1,185 @@
+//! Start calls without an answer that a minion may still carry out, and the bounded set of
+//! them that agents and entries exchange.
+//!
+//! A minion may carry out an unanswered start seconds later. The incarnation that the call
+//! was sent to refuses it once the run was stopped there. A later incarnation with the same
+//! id knows nothing of the stop and has seen no epoch, and its agent may be suspended or
+//! gone. Until the start cannot be carried out any more, its task therefore starts on no
+//! other host. It may start on the same host, because the agent there shows its epoch to
+//! each incarnation before it starts anything.
+//!
+//! An agent reports its unanswered starts to all its entries. An entry that loses an agent
+//! assumes that the starts it has heard nothing of are unanswered. Entries gossip the starts
+//! of jobs that may come back at another entry.
+
+use std::collections::BTreeMap;
+
+use gannetvane_wire::Name;
+use gannetvane_wire::NodeId;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::TaskId;
+
+/// Largest number of known starts; those that expire first are forgotten first.
+const MAX_KNOWN_STARTS: usize = 4_096;
+/// Minimum time between two searches for expired starts, in milliseconds.
+const EXPIRY_INTERVAL_MS: u64 = 100;
+
+/// A start of a task that may still be carried out.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DelayedStart {
+    /// Task that may be started.
+    pub task: TaskId,
+    /// Host of the minion.
+    pub host: Name,
+    /// Agent that sent the start, or may have sent it.
+    pub agent: NodeId,
+    /// Time after which the start is void and no run of it is left, in milliseconds from
+    /// now; 0 if that is already known.
+    pub remaining_ms: u64,
+}
+
+/// A delayed start and the time until which it counts.
+#[derive(Clone, Debug)]
+struct KnownStart {
+    host: Name,
+    agent: NodeId,
+    until_ms: u64,
+    /// Position in the gossip; `None` if the start is not gossiped.
+    sequence: Option<u64>,
+}
+
+/// The delayed starts that an entry knows.
+#[derive(Clone, Debug, Default)]
+pub struct KnownDelayedStarts {
+    by_task: BTreeMap<TaskId, Vec<KnownStart>>,
+    /// Sequence number of the start that was gossiped last; 0 before the first.
+    last_sequence: u64,
+    /// Time of the next search for expired starts, in milliseconds.
+    expiry_due_ms: u64,
+}
+
+impl KnownDelayedStarts {
+    /// Records a delayed start, or that it is void. Returns whether it was not known, or
+    /// only for a shorter time.
+    pub(crate) fn add(&mut self, now_ms: u64, start: DelayedStart) -> bool {
+        if start.remaining_ms == 0 {
+            self.remove(&start);
+            return false;
+        }
+        let until_ms = now_ms.saturating_add(start.remaining_ms);
+        if self.by_task.len() >= MAX_KNOWN_STARTS && !self.by_task.contains_key(&start.task) {
+            self.forget_earliest();
+        }
+        let of_task = self.by_task.entry(start.task).or_default();
+        let known = of_task
+            .iter_mut()
+            .find(|known| known.host == start.host && known.agent == start.agent);
+        if let Some(known) = known {
+            let is_longer = until_ms > known.until_ms;
+            known.until_ms = known.until_ms.max(until_ms);
+            return is_longer;
+        }
+        of_task.push(KnownStart {
+            host: start.host,
+            agent: start.agent,
+            until_ms,
+            sequence: None,
+        });
+        true
+    }
+
+    fn remove(&mut self, start: &DelayedStart) {
+        if let Some(of_task) = self.by_task.get_mut(&start.task) {
+            of_task.retain(|known| known.host != start.host || known.agent != start.agent);
+            if of_task.is_empty() {
+                self.by_task.remove(&start.task);
+            }
+        }
+    }
+
+    fn forget_earliest(&mut self) {
+        let last_until_ms = |starts: &Vec<KnownStart>| starts.iter().map(|known| known.until_ms).max();
+        let earliest = self
+            .by_task
+            .iter()
+            .min_by_key(|(_, starts)| last_until_ms(starts));
+        if let Some(task) = earliest.map(|(task, _)| task.clone()) {
+            self.by_task.remove(&task);
+        }
+    }
+
+    /// Forgets the starts of an agent, which is about to report all that it knows of.
+    pub(crate) fn forget_agent(&mut self, agent: NodeId) {
+        self.by_task.retain(|_, starts| {
+            starts.retain(|known| known.agent != agent);
+            !starts.is_empty()
+        });
+    }
+
+    /// Forgets the starts that cannot be carried out any more.
+    pub(crate) fn expire(&mut self, now_ms: u64) {
+        if now_ms < self.expiry_due_ms {
+            return;
+        }
+        self.expiry_due_ms = now_ms + EXPIRY_INTERVAL_MS;
+        self.by_task.retain(|_, starts| {
+            starts.retain(|known| now_ms < known.until_ms);
+            !starts.is_empty()
+        });
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.by_task.is_empty()
+    }
+
+    /// Returns the hosts on which a start of the task may still be carried out.
+    pub(crate) fn hosts(&self, now_ms: u64, task: &TaskId) -> Vec<Name> {
+        let starts = self.by_task.get(task).into_iter().flatten();
+        let current = starts.filter(|known| now_ms < known.until_ms);
+        current.map(|known| known.host.clone()).collect()
+    }
+
+    /// Returns whether some start of the task may still be carried out.
+    pub(crate) fn has_task(&self, now_ms: u64, task: &TaskId) -> bool {
+        let mut starts = self.by_task.get(task).into_iter().flatten();
+        starts.any(|known| now_ms < known.until_ms)
+    }
+
+    /// Adds the known starts of a task to the gossip.
+    pub(crate) fn share(&mut self, task: &TaskId) {
+        let starts = self.by_task.get_mut(task).into_iter().flatten();
+        for known in starts.filter(|known| known.sequence.is_none()) {
+            self.last_sequence += 1;
+            known.sequence = Some(self.last_sequence);
+        }
+    }
+
+    /// Returns the sequence number of the start that was added last to the gossip.
+    #[must_use]
+    pub fn last_sequence(&self) -> u64 {
+        self.last_sequence
+    }
+
+    /// Returns the gossiped starts after the one with this sequence number, with the time
+    /// that remains of them.
+    #[must_use]
+    pub fn since(&self, now_ms: u64, sequence: u64) -> Vec<DelayedStart> {
+        if sequence >= self.last_sequence {
+            return Vec::new();
+        }
+        let is_newer = |known: &&KnownStart| {
+            known.sequence.is_some_and(|own| own > sequence) && now_ms < known.until_ms
+        };
+        let newer = self.by_task.iter().flat_map(|(task, starts)| {
+            starts.iter().filter(is_newer).map(|known| DelayedStart {
+                task: task.clone(),
+                host: known.host.clone(),
+                agent: known.agent,
+                remaining_ms: known.until_ms - now_ms,
+            })
+        });
+        newer.collect()
+    }
+}
--- a/crates/dispatch/src/dispatcher/ends.rs
+++ b/crates/dispatch/src/dispatcher/ends.rs
@@ -75,6 +75,7 @@
         agent.outstanding.remove(&order);
         let host = agent.hello.host.clone();
         let speed = agent.speed;
+        let max_start_delay_ms = agent.hello.max_start_delay_ms;
         let Some(job) = self.jobs.get_mut(&state.job) else {
             return;
         };
@@ -119,7 +120,7 @@
                 // A delayed call may still start the run until this time. The
                 // wait ends earlier if the agent greets again, since nothing of
                 // the run is left then.
-                let until_ms = now_ms + MAX_CALL_DELAY_MS;
+                let until_ms = now_ms + MAX_CALL_DELAY_MS.max(max_start_delay_ms);
                 task.phase = TaskPhase::Orphaned { until_ms };
                 task.avoid(&host);
                 self.hosts.record(&host).record_failure(now_ms);
@@ -243,6 +244,7 @@
             return;
         };
         job.outcome = Some(outcome);
+        let is_final = outcome == JobOutcome::Completed || job.is_stored;
         let took_ms = now_ms.saturating_sub(job.received_ms);
         let queued_ms = job
             .first_start_ms
@@ -273,6 +275,9 @@
         for order in orders {
             self.send_stop(order);
         }
+        if !is_final {
+            self.share_delayed_starts(id);
+        }
         self.actions.push(DispatcherAction::Event(EntryEvent {
             event: outcome_event(outcome),
             job: Some(id.clone()),
@@ -336,6 +341,11 @@
         if state.is_stop_sent || !self.jobs.get(&state.job).is_some_and(JobState::is_open) {
             return;
         }
+        let task = self.jobs.get(&state.job).map(|job| job.task_id(state.position));
+        if task.is_some_and(|task| self.delayed_starts.has_task(now_ms, &task)) {
+            // The task could start on no other host.
+            return;
+        }
         let host = agent.hello.host.clone();
         // Relative to the other minions, since all of them appear slow while
         // declared times are too short.
--- a/crates/dispatch/src/dispatcher/fleet.rs
+++ b/crates/dispatch/src/dispatcher/fleet.rs
@@ -105,6 +105,9 @@
     /// Number of start orders on this connection that the agent had received at
     /// its last frame.
     starts_received: u64,
+    /// Number of the first start orders on this connection of which no start
+    /// was pending or to be sent at the agent's last frame.
+    starts_settled: u64,
     /// Number of start orders sent on this connection.
     starts_sent: u64,
     /// Orders without an end, each with the number of its start on this
@@ -135,6 +138,7 @@
             last_seen_ms: now_ms,
             last_sent_ms: 0,
             starts_received: 0,
+            starts_settled: 0,
             starts_sent: 0,
             outstanding: BTreeMap::new(),
             chosen_entries: BTreeSet::new(),
@@ -152,6 +156,7 @@
         self.demand = frame.demand;
         self.is_accepting_starts = frame.is_accepting_starts;
         self.starts_received = frame.starts_received;
+        self.starts_settled = frame.starts_settled;
         self.has_offered |= frame.has_offer;
     }
 
@@ -182,6 +187,13 @@
         unreceived.fold(self.free, |free, needs| free.minus(&needs))
     }
 
+    /// Returns whether a start for an order without an end may be pending at
+    /// the agent, as far as its last frame tells.
+    pub(crate) fn may_have_pending_start(&self, order: OrderId) -> bool {
+        let number = self.outstanding.get(&order).map(|(number, _)| *number);
+        number.is_some_and(|number| number > self.starts_settled)
+    }
+
     /// Returns the needs of the start orders that the agent had not received at
     /// its last frame.
     fn unreceived(&self) -> impl Iterator<Item = Resources> {
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -5,6 +5,7 @@
 //! caller; the dispatcher runs them for the ledger.
 
 mod crashes;
+mod delayed_starts;
 mod ends;
 mod estimate;
 mod evacuation;
@@ -35,6 +36,7 @@
 use crate::JobOutcome;
 use crate::KEEPALIVE_MS;
 use crate::KnownCrashes;
+use crate::KnownDelayedStarts;
 use crate::LinkId;
 use crate::OrderId;
 use crate::RUNS_GONE_AFTER_MS;
@@ -151,6 +153,9 @@
     pub(crate) stored_events: Vec<StoredEvent>,
     pub(crate) crashes: KnownCrashes,
     pub(crate) lost_runs: LostRuns,
+    /// Starts that minions may still carry out. Their tasks start on no other
+    /// host.
+    pub(crate) delayed_starts: KnownDelayedStarts,
 }
 
 impl Dispatcher {
@@ -190,6 +195,7 @@
             stored_events: Vec::new(),
             crashes: KnownCrashes::default(),
             lost_runs: LostRuns::default(),
+            delayed_starts: KnownDelayedStarts::default(),
         }
     }
 
@@ -275,6 +281,7 @@
             self.actions.push(DispatcherAction::Close(stale));
             self.agent_down(stale, "greeted-again");
         }
+        self.agent_reported_delayed_starts(now_ms, &hello);
         self.agents.insert(link, AgentState::new(now_ms, hello));
         self.send_evacuations(link);
         self.release_orphans(&host);
@@ -302,6 +309,9 @@
                 job.tasks[state.position].phase = TaskPhase::Orphaned { until_ms };
                 job.may_have_run = true;
                 let run = job.run_key(state.position);
+                if agent.may_have_pending_start(order) {
+                    self.assume_delayed_start(&agent, run.task.clone());
+                }
                 self.lost_runs
                     .add(self.last_tick_ms, order, run, &agent.hello);
             }
@@ -320,6 +330,7 @@
             return;
         };
         agent.update(now_ms, &frame);
+        self.add_delayed_starts(now_ms, frame.delayed_starts);
         for report in frame.reports {
             match report {
                 Report::Ended {
@@ -352,6 +363,7 @@
         self.drop_unresponsive_agents(now_ms);
         self.expire_orphans(now_ms);
         self.crashes.expire(now_ms);
+        self.delayed_starts.expire(now_ms);
         self.expire_jobs(now_ms);
         self.place(now_ms);
         self.probe(now_ms);
--- a/crates/dispatch/src/gossip.rs
+++ b/crates/dispatch/src/gossip.rs
@@ -6,6 +6,7 @@
 
 use crate::Evacuations;
 use crate::KnownCrashes;
+use crate::KnownDelayedStarts;
 use crate::PeerFrame;
 use crate::RoutingTable;
 use crate::SeenEntry;
@@ -28,6 +29,8 @@
     pub has_stored_jobs: bool,
     /// Recent crashes of minions under tasks.
     pub crashes: KnownCrashes,
+    /// Starts that minions may still carry out.
+    pub delayed_starts: KnownDelayedStarts,
 }
 
 /// Position of one connection in the gossip: what was sent on it so far.
@@ -39,6 +42,8 @@
     sent_evacuations_offset: u64,
     /// Sequence number of the newest crash that was sent.
     sent_crash_sequence: u64,
+    /// Sequence number of the newest delayed start that was sent.
+    sent_delayed_start_sequence: u64,
     /// Entries known when the last list was sent, sorted.
     sent_entries: Vec<SocketAddr>,
     /// Time of the last frame with all entries, in milliseconds.
@@ -60,12 +65,16 @@
         self.sent_evacuations_offset = gossip.evacuations.log_offset;
         let crashes = gossip.crashes.since(now_ms, self.sent_crash_sequence);
         self.sent_crash_sequence = gossip.crashes.last_sequence();
+        let last_sequence = self.sent_delayed_start_sequence;
+        let delayed_starts = gossip.delayed_starts.since(now_ms, last_sequence);
+        self.sent_delayed_start_sequence = gossip.delayed_starts.last_sequence();
         PeerFrame {
             entries: self.next_entries(now_ms, gossip, known),
             table: has_newer_table.then(|| (*gossip.table).clone()),
             has_stored_jobs: gossip.has_stored_jobs,
             evacuations: has_newer_evacuations.then(|| gossip.evacuations.clone()),
             crashes,
+            delayed_starts,
         }
     }
 
--- a/crates/dispatch/src/lease.rs
+++ b/crates/dispatch/src/lease.rs
@@ -33,6 +33,12 @@
 /// milliseconds. The platform can deliver calls seconds after they were sent.
 pub(crate) const MAX_CALL_DELAY_MS: u64 = 12_000;
 
+/// Returns the longest time for which a run may go on although no process controls its
+/// minion, in milliseconds, if the minion grants leases of `max_lease_ms`.
+pub(crate) fn max_uncontrolled_ms(max_lease_ms: u64) -> u64 {
+    max_lease_ms + max_lease_ms / 50 + STOP_GRACE_MS
+}
+
 const _: () = assert!(
     RUNS_GONE_AFTER_MS < 1_300,
     "a job that is sent again must find nothing running"
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -22,6 +22,7 @@
 
 mod agent;
 mod crashes;
+mod delayed_starts;
 mod directory;
 mod dispatcher;
 mod evacuations;
@@ -43,6 +44,8 @@
 pub use agent::AgentIdentity;
 pub use crashes::Crash;
 pub use crashes::KnownCrashes;
+pub use delayed_starts::DelayedStart;
+pub use delayed_starts::KnownDelayedStarts;
 pub use directory::Directory;
 pub use directory::MAX_LINKED_ENTRIES;
 pub use directory::MAX_LINKED_PEERS;
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -13,6 +13,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::Crash;
+use crate::DelayedStart;
 use crate::Evacuations;
 use crate::Resources;
 use crate::RoutingTable;
@@ -83,6 +84,12 @@
     pub crashes: Vec<Crash>,
     /// Incarnation of the minion: its id, and its start time if the minion reports it.
     pub incarnation: Name,
+    /// All starts that the agent sent and that its minion may still carry out.
+    pub delayed_starts: Vec<DelayedStart>,
+    /// Time after a start was sent at which nothing of it can be left even if no process
+    /// controls the minion, in milliseconds; 0 if no later incarnation of the minion can have
+    /// its id.
+    pub max_start_delay_ms: u64,
 }
 
 /// Work that callers submit for a service, and work that waits for resources there.
@@ -217,6 +224,9 @@
     pub clock_ms: u64,
     /// Number of start orders received on this link so far.
     pub starts_received: u64,
+    /// Number of the first start orders received on this link for which the agent sends no
+    /// start any more and awaits no answer to one.
+    pub starts_settled: u64,
     /// Resources that are neither used by runs nor reserved for other entries.
     pub free: Resources,
     /// Recent speed of the minion, in thousandths of the ordinary speed.
@@ -228,6 +238,9 @@
     pub has_offer: bool,
     /// Sum of the demands that all entries sent to this agent.
     pub demand: Demand,
+    /// Starts that became delayed or void since the last frame, of all entries. They apply
+    /// before the reports.
+    pub delayed_starts: Vec<DelayedStart>,
     /// Reports since the last frame.
     pub reports: Vec<Report>,
 }
@@ -359,6 +372,9 @@
     pub evacuations: Option<Evacuations>,
     /// Crashes of minions under tasks that became known to the sender since the last frame.
     pub crashes: Vec<Crash>,
+    /// Delayed starts of jobs that callers may send to the receiver, if they became known
+    /// since the last frame.
+    pub delayed_starts: Vec<DelayedStart>,
 }
 
 /// Answer to each [`PeerFrame`]; it shows the sender that the connection works.
--- a/crates/dispatch/tests/growth/agent.rs
+++ b/crates/dispatch/tests/growth/agent.rs
@@ -62,6 +62,8 @@
         clock_ms: 0,
         retained_ends: Vec::new(),
         crashes: Vec::new(),
+        delayed_starts: Vec::new(),
+        max_start_delay_ms: 0,
         incarnation: "minion-1".into(),
     }
 }
--- a/crates/dispatch/tests/overload.rs
+++ b/crates/dispatch/tests/overload.rs
@@ -147,6 +147,8 @@
         clock_ms: now_ms,
         retained_ends: Vec::new(),
         crashes: Vec::new(),
+        delayed_starts: Vec::new(),
+        max_start_delay_ms: 0,
         incarnation: "minion-1".into(),
     };
     dispatcher.agent_up(now_ms, link, hello);
@@ -158,6 +160,8 @@
     let frame = AgentFrame {
         clock_ms: now_ms,
         starts_received: 0,
+        starts_settled: 0,
+        delayed_starts: Vec::new(),
         free: Resources::default(),
         speed_permille: 1_000,
         has_offer: false,
--- a/crates/dispatch/tests/sent_entries.rs
+++ b/crates/dispatch/tests/sent_entries.rs
@@ -40,6 +40,8 @@
         clock_ms: 0,
         retained_ends: Vec::new(),
         crashes: Vec::new(),
+        delayed_starts: Vec::new(),
+        max_start_delay_ms: 0,
         incarnation: "minion-1".into(),
     }
 }
--- a/crates/dispatch/tests/session/mod.rs
+++ b/crates/dispatch/tests/session/mod.rs
@@ -32,6 +32,7 @@
 use gannetvane_dispatch::BoxedPolicy;
 use gannetvane_dispatch::CallerId;
 use gannetvane_dispatch::Crash;
+use gannetvane_dispatch::DelayedStart;
 use gannetvane_dispatch::Directory;
 use gannetvane_dispatch::Dispatcher;
 use gannetvane_dispatch::DispatcherAction;
@@ -140,6 +141,7 @@
     Appended(Partition, u32, u64, AppendResult),
     Loaded(Partition, u64, Option<Vec<LogRecord>>),
     Crashes(Vec<Crash>),
+    DelayedStarts(Vec<DelayedStart>),
 }
 
 /// Dispatcher of an entry, and its ledger of the partitions that it owns.
@@ -335,6 +337,8 @@
     pending_crashes: PendingCrashes,
     /// Number of the last crash that an entry sent to another entry.
     sent_crashes: BTreeMap<(usize, usize), u64>,
+    /// Number of the last delayed start that an entry sent to another entry.
+    sent_delayed_starts: BTreeMap<(usize, usize), u64>,
     /// For each agent, its start number and the id of its minion at the last
     /// periodic report.
     reported: BTreeMap<usize, (u64, String)>,
@@ -418,6 +422,7 @@
             crash_after_ms: None,
             pending_crashes: PendingCrashes::default(),
             sent_crashes: BTreeMap::new(),
+            sent_delayed_starts: BTreeMap::new(),
             reported: BTreeMap::new(),
             newly_refused: Vec::new(),
             evacuated: BTreeSet::new(),
@@ -616,6 +621,8 @@
         self.entries[entry].down_until_ms = self.now_ms + for_ms;
         self.sent_crashes
             .retain(|(from, to), _| *from != entry && *to != entry);
+        self.sent_delayed_starts
+            .retain(|(from, to), _| *from != entry && *to != entry);
         self.break_links(|link| link.entry == entry, Side::Entry(entry));
         for state in &mut self.callers {
             if state.entry == entry && state.outcome.is_none() && state.caller.take().is_some() {
@@ -1215,6 +1222,7 @@
                     ledger.appended(now_ms, partition, epoch, number, result, dispatcher);
                 }
                 Event::Crashes(crashes) => dispatcher.add_crashes(now_ms, crashes),
+                Event::DelayedStarts(starts) => dispatcher.gossip_received(now_ms, starts),
                 Event::Loaded(partition, load, records) => {
                     ledger.loaded(now_ms, partition, load, records.as_deref());
                 }
@@ -1226,6 +1234,7 @@
         process.due_ms = ledger_due_ms.map_or(due_ms, |ledger_ms| ledger_ms.min(due_ms));
         let (actions, calls) = (dispatcher.take_actions(), ledger.take_actions());
         self.gossip_crashes(entry);
+        self.gossip_delayed_starts(entry);
         for action in actions {
             self.entry_action(entry, action);
         }
@@ -1249,6 +1258,21 @@
         }
     }
 
+    /// Sends delayed starts that an entry gossips since the last call to the other
+    /// entries.
+    fn gossip_delayed_starts(&mut self, entry: usize) {
+        let now_ms = self.now_ms;
+        for other in (0..self.entries.len()).filter(|other| *other != entry) {
+            let known = self.entries[entry].core.dispatcher.delayed_starts();
+            let last_sent = self.sent_delayed_starts.entry((entry, other)).or_default();
+            let starts = known.since(now_ms, *last_sent);
+            *last_sent = known.last_sequence();
+            if !starts.is_empty() {
+                self.post(Side::Entry(other), Event::DelayedStarts(starts));
+            }
+        }
+    }
+
     fn entry_action(&mut self, entry: usize, action: DispatcherAction) {
         match action {
             DispatcherAction::Send(id, frame) => {
--- a/crates/node/src/entry_node.rs
+++ b/crates/node/src/entry_node.rs
@@ -249,6 +249,7 @@
             self.execute_actions();
             self.execute_ledger_actions();
             self.gossip_crashes();
+            self.gossip_delayed_starts();
         }
         info!(self.log, "stopped"; "open_jobs" => self.dispatcher.unfinished_jobs());
         tokio::time::sleep(Duration::from_millis(FLUSH_MS)).await;
@@ -361,6 +362,8 @@
             self.configure(table);
         }
         self.dispatcher.add_crashes(now_ms, frame.crashes);
+        self.dispatcher
+            .gossip_received(now_ms, frame.delayed_starts);
     }
 
     /// Spreads crashes that became known here to other entries.
@@ -372,6 +375,16 @@
         }
     }
 
+    /// Spreads delayed starts whose jobs may come again at another entry.
+    fn gossip_delayed_starts(&mut self) {
+        let starts = self.dispatcher.delayed_starts();
+        if self.gossip.borrow().delayed_starts.last_sequence() != starts.last_sequence() {
+            let starts = starts.clone();
+            self.gossip
+                .send_modify(|gossip| gossip.delayed_starts = starts);
+        }
+    }
+
     /// Applies the set of evacuated zones if it is newer. Callers do this before they
     /// apply a configuration from the same message, so that an entry that is ready
     /// because of the configuration also has the evacuations.
--- a/crates/node/tests/entry.rs
+++ b/crates/node/tests/entry.rs
@@ -246,6 +246,8 @@
         clock_ms: 1,
         retained_ends: Vec::new(),
         crashes: Vec::new(),
+        delayed_starts: Vec::new(),
+        max_start_delay_ms: 0,
         incarnation: "minion-1".into(),
     }
 }
@@ -370,6 +372,7 @@
             has_stored_jobs: false,
             evacuations: None,
             crashes: Vec::new(),
+            delayed_starts: Vec::new(),
         };
         write_frame(&mut peer, &frame).await;
         assert!(decode::<PeerAck>(&read_frame(&mut peer).await).is_ok());
