A task waits while an unanswered start of it may still be carried out

What callers saw: a booking or a posting made twice. A start call without an answer is carried out seconds later by the next incarnation of its minion under the same id, which has seen no epoch and no stop, while the task is at work or done elsewhere.

Change: agents report unanswered starts in frames and greetings, and how many of the first orders are settled; an entry that loses an agent assumes the others to be unanswered until the same agent process greets; entries gossip those of jobs that may come elsewhere; a task starts again only when its earlier starts are answered or void, 12 s and the longest lease after the call; the next owner of a partition waits while an agent is lost. Only for minions that tell their start times.

Literals in tests have the new fields; the session gossips delayed starts to entries that are up.

--- a/crates/dispatch/src/agent/delayed_calls.rs
+++ b/crates/dispatch/src/agent/delayed_calls.rs
@@ -5,8 +5,8 @@
 //! its agent is suspended, that minion may run a task that is active elsewhere, or again
 //! a task whose end was already acknowledged, or it may carry out an unanswered
 //! acknowledgement, and an end counts that nobody has seen. So the agent reports such
-//! starts to its entries, which start the tasks nowhere else, and acknowledges no end
-//! until no start of a stored task can be carried out any more.
+//! starts to its entries, which start the tasks again only after that time, and
+//! acknowledges no end until no start of a stored task can be carried out any more.
 
 use std::collections::BTreeMap;
 
@@ -224,7 +224,6 @@
         };
         DelayedStart {
             task,
-            host: self.identity.host.clone(),
             agent: self.identity.node,
             remaining_ms,
         }
--- a/crates/dispatch/src/agent/links.rs
+++ b/crates/dispatch/src/agent/links.rs
@@ -49,6 +49,8 @@
     pub(crate) last_sent_ms: u64,
     /// Free resources in the last frame.
     last_free: Resources,
+    /// Number of settled starts in the last frame.
+    last_settled: u64,
     /// Whether the next frame announces an offer.
     pub(crate) has_offer: bool,
     /// Whether the last frame said that starts are admitted.
@@ -77,6 +79,7 @@
             delayed_starts: Vec::new(),
             last_sent_ms: now_ms,
             last_free: Resources::default(),
+            last_settled: 0,
             has_offer: false,
             was_accepting_starts: false,
             demand: Demand::default(),
@@ -226,18 +229,23 @@
         let update_interval_ms =
             FREE_UPDATE_INTERVAL_MS * entries.div_ceil(ENTRIES_AT_FULL_RATE).max(1);
         let speed_permille = self.speed.permille(now_ms);
+        let may_delay_starts = self.max_start_delay_ms() > 0;
         let demands = self.links.values().map(|link| link.demand);
         let demand = demands.fold(Demand::default(), Demand::plus);
         for (id, link) in &mut self.links {
             let free = all_free.minus(&self.offers.reserved_for_others(*id));
             let pause_ms = now_ms.saturating_sub(link.last_sent_ms);
+            let first_unsettled = self.runs.first_unsettled(*id);
+            let starts_settled = first_unsettled.map_or(link.starts_received, |first| first - 1);
             let is_keepalive = pause_ms >= KEEPALIVE_MS;
-            let has_free_change = free != link.last_free && pause_ms >= update_interval_ms;
+            let has_settled_start = may_delay_starts && starts_settled > link.last_settled;
+            let has_change = free != link.last_free || has_settled_start;
+            let has_due_change = has_change && pause_ms >= update_interval_ms;
             let is_accepting_starts =
                 is_accepting_starts && !link.is_retiring && trial.is_none_or(|trial| trial == *id);
             let is_due = !link.reports.is_empty()
                 || !link.delayed_starts.is_empty()
-                || has_free_change
+                || has_due_change
                 || is_keepalive
                 || link.has_offer
                 || link.was_accepting_starts != is_accepting_starts;
@@ -248,14 +256,14 @@
             if is_keepalive {
                 reports.extend(self.runs.progress(*id));
             }
-            let first_unsettled = self.runs.first_unsettled(*id);
             link.last_sent_ms = now_ms;
             link.last_free = free;
+            link.last_settled = starts_settled;
             link.was_accepting_starts = is_accepting_starts;
             let frame = AgentFrame {
                 clock_ms: now_ms,
                 starts_received: link.starts_received,
-                starts_settled: first_unsettled.map_or(link.starts_received, |first| first - 1),
+                starts_settled,
                 free,
                 speed_permille,
                 is_accepting_starts,
--- a/crates/dispatch/src/delayed_starts.rs
+++ b/crates/dispatch/src/delayed_starts.rs
@@ -3,10 +3,9 @@
 //!
 //! A minion may carry out an unanswered start seconds later. The incarnation that the call
 //! was sent to refuses it once the run was stopped there. A later incarnation with the same
-//! id knows nothing of the stop and has seen no epoch, and its agent may be suspended or
-//! gone. Until the start cannot be carried out any more, its task therefore starts on no
-//! other host. It may start on the same host, because the agent there shows its epoch to
-//! each incarnation before it starts anything.
+//! id knows nothing of the stop, and it may carry the call out before the agent has shown it
+//! an epoch, or while the agent is suspended or gone. So a task is not started again until
+//! each earlier start of it was answered or is void.
 //!
 //! An agent reports its unanswered starts to all its entries. An entry that loses an agent
 //! assumes that the starts it has heard nothing of are unanswered. Entries gossip the starts
@@ -14,7 +13,6 @@
 
 use std::collections::BTreeMap;
 
-use gannetvane_wire::Name;
 use gannetvane_wire::NodeId;
 use serde::Deserialize;
 use serde::Serialize;
@@ -31,8 +29,6 @@
 pub struct DelayedStart {
     /// Task that may be started.
     pub task: TaskId,
-    /// Host of the minion.
-    pub host: Name,
     /// Agent that sent the start, or may have sent it.
     pub agent: NodeId,
     /// Time after which the start is void and no run of it is left, in milliseconds from
@@ -43,9 +39,10 @@
 /// A delayed start and the time until which it counts.
 #[derive(Clone, Debug)]
 struct KnownStart {
-    host: Name,
     agent: NodeId,
     until_ms: u64,
+    /// Whether another entry told of it, and not the agent, nor the loss of the agent.
+    is_gossiped: bool,
     /// Position in the gossip; `None` if the start is not gossiped.
     sequence: Option<u64>,
 }
@@ -64,6 +61,19 @@
     /// Records a delayed start, or that it is void. Returns whether it was not known, or
     /// only for a shorter time.
     pub(crate) fn add(&mut self, now_ms: u64, start: DelayedStart) -> bool {
+        self.insert(now_ms, start, false)
+    }
+
+    /// Records a delayed start that another entry gossips, and passes it on if it was not
+    /// known.
+    pub(crate) fn add_gossiped(&mut self, now_ms: u64, start: DelayedStart) -> bool {
+        let task = start.task.clone();
+        let is_new = self.insert(now_ms, start, true);
+        self.share(&task);
+        is_new
+    }
+
+    fn insert(&mut self, now_ms: u64, start: DelayedStart, is_gossiped: bool) -> bool {
         if start.remaining_ms == 0 {
             self.remove(&start);
             return false;
@@ -75,16 +85,16 @@
         let of_task = self.by_task.entry(start.task).or_default();
         let known = of_task
             .iter_mut()
-            .find(|known| known.host == start.host && known.agent == start.agent);
+            .find(|known| known.agent == start.agent && known.is_gossiped == is_gossiped);
         if let Some(known) = known {
             let is_longer = until_ms > known.until_ms;
             known.until_ms = known.until_ms.max(until_ms);
             return is_longer;
         }
         of_task.push(KnownStart {
-            host: start.host,
             agent: start.agent,
             until_ms,
+            is_gossiped,
             sequence: None,
         });
         true
@@ -92,7 +102,7 @@
 
     fn remove(&mut self, start: &DelayedStart) {
         if let Some(of_task) = self.by_task.get_mut(&start.task) {
-            of_task.retain(|known| known.host != start.host || known.agent != start.agent);
+            of_task.retain(|known| known.agent != start.agent || known.is_gossiped);
             if of_task.is_empty() {
                 self.by_task.remove(&start.task);
             }
@@ -100,7 +110,8 @@
     }
 
     fn forget_earliest(&mut self) {
-        let last_until_ms = |starts: &Vec<KnownStart>| starts.iter().map(|known| known.until_ms).max();
+        let last_until_ms =
+            |starts: &Vec<KnownStart>| starts.iter().map(|known| known.until_ms).max();
         let earliest = self
             .by_task
             .iter()
@@ -110,10 +121,12 @@
         }
     }
 
-    /// Forgets the starts of an agent, which is about to report all that it knows of.
+    /// Forgets the starts of an agent that it reported or that were assumed, because the
+    /// agent now reports all of them. Those that other entries told of stay: the report may
+    /// have been on its way since before these entries lost the agent.
     pub(crate) fn forget_agent(&mut self, agent: NodeId) {
         self.by_task.retain(|_, starts| {
-            starts.retain(|known| known.agent != agent);
+            starts.retain(|known| known.agent != agent || known.is_gossiped);
             !starts.is_empty()
         });
     }
@@ -134,13 +147,6 @@
         self.by_task.is_empty()
     }
 
-    /// Returns the hosts on which a start of the task may still be carried out.
-    pub(crate) fn hosts(&self, now_ms: u64, task: &TaskId) -> Vec<Name> {
-        let starts = self.by_task.get(task).into_iter().flatten();
-        let current = starts.filter(|known| now_ms < known.until_ms);
-        current.map(|known| known.host.clone()).collect()
-    }
-
     /// Returns whether some start of the task may still be carried out.
     pub(crate) fn has_task(&self, now_ms: u64, task: &TaskId) -> bool {
         let mut starts = self.by_task.get(task).into_iter().flatten();
@@ -175,7 +181,6 @@
         let newer = self.by_task.iter().flat_map(|(task, starts)| {
             starts.iter().filter(is_newer).map(|known| DelayedStart {
                 task: task.clone(),
-                host: known.host.clone(),
                 agent: known.agent,
                 remaining_ms: known.until_ms - now_ms,
             })
--- a/crates/dispatch/src/dispatcher/ends.rs
+++ b/crates/dispatch/src/dispatcher/ends.rs
@@ -341,9 +341,8 @@
         if state.is_stop_sent || !self.jobs.get(&state.job).is_some_and(JobState::is_open) {
             return;
         }
-        let task = self.jobs.get(&state.job).map(|job| job.task_id(state.position));
-        if task.is_some_and(|task| self.delayed_starts.has_task(now_ms, &task)) {
-            // The task could start on no other host.
+        if self.has_delayed_start(now_ms, &state.job, state.position) {
+            // The task could not be started elsewhere after a stop.
             return;
         }
         let host = agent.hello.host.clone();
--- a/crates/dispatch/src/dispatcher/fleet.rs
+++ b/crates/dispatch/src/dispatcher/fleet.rs
@@ -255,6 +255,12 @@
         self.free() == self.hello.capacity
     }
 
+    /// Returns whether nothing runs on the minion and the agent takes no starts,
+    /// as far as is known.
+    pub(crate) fn has_stopped(&self) -> bool {
+        self.has_reported_free && !self.is_accepting_starts && self.is_idle()
+    }
+
     /// Returns the fraction of the minion's processor capacity that is in use.
     pub(crate) fn load(&self) -> f64 {
         let capacity = f64::from(self.hello.capacity.cpu_milli.max(1));
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -43,6 +43,7 @@
 use crate::Report;
 use crate::RoutingTable;
 use crate::dispatcher::crashes::LostRuns;
+use crate::dispatcher::delayed_starts::LostAgents;
 use crate::dispatcher::estimate::Estimates;
 use crate::dispatcher::fleet::AgentState;
 use crate::dispatcher::fleet::Hosts;
@@ -153,9 +154,10 @@
     pub(crate) stored_events: Vec<StoredEvent>,
     pub(crate) crashes: KnownCrashes,
     pub(crate) lost_runs: LostRuns,
-    /// Starts that minions may still carry out. Their tasks start on no other
-    /// host.
+    /// Starts that minions may still carry out. Their tasks are not started
+    /// again until then.
     pub(crate) delayed_starts: KnownDelayedStarts,
+    pub(crate) lost_agents: LostAgents,
 }
 
 impl Dispatcher {
@@ -196,6 +198,7 @@
             crashes: KnownCrashes::default(),
             lost_runs: LostRuns::default(),
             delayed_starts: KnownDelayedStarts::default(),
+            lost_agents: LostAgents::default(),
         }
     }
 
@@ -300,6 +303,7 @@
             orders.len()
         );
         self.event("agent-down", None, detail);
+        self.lost_agents.add(&agent);
         let until_ms = agent.last_sent_ms + RUNS_GONE_AFTER_MS;
         for order in orders {
             let Some(state) = self.orders.remove(&order) else {
@@ -310,7 +314,7 @@
                 job.may_have_run = true;
                 let run = job.run_key(state.position);
                 if agent.may_have_pending_start(order) {
-                    self.assume_delayed_start(&agent, run.task.clone());
+                    self.assume_delayed_start(&agent, &run.task);
                 }
                 self.lost_runs
                     .add(self.last_tick_ms, order, run, &agent.hello);
@@ -364,6 +368,7 @@
         self.expire_orphans(now_ms);
         self.crashes.expire(now_ms);
         self.delayed_starts.expire(now_ms);
+        self.lost_agents.expire(now_ms);
         self.expire_jobs(now_ms);
         self.place(now_ms);
         self.probe(now_ms);
--- a/crates/dispatch/src/dispatcher/probes.rs
+++ b/crates/dispatch/src/dispatcher/probes.rs
@@ -13,7 +13,6 @@
 use crate::dispatcher::Dispatcher;
 use crate::dispatcher::SUSPENSION_MS;
 use crate::dispatcher::fleet::AgentState;
-use crate::dispatcher::jobs::TaskPhase;
 use crate::policy::placement;
 
 /// Number of agents that are probed for each waiting task. More would cost
@@ -43,13 +42,12 @@
 
     /// Sends probes for the waiting tasks of one job.
     fn probe_for(&mut self, now_ms: u64, id: &Name) {
+        let waiting = self.startable_tasks(now_ms, id);
         let Some(state) = self.jobs.get_mut(id) else {
             return;
         };
         state.probed_until_ms = now_ms + PROBE_TTL_MS;
         let job = Arc::clone(&state.job);
-        let is_waiting = |position: &usize| state.tasks[*position].phase == TaskPhase::Waiting;
-        let waiting: Vec<usize> = (0..state.tasks.len()).filter(is_waiting).collect();
         let Some(first) = waiting.first().copied() else {
             return;
         };
--- a/crates/dispatch/src/dispatcher/rounds.rs
+++ b/crates/dispatch/src/dispatcher/rounds.rs
@@ -135,18 +135,9 @@
             return true;
         };
         let job = Arc::clone(&state.job);
-        let is_waiting = |position: &usize| state.tasks[*position].phase == TaskPhase::Waiting;
-        let positions: Vec<usize> = (0..state.tasks.len()).filter(is_waiting).collect();
-        for position in positions {
-            let delayed_hosts = self.delayed_hosts(now_ms, id, position);
-            if self.is_held_elsewhere(&delayed_hosts, candidates) {
-                continue;
-            }
+        for position in self.startable_tasks(now_ms, id) {
             let Some(link) = self.choose_agent(now_ms, &job, position, candidates) else {
-                if delayed_hosts.is_empty() {
-                    return false;
-                }
-                continue;
+                return false;
             };
             self.order_start(now_ms, id, position, link);
         }
@@ -181,7 +172,6 @@
         let state = self.jobs.get(&job.id)?;
         let task = &state.tasks[position];
         let step = &job.steps[task.step];
-        let delayed_hosts = self.delayed_hosts(now_ms, &job.id, position);
         let mut tasks_per_host: BTreeMap<Name, u32> = BTreeMap::new();
         if step.max_per_minion > 0 {
             let same = state.tasks.iter().filter(|other| other.step == task.step);
@@ -198,11 +188,7 @@
                 .estimates
                 .expected_ms(&job.queue.name, step.declared_ms),
             time_left_ms: state.objective_ms as f64 - now_ms as f64,
-            avoided_hosts: match delayed_hosts.is_empty() || task.failures > 0 {
-                true => self.hosts_to_avoid(&task.avoided_hosts, &job.queue.service, step),
-                false => Vec::new(),
-            },
-            delayed_hosts,
+            avoided_hosts: self.hosts_to_avoid(&task.avoided_hosts, &job.queue.service, step),
             tasks_per_host,
             remote_factor: self.settings.remote_factor,
             is_ejecting: !self.services_without_ejection.contains(&job.queue.service),
@@ -210,17 +196,6 @@
         })
     }
 
-    /// Returns the hosts on which an earlier start of a task may still be
-    /// carried out.
-    fn delayed_hosts(&self, now_ms: u64, id: &Name, position: usize) -> Vec<Name> {
-        if self.delayed_starts.is_empty() {
-            return Vec::new();
-        }
-        let job = self.jobs.get(id);
-        let task = job.map(|job| job.task_id(position));
-        task.map_or_else(Vec::new, |task| self.delayed_starts.hosts(now_ms, &task))
-    }
-
     /// Returns the hosts that a task avoids. If no other host could take it,
     /// none is avoided, since a bad host is better than no host.
     fn hosts_to_avoid(&self, avoided: &[Name], service: &Name, step: &Step) -> Vec<Name> {
--- a/crates/dispatch/src/policy/placement.rs
+++ b/crates/dispatch/src/policy/placement.rs
@@ -36,9 +36,6 @@
     pub(crate) time_left_ms: f64,
     /// Hosts that the task avoids.
     pub(crate) avoided_hosts: Vec<Name>,
-    /// Hosts on which an earlier start of the task may still be carried out:
-    /// the task starts on no other host.
-    pub(crate) delayed_hosts: Vec<Name>,
     /// Number of ordered tasks of the step on each host.
     pub(crate) tasks_per_host: BTreeMap<Name, u32>,
     /// Factor by which a task takes longer away from its data.
@@ -129,7 +126,6 @@
         && agent.accepts_starts(context.now_ms)
         && has_required_label(agent, context.step)
         && !context.avoided_hosts.contains(host)
-        && context.delayed_hosts.iter().all(|delayed| delayed == host)
         && !is_limited
         && is_admissible
 }
