The end of an ended job counts only if its run did this task

What callers would see: a posting that can be made twice. Both ends of a task of a stored job count: the one by which the job completed, and a superseded one that is offered later.

Cause: `decide` knows the position of a task only by the steps of the job, which are dropped once its end is recorded. From then on it took an end for a recorded one if any task of the job was done by a run of that number.

Ruled out: a further variant of JobRecord. Entries of the version before could not read it, so that to them the job would be unknown, and be accepted once more. Step and index in `done`: more bytes for each task, where a number for each step is enough. No answer to ends that only a record without step sizes could tell: they would wait for 6 s at the owner to the same effect.

Change: the owner keeps the number of tasks in each step, and these numbers follow the encoded JobRecord::Ended. Records without them are read as before; there, an end counts if it is of the first step, whose positions equal indices, and its run did the task, or if its run did all tasks of a completed job. Any other is `Superseded`. What counts as a known end of a job that has not ended is unchanged.

--- a/crates/dispatch/src/ledger/jobs.rs
+++ b/crates/dispatch/src/ledger/jobs.rs
@@ -234,14 +234,11 @@
     let Some(owned_job) = owned.jobs.get_mut(id) else {
         return Some(Disposition::Superseded);
     };
-    let position = owned_job
-        .job
-        .as_ref()
-        .and_then(|job| job.position(&end.task));
+    let position = owned_job.position(&end.task);
     let is_known_end = match position {
-        Some(position) => owned_job.progress.has_end(position, end.run),
-        // An ended job only has the numbers of its runs left.
-        None => owned_job.progress.done.values().any(|run| *run == end.run),
+        Some(position) if owned_job.end.is_none() => owned_job.progress.has_end(position, end.run),
+        // The log holds only the runs that did the tasks of an ended job.
+        _ => owned_job.is_done_by(&end.task, end.run),
     };
     if is_known_end {
         // The end of an unfinished job may not be in the log yet.
--- a/crates/dispatch/src/ledger/partition.rs
+++ b/crates/dispatch/src/ledger/partition.rs
@@ -10,8 +10,11 @@
 use crate::StoredCaller;
 use crate::StoredEnd;
 use crate::StoredJob;
+use crate::TaskId;
+use crate::stored::EndedJob;
 use crate::stored::JobCrashes;
 use crate::stored::Progress;
+use crate::stored::StepCounts;
 
 /// Pause before an append that the store did not confirm is sent again, in milliseconds. The
 /// store usually answers within 4 ms.
@@ -69,6 +72,8 @@
 pub(crate) struct OwnedJob {
     /// Specification of the job; `None` once its end is in the log.
     pub(crate) job: Option<StoredJob>,
+    /// Number of tasks in each step; `None` if the log holds a record of an older version.
+    pub(crate) step_counts: Option<StepCounts>,
     /// Progress of the job's tasks, including ends of runs that are not in the log yet.
     pub(crate) progress: Progress,
     /// Whether the log holds a progress record of the job.
@@ -89,6 +94,7 @@
 impl OwnedJob {
     pub(crate) fn new(job: StoredJob) -> Self {
         Self {
+            step_counts: Some(StepCounts::of(&job.steps)),
             job: Some(job),
             progress: Progress::default(),
             has_progress_record: false,
@@ -100,25 +106,49 @@
         }
     }
 
-    /// Returns a job that the log holds as ended. `done` has the numbers of the runs that did
-    /// the tasks, by position.
-    pub(crate) fn ended(end: StoredEnd, done: BTreeMap<u32, u32>, now_ms: u64) -> Self {
+    /// Returns a job that the log holds as ended.
+    pub(crate) fn ended(ended: EndedJob, now_ms: u64) -> Self {
         let progress = Progress {
-            done,
+            done: ended.done,
             ..Progress::default()
         };
         Self {
             job: None,
+            step_counts: ended.step_counts,
             progress,
             has_progress_record: false,
             crashes: JobCrashes::new(),
             is_accepted: true,
             is_started: false,
-            end: Some((end, now_ms)),
+            end: Some((ended.end, now_ms)),
             unrecorded_end: None,
         }
     }
 
+    /// Returns the position of a task; `None` if the job has no such task, or if it is unknown.
+    pub(crate) fn position(&self, task: &TaskId) -> Option<u32> {
+        match &self.step_counts {
+            Some(step_counts) => step_counts.position(task),
+            // In the first step, positions equal indices.
+            None => (task.step == 0).then_some(task.index),
+        }
+    }
+
+    /// Returns whether this run is known to have done the task.
+    pub(crate) fn is_done_by(&self, task: &TaskId, run: u32) -> bool {
+        let done = &self.progress.done;
+        match self.position(task) {
+            Some(position) => done.get(&position) == Some(&run),
+            None if self.step_counts.is_some() => false,
+            // Without step sizes, only a run that did all tasks is certain to have done this one.
+            None => self.is_completed() && done.values().all(|done_by| *done_by == run),
+        }
+    }
+
+    fn is_completed(&self) -> bool {
+        matches!(self.end, Some((StoredEnd::Completed, _)))
+    }
+
     /// Returns whether the job has no end, recorded or not.
     pub(crate) fn is_unfinished(&self) -> bool {
         self.end.is_none() && self.unrecorded_end.is_none()
--- a/crates/dispatch/src/ledger/records.rs
+++ b/crates/dispatch/src/ledger/records.rs
@@ -10,7 +10,7 @@
 use crate::ledger::partition::Change;
 use crate::ledger::partition::OwnedJob;
 use crate::ledger::partition::OwnedPartition;
-use crate::stored::JobRecord;
+use crate::stored::EndedJob;
 use crate::stored::RELEASED_KEY;
 use crate::stored::RecordContent;
 use crate::stored::crashes_key;
@@ -47,7 +47,7 @@
                         .get(id)
                         .and_then(|owned_job| owned_job.job.clone());
                     if let Some(job) = job {
-                        add(LogRecord::job(id, &JobRecord::Open(job))?);
+                        add(LogRecord::open(job)?);
                     }
                 }
                 Change::TaskEnd(id, ..) | Change::RunLost(id, _) if ended_jobs.contains(id) => {}
@@ -68,11 +68,12 @@
                 Change::JobEnd(id, end, _) => {
                     let owned_job = self.jobs.get(id);
                     let done = owned_job.map(|owned_job| owned_job.progress.done.clone());
-                    let ended = JobRecord::Ended {
+                    let ended = EndedJob {
                         end: *end,
                         done: done.unwrap_or_default(),
+                        step_counts: owned_job.and_then(|owned_job| owned_job.step_counts.clone()),
                     };
-                    add(LogRecord::job(id, &ended)?);
+                    add(LogRecord::ended(id, ended)?);
                     if owned_job.is_some_and(|owned_job| owned_job.has_progress_record) {
                         add(LogRecord::drop_key(progress_key(id)));
                     }
@@ -102,13 +103,13 @@
         let mut crashes = BTreeMap::new();
         for record in records.iter().filter(|record| !record.value.is_empty()) {
             match record.content() {
-                Ok(RecordContent::Job(id, JobRecord::Open(job))) => {
+                Ok(RecordContent::Open(id, job)) => {
                     let mut owned_job = OwnedJob::new(job);
                     owned_job.is_accepted = true;
                     self.jobs.insert(id, owned_job);
                 }
-                Ok(RecordContent::Job(id, JobRecord::Ended { end, done })) => {
-                    self.jobs.insert(id, OwnedJob::ended(end, done, now_ms));
+                Ok(RecordContent::Ended(id, ended)) => {
+                    self.jobs.insert(id, OwnedJob::ended(ended, now_ms));
                 }
                 Ok(RecordContent::Progress(id, of_job)) => {
                     progress.insert(id, of_job);
--- a/crates/dispatch/src/stored.rs
+++ b/crates/dispatch/src/stored.rs
@@ -85,16 +85,6 @@
         let stretched_ms = (critical_path_ms as f64 * self.queue.stretch) as u64;
         stretched_ms.saturating_add(self.queue.target_latency_ms)
     }
-
-    /// Returns the position of a task, counted over all steps from 0; `None` if the job has no
-    /// such task.
-    pub(crate) fn position(&self, task: &TaskId) -> Option<u32> {
-        let step = usize::try_from(task.step).ok()?;
-        let counts = self.steps.iter().map(|step| step.count);
-        let before: u32 = counts.take(step).sum();
-        let exists = task.index < self.steps.get(step)?.count;
-        exists.then_some(before + task.index)
-    }
 }
 
 impl From<Job> for StoredJob {
@@ -108,6 +98,25 @@
     }
 }
 
+/// Number of tasks in each step of a job.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct StepCounts(Vec<u32>);
+
+impl StepCounts {
+    pub(crate) fn of(steps: &[Step]) -> Self {
+        Self(steps.iter().map(|step| step.count).collect())
+    }
+
+    /// Returns the position of a task, counted over all steps from 0; `None` if the job has no
+    /// such task.
+    pub(crate) fn position(&self, task: &TaskId) -> Option<u32> {
+        let step = usize::try_from(task.step).ok()?;
+        let before: u32 = self.0.iter().take(step).sum();
+        let exists = task.index < *self.0.get(step)?;
+        exists.then_some(before + task.index)
+    }
+}
+
 /// Number of a caller at the owner that waits for an answer about a stored job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct StoredCaller(pub u64);
@@ -231,7 +240,8 @@
 pub(crate) enum JobRecord {
     /// The job is accepted and has not ended.
     Open(StoredJob),
-    /// The job has ended.
+    /// The job has ended. The encoded [`StepCounts`] of the job follow, which older versions
+    /// neither write nor read.
     Ended {
         /// How the job ended.
         end: StoredEnd,
@@ -240,6 +250,17 @@
     },
 }
 
+/// Content of the record of an ended job.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct EndedJob {
+    /// How the job ended.
+    pub(crate) end: StoredEnd,
+    /// Numbers of the runs that did the tasks, by the task's position.
+    pub(crate) done: BTreeMap<u32, u32>,
+    /// Number of tasks in each step; `None` in records of older versions.
+    pub(crate) step_counts: Option<StepCounts>,
+}
+
 /// Value of the record with a job's progress: what became of the runs of its tasks.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Progress {
@@ -300,7 +321,8 @@
 /// Decoded content of a record, with the job's id if the record belongs to a job.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum RecordContent {
-    Job(Name, JobRecord),
+    Open(Name, StoredJob),
+    Ended(Name, EndedJob),
     Progress(Name, Progress),
     Crashes(Name, JobCrashes),
     /// The claim of an owner.
@@ -312,8 +334,22 @@
 }
 
 impl LogRecord {
-    pub(crate) fn job(id: &Name, record: &JobRecord) -> Result<Self, postcard::Error> {
-        let value = postcard::to_stdvec(record)?;
+    pub(crate) fn open(job: StoredJob) -> Result<Self, postcard::Error> {
+        let key = job.id.clone();
+        let value = postcard::to_stdvec(&JobRecord::Open(job))?;
+        Ok(Self { key, value })
+    }
+
+    pub(crate) fn ended(id: &Name, job: EndedJob) -> Result<Self, postcard::Error> {
+        let EndedJob {
+            end,
+            done,
+            step_counts,
+        } = job;
+        let mut value = postcard::to_stdvec(&JobRecord::Ended { end, done })?;
+        if let Some(step_counts) = &step_counts {
+            value.extend(postcard::to_stdvec(step_counts)?);
+        }
         Ok(Self {
             key: id.clone(),
             value,
@@ -404,8 +440,25 @@
             let crashes = postcard::from_bytes(&self.value).map_err(failed)?;
             return Ok(RecordContent::Crashes(id.into(), crashes));
         }
-        let record = postcard::from_bytes(&self.value).map_err(failed)?;
-        Ok(RecordContent::Job(self.key.clone(), record))
+        self.job_content().map_err(failed)
+    }
+
+    /// Decodes the record whose key is a job's id.
+    fn job_content(&self) -> Result<RecordContent, postcard::Error> {
+        let id = self.key.clone();
+        let (record, rest) = postcard::take_from_bytes(&self.value)?;
+        Ok(match record {
+            JobRecord::Open(job) => RecordContent::Open(id, job),
+            JobRecord::Ended { end, done } => {
+                let step_counts = (!rest.is_empty()).then(|| postcard::from_bytes(rest));
+                let ended = EndedJob {
+                    end,
+                    done,
+                    step_counts: step_counts.transpose()?,
+                };
+                RecordContent::Ended(id, ended)
+            }
+        })
     }
 }
 
--- a/crates/dispatch/tests/interleavings.rs
+++ b/crates/dispatch/tests/interleavings.rs
@@ -298,6 +298,15 @@
     assert!(duplicates.is_empty(), "{duplicates:?}");
 }
 
+/// Guards against two ends of a task that count: the owner of an ended job took a superseded
+/// end for the recorded one, because a run with the same number had done another task.
+#[test]
+fn the_end_of_an_ended_job_counts_only_for_its_own_task() {
+    let session = play_stored(60_751, Restarts::NewIds);
+    let duplicates = &session.violations.duplicates;
+    assert!(duplicates.is_empty(), "{duplicates:?}");
+}
+
 /// Guards against a second run of a stored task: the next incarnation of a minion carries
 /// out a delayed start while its agent is suspended, and the task runs elsewhere or was
 /// done by another run.
--- a/crates/dispatch/tests/stored.rs
+++ b/crates/dispatch/tests/stored.rs
@@ -2,13 +2,16 @@
 
 mod session;
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use gannetvane_dispatch::Partition;
 use gannetvane_dispatch::RunKey;
 use gannetvane_dispatch::StoredEnd;
 use gannetvane_dispatch::TaskId;
 use session::Behavior;
 use session::LogCallOutcome;
+use session::PARTITIONS;
 use session::Session;
 use yare::parameterized;
 
@@ -282,6 +285,27 @@
     check(&mut session);
 }
 
+#[test]
+fn the_record_of_an_ended_job_has_its_runs_and_step_sizes() {
+    let id = "00000000000000b1";
+    let mut session = Session::new(1, 1);
+    let job = session.store(id, 2, 100);
+    session.run_until_ended(job, 5_000);
+    let done = session.minions[0].done.iter();
+    let done: BTreeMap<u32, u32> = done.map(|key| (key.task.index, key.run)).collect();
+    let ended_variant = 1_u32;
+    let expected = (ended_variant, StoredEnd::Completed, done, vec![2_u32]);
+    let expected = postcard::to_stdvec(&expected).expect("numbers should be encodable");
+    let partition = Partition::of(id, PARTITIONS);
+    let records = session.log.newest(partition).into_iter();
+    let values: Vec<Vec<u8>> = records
+        .filter(|record| &*record.key == id)
+        .map(|record| record.value)
+        .collect();
+    assert_eq!(values, [expected]);
+    check(&mut session);
+}
+
 #[test]
 fn failed_runs_count_over_a_change_of_owner() {
     let mut session = Session::new(3, 3);
