Soak: a seed that fails keeps its logs, faults and state

What was seen: nothing was started for 10 s in a zone whose evacuation had ended, and nothing was left to tell why: without GANNETVANE_SOAK_LOGS the processes wrote no logs, error output went nowhere, and the logs of several seeds and tests went to the same files.

Besides, the three tests run in one process and in the same order of seeds, and shared one folder of settings for each seed: a test could overwrite the settings of another one and remove them at its end. Each site has a folder of its own now.

Change: each site logs at the level info to its folder, which is kept if the seed fails or GANNETVANE_SOAK_LOGS is set. It holds the output of the processes with errors, the faults and the beginnings of the checks with their times, and at the first violation the state of the processes and minions and the metrics; the violation of the check names the answers to its jobs. The order of random numbers, checks, bounds and seeds are as before.

--- a/crates/daemon/tests/soak/checks.rs
+++ b/crates/daemon/tests/soak/checks.rs
@@ -73,26 +73,29 @@
         evacuated.map(|minion| minion.starts().len()).sum()
     }
 
-    /// Posts a job with more tasks than the other zone can run at once.
-    fn post_filling_job(&self, id: &str) {
+    /// Posts a job with more tasks than the other zone can run at once. Returns status
+    /// and body of the answer.
+    fn post_filling_job(&self, id: &str) -> (u16, String) {
         let evacuated = self.minions.iter().skip(EVACUATED_INDEX);
         let evacuated = evacuated.step_by(ZONES_DIVISOR).count();
         let tasks = (self.minions.len() - evacuated) * TASKS_PER_MINION + 4;
-        // Only the starts are checked; the job may be refused.
-        let _ = post_job(self.fronts[0].addr, id, tasks, 50);
+        post_job(self.fronts[0].addr, id, tasks, 50)
     }
 
     /// Evacuates a zone, without other faults, checks that no task is started there, and
     /// ends the evacuation. Returns the number of starts in the zone before.
     pub fn check_evacuation(&self) -> usize {
+        self.folder.record("check: evacuation");
         self.store.put("keyed.op", EVACUATE_KEY, b"{}");
         thread::sleep(Duration::from_millis(EVACUATION_TIMEOUT_MS));
         let before = self.starts_in_evacuated_zone();
-        self.post_filling_job("0000000000e0e0e0");
+        // Only the starts are checked; the job may be refused.
+        let _ = self.post_filling_job("0000000000e0e0e0");
         self.wait_served("while a zone is evacuated");
         if self.starts_in_evacuated_zone() > before {
             self.report_violation("a task was started in an evacuated zone".to_owned());
         }
+        self.folder.record("check: end of the evacuation");
         self.store.put("keyed.op", EVACUATE_KEY, b"");
         before
     }
@@ -101,13 +104,15 @@
     pub fn check_end_of_evacuation(&self) {
         let before = self.check_evacuation();
         let end = Instant::now() + Duration::from_secs(10);
+        let mut answers: BTreeMap<(u16, String), usize> = BTreeMap::new();
         while self.starts_in_evacuated_zone() == before && Instant::now() < end {
-            self.post_filling_job("0000000000e0e0e1");
+            let answer = self.post_filling_job("0000000000e0e0e1");
+            *answers.entry(answer).or_default() += 1;
         }
         if self.starts_in_evacuated_zone() == before {
-            self.report_violation(
-                "nothing is started in a zone after its evacuation ended".to_owned(),
-            );
+            self.report_violation(format!(
+                "nothing is started in a zone after its evacuation ended; answers: {answers:?}"
+            ));
         }
     }
 
--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -3,9 +3,13 @@
 //! faults are injected while the guarantees are checked continuously.
 //!
 //! `GANNETVANE_SOAK_SEEDS=from..to` replaces the seeds of `SEEDS` in a manual run.
+//!
+//! The logs of a seed that fails are kept, with its faults and the state of the site at
+//! the first violation. `GANNETVANE_SOAK_LOGS=FOLDER` keeps those of all seeds there.
 
 mod checks;
 mod clients;
+mod evidence;
 mod faults;
 mod program;
 mod site;
@@ -112,6 +116,7 @@
     clients
         .into_iter()
         .for_each(|client| client.join().expect("no panic"));
+    soak.folder.record("clients ended");
     for program in &mut soak.programs {
         program.due.clear();
         program.start();
--- a/crates/daemon/tests/soak/program.rs
+++ b/crates/daemon/tests/soak/program.rs
@@ -1,6 +1,8 @@
 //! Processes that the soak test can kill, suspend and restart.
 
+use std::fs;
 use std::fs::File;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -12,15 +14,13 @@
 use rustix::process::Signal;
 use rustix::process::kill_process;
 
-/// Returns the folder for logs, if `GANNETVANE_SOAK_LOGS` is set.
-pub fn log_folder() -> Option<PathBuf> {
-    std::env::var_os("GANNETVANE_SOAK_LOGS").map(PathBuf::from)
-}
-
-/// A process that is restarted with the same settings.
+/// A process that is restarted with the same settings. Its output goes to a file
+/// beside them.
 pub struct Program {
     role: &'static str,
     settings: PathBuf,
+    /// Address of its metrics.
+    pub metrics: SocketAddr,
     child: Option<Child>,
     pub due: Vec<(Instant, DueAction)>,
 }
@@ -32,10 +32,11 @@
 }
 
 impl Program {
-    pub fn new(role: &'static str, settings: PathBuf) -> Self {
+    pub fn new(role: &'static str, settings: PathBuf, metrics: SocketAddr) -> Self {
         let mut program = Self {
             role,
             settings,
+            metrics,
             child: None,
             due: Vec::new(),
         };
@@ -43,6 +44,23 @@
         program
     }
 
+    pub fn name(&self) -> String {
+        let name = self.settings.file_stem().unwrap_or_default();
+        name.to_string_lossy().into_owned()
+    }
+
+    /// Returns the state of its process.
+    pub fn process_state(&self) -> String {
+        let Some(child) = &self.child else {
+            return "not started".to_owned();
+        };
+        let status = fs::read_to_string(format!("/proc/{}/stat", child.id()));
+        let status = status.unwrap_or_default();
+        // The state follows the name in parentheses: Z after the end, T while stopped.
+        let state = status.rsplit_once(") ").and_then(|(_, rest)| rest.get(..1));
+        format!("process {} in state {}", child.id(), state.unwrap_or("?"))
+    }
+
     pub fn start(&mut self) {
         self.reap();
         if self.child.is_some() {
@@ -53,17 +71,14 @@
             .arg("--settings")
             .arg(&self.settings)
             .stdout(self.output())
-            .stderr(Stdio::null())
+            .stderr(self.output())
             .spawn();
         self.child = Some(child.expect("the program starts"));
     }
 
-    /// Returns the destination of its log: a file in the folder for logs, or none.
+    /// Opens the file for its output.
     fn output(&self) -> Stdio {
-        let (Some(folder), Some(name)) = (log_folder(), self.settings.file_stem()) else {
-            return Stdio::null();
-        };
-        let path = folder.join(name).with_extension("log");
+        let path = self.settings.with_extension("log");
         let file = File::options().create(true).append(true).open(path);
         file.expect("a file for logs").into()
     }
--- a/crates/daemon/tests/soak/site.rs
+++ b/crates/daemon/tests/soak/site.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::fs;
 use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::thread;
@@ -22,9 +21,9 @@
 use rustix::process::Signal;
 
 use crate::clients::JobRecord;
+use crate::evidence::Folder;
 use crate::program::DueAction;
 use crate::program::Program;
-use crate::program::log_folder;
 
 /// Number of tasks that fit on a minion; each needs one core.
 pub const TASKS_PER_MINION: usize = 8;
@@ -64,14 +63,12 @@
     pub inner_proxies: Vec<Proxy>,
     pub jobs: Arc<Mutex<BTreeMap<String, JobRecord>>>,
     pub violations: Arc<Mutex<Vec<String>>>,
-    folder: PathBuf,
+    pub folder: Folder,
 }
 
 impl Soak {
     pub fn start(seed: u64, size: Size) -> Self {
-        let folder =
-            std::env::temp_dir().join(format!("gannetvane-soak-{}-{seed}", std::process::id()));
-        fs::create_dir_all(&folder).expect("a folder for settings");
+        let folder = Folder::create(seed);
         let store = StoreStandIn::start();
         store.configure(CONFIG);
         let mut soak = Self {
@@ -112,12 +109,13 @@
     fn add_entry(&mut self, entry: usize, link: SocketAddr, seed: SocketAddr) {
         let (front, store) = (free_addr(), self.store_proxy());
         let name = format!("entry-{entry}");
-        let text = settings(&name, link, free_addr(), seed, store)
+        let metrics = free_addr();
+        let text = settings(&name, link, metrics, seed, store)
             + &format!(
                 "[entry]\nfront_address = \"{front}\"\nready_address = \"{}\"\n",
                 free_addr()
             );
-        self.add_program("platform-entry", &name, &text);
+        self.add_program("platform-entry", &name, &text, metrics);
         self.fronts.push(Proxy::start(front));
     }
 
@@ -126,7 +124,8 @@
         let proxy = Proxy::start(minion);
         let name = format!("host-{agent}");
         let seed = SocketAddr::new(seed.ip(), link.port());
-        let shared = settings(&name, seed, free_addr(), seed, store);
+        let metrics = free_addr();
+        let shared = settings(&name, seed, metrics, seed, store);
         let shared = match agent % ZONES_DIVISOR {
             EVACUATED_INDEX => shared.replace("zone = \"selfoss\"", "zone = \"hella\""),
             _ => shared,
@@ -136,19 +135,16 @@
                 "[agent]\nminion_address = \"{}\"\ncontrol_address = \"{control}\"\n",
                 proxy.addr
             );
-        self.add_program("platform-agent", &name, &text);
+        self.add_program("platform-agent", &name, &text, metrics);
         self.minions.push(MinionStandIn::start(minion, control));
         self.inner_proxies.push(proxy);
     }
 
-    fn add_program(&mut self, role: &'static str, name: &str, text: &str) {
-        let path = self.folder.join(format!("{name}.toml"));
-        let text = match log_folder() {
-            Some(_) => text.replace("log_level = \"critical\"", "log_level = \"info\""),
-            None => text.to_owned(),
-        };
+    fn add_program(&mut self, role: &'static str, name: &str, text: &str, metrics: SocketAddr) {
+        let path = self.folder.file(&format!("{name}.toml"));
+        let text = text.replace("log_level = \"critical\"", "log_level = \"info\"");
         fs::write(&path, text).expect("a settings file");
-        self.programs.push(Program::new(role, path));
+        self.programs.push(Program::new(role, path, metrics));
     }
 
     /// Waits until a job is served through every entry.
@@ -170,6 +166,7 @@
     }
 
     pub fn clear_faults(&mut self) {
+        self.folder.record("all faults cleared");
         self.store.set_fault(StoreFault::None);
         self.inner_proxies
             .iter()
@@ -189,14 +186,18 @@
         self.programs.iter_mut().for_each(Program::run_due_actions);
     }
 
+    /// Reports a violation, and records the state of the site at the first one.
     pub fn report_violation(&self, what: String) {
         self.violations.lock().expect("no panic").push(what);
+        self.record_state();
     }
 }
 
 impl Drop for Soak {
     fn drop(&mut self) {
-        // A folder that remains is in the system's directory for temporary files.
-        let _ = fs::remove_dir_all(&self.folder);
+        if std::thread::panicking() {
+            self.record_state();
+            self.folder.keep();
+        }
     }
 }
