--- a/crates/daemon/tests/soak/checks.rs
+++ b/crates/daemon/tests/soak/checks.rs
@@ -24,7 +24,7 @@
 
 /// Time after the request to evacuate a zone within which the last task may still
 /// start there, without other faults.
-const EVACUATION_TIMEOUT_MS: u64 = 1_000;
+pub const EVACUATION_TIMEOUT_MS: u64 = 1_000;
 /// Failed runs after which a task has failed, as configured for the queue.
 const MAX_ATTEMPTS: usize = 2;
 /// Number of minions that must have crashed under a task before its job may be
@@ -67,7 +67,7 @@
     }
 
     /// Number of starts on the minions of the zone that the checks evacuate.
-    fn starts_in_evacuated_zone(&self) -> usize {
+    pub fn starts_in_evacuated_zone(&self) -> usize {
         let minions = self.minions.iter();
         let evacuated = minions.skip(EVACUATED_INDEX).step_by(ZONES_DIVISOR);
         evacuated.map(|minion| minion.starts().len()).sum()
@@ -103,6 +103,12 @@
     /// Checks that tasks are started in a zone within 10 s after its evacuation ended.
     pub fn check_end_of_evacuation(&self) {
         let before = self.check_evacuation();
+        self.check_starts_in_evacuated_zone(before);
+    }
+
+    /// Checks that tasks are started within 10 s in the zone whose evacuation ended and in
+    /// which `before` tasks were started until then.
+    pub fn check_starts_in_evacuated_zone(&self, before: usize) {
         let end = Instant::now() + Duration::from_secs(10);
         let mut answers: BTreeMap<(u16, String), usize> = BTreeMap::new();
         while self.starts_in_evacuated_zone() == before && Instant::now() < end {
--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -9,6 +9,7 @@
 
 mod checks;
 mod clients;
+mod directed;
 mod evidence;
 mod faults;
 mod program;
--- a/crates/daemon/tests/soak/program.rs
+++ b/crates/daemon/tests/soak/program.rs
@@ -94,6 +94,15 @@
         }
     }
 
+    /// Kills its process and waits for the end of it.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            // Both fail only for a process that has ended.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
     fn reap(&mut self) {
         if let Some(child) = &mut self.child
             && child.try_wait().is_ok_and(|status| status.is_some())
@@ -122,10 +131,6 @@
 
 impl Drop for Program {
     fn drop(&mut self) {
-        if let Some(child) = &mut self.child {
-            // Both fail only for a process that has ended.
-            let _ = child.kill();
-            let _ = child.wait();
-        }
+        self.kill();
     }
 }
