A stop that the next incarnation answered no longer hides a crash

Cause: an answer to a stop names no incarnation. The connection of a start breaks with the minion, the start is sent again without an answer, the agent stops the run, and the next incarnation under the same id, which has never had it, acknowledges. The agent took the run for stopped before the crash and reported no evidence.

Ruled out: a run that was really stopped (nothing of that incarnation answered after the break); a start that was not taken (cut_off=true).

Change: MinionPort::stop returns a StopResult with the clock of the answer. An acknowledgement whose clock is below the lowest that the served incarnation's can show (last reading and the time since, less 2%) is ignored, with the event stop-answer-ignored; the next listing decides. The weights stay. An answer without a clock counts as before.

Tests that failed with the comparison taken out: a_stop_that_the_next_incarnation_acknowledged_ does_not_hide_the_crash (2), a_stop_acknowledged_by_the_next_incarnation_of_an_active_run_is_ weak_evidence, a_crash_counts_although_the_next_incarnation_answers_the_stop. Tests of innocence: a stop that the served incarnation acknowledged, also after a broken connection; a run that the same incarnation lists no more; 20 crashes right after stops; a suspended host. The existing test of a stopped run acknowledges with a clock of the served incarnation now, and asserts the same.

Not mended: a start that is sent again reaches the next incarnation too. Conclusion: the traced cause is gone; the bound can still break by the causes above.

--- a/crates/dispatch/src/agent/minion.rs
+++ b/crates/dispatch/src/agent/minion.rs
@@ -14,6 +14,7 @@
 use crate::OrderId;
 use crate::Resources;
 use crate::RunKey;
+use crate::StopResult;
 use crate::agent::call_loss::CallLoss;
 use crate::agent::incarnations::Candidate;
 use crate::agent::incarnations::Loss;
@@ -45,6 +46,11 @@
 /// Consecutive refused connections that show that a minion has ended. A single one may
 /// have reached it just before it listened.
 const GONE_REFUSALS: u32 = 2;
+/// Fraction of the elapsed time by which a minion's clock may be slow, as a divisor: 2%.
+const CLOCK_LAG_DIVISOR: u64 = 50;
+/// Error of the time between two readings that are rounded to milliseconds, in
+/// milliseconds.
+const ROUNDING_MS: u64 = 2;
 
 /// One incarnation of the minion beside an agent.
 #[derive(Debug)]
@@ -214,6 +220,14 @@
         self.clock_ms + now_ms.saturating_sub(self.clock_read_ms)
     }
 
+    /// Lowest possible reading of the minion's clock at `now_ms`. After a suspension of
+    /// the host, it is too high until the next listing.
+    fn min_clock_at(&self, now_ms: u64) -> u64 {
+        let elapsed_ms = now_ms.saturating_sub(self.clock_read_ms);
+        let lag_ms = elapsed_ms.div_ceil(CLOCK_LAG_DIVISOR) + ROUNDING_MS;
+        self.clock_ms + elapsed_ms.saturating_sub(lag_ms)
+    }
+
     /// Transit time of an answer with this reading of the minion's clock, estimated
     /// from the previous reading, in milliseconds.
     pub(crate) fn transit_ms(&self, now_ms: u64, clock_ms: u64) -> u64 {
@@ -229,7 +243,7 @@
 
     /// Records that the lease is extended. Returns its new end on the minion's clock.
     pub(crate) fn extend_lease(&mut self, now_ms: u64) -> u64 {
-        let margin_ms = MINION_LEASE_MS / 50;
+        let margin_ms = MINION_LEASE_MS / CLOCK_LAG_DIVISOR;
         self.lease_until_ms = now_ms + MINION_LEASE_MS + margin_ms;
         self.clock_at(now_ms) + MINION_LEASE_MS
     }
@@ -255,6 +269,7 @@
 
     /// Stops a run, unless it is being stopped already.
     pub(crate) fn stop_run(&mut self, now_ms: u64, link: LinkId, order: OrderId) {
+        let min_clock_ms = self.min_minion_clock_at(now_ms);
         let Some(run) = self.runs.get_mut(link, order) else {
             return;
         };
@@ -263,12 +278,19 @@
                 since_ms: now_ms,
                 acked_ms: None,
                 tried_ms: now_ms,
+                min_clock_ms,
             };
             let key = run.key.clone();
             self.send_stop(key);
         }
     }
 
+    /// Lowest possible reading of the served minion's clock at `now_ms`.
+    fn min_minion_clock_at(&self, now_ms: u64) -> u64 {
+        let minion = self.minion.as_ref();
+        minion.map_or(0, |minion| minion.min_clock_at(now_ms))
+    }
+
     pub(crate) fn send_stop(&mut self, key: RunKey) {
         if let Some(minion) = &self.minion {
             let stop = AgentAction::Stop {
@@ -281,25 +303,47 @@
         }
     }
 
-    /// Handles the result of a stop call.
+    /// Handles the result of a stop call. The answer doesn't contain a start time, so the
+    /// clock shows whether the next incarnation with the same id has answered. That one
+    /// has never had the run, and its answer is no sign that the run was stopped. A late
+    /// answer to a stop that was sent again since may be ignored as well.
     pub fn stop_answered(
         &mut self,
         now_ms: u64,
         incarnation: &Incarnation,
         key: &RunKey,
-        is_acknowledged: bool,
+        result: StopResult,
     ) {
-        if !self.serves(incarnation) || !is_acknowledged {
+        let StopResult::Acknowledged { clock_ms } = result else {
+            return;
+        };
+        if !self.serves(incarnation) {
             return;
         }
         let Some((link, order)) = self.runs.find(key) else {
             return;
         };
-        if let Some(run) = self.runs.get_mut(link, order)
-            && let Phase::Stopping { acked_ms, .. } = &mut run.phase
-        {
-            acked_ms.get_or_insert(now_ms);
+        let Some(run) = self.runs.get_mut(link, order) else {
+            return;
+        };
+        let Phase::Stopping {
+            acked_ms,
+            min_clock_ms,
+            ..
+        } = &mut run.phase
+        else {
+            return;
+        };
+        if clock_ms > 0 && clock_ms < *min_clock_ms {
+            let detail = format!(
+                "run={} clock_ms={clock_ms} min_clock_ms={min_clock_ms}",
+                key.run
+            );
+            let job = Some(key.task.job.clone());
+            self.event("stop-answer-ignored", job, detail);
+            return;
         }
+        acked_ms.get_or_insert(now_ms);
     }
 
     /// Sends unanswered stops again. Gives the minion up when its process has ended,
@@ -331,16 +375,19 @@
     }
 
     pub(crate) fn retry_stops(&mut self, now_ms: u64) {
+        let latest_min_clock_ms = self.min_minion_clock_at(now_ms);
         let mut due = Vec::new();
         for run in self.runs.iter_mut() {
             if let Phase::Stopping {
                 acked_ms: None,
                 tried_ms,
+                min_clock_ms,
                 ..
             } = &mut run.phase
                 && now_ms >= *tried_ms + STOP_RETRY_MS
             {
                 *tried_ms = now_ms;
+                *min_clock_ms = latest_min_clock_ms;
                 due.push(run.key.clone());
             }
         }
--- a/crates/dispatch/src/agent/run_table.rs
+++ b/crates/dispatch/src/agent/run_table.rs
@@ -30,10 +30,13 @@
     Stopping {
         /// When the stop was requested.
         since_ms: u64,
-        /// When the minion acknowledged the stop.
+        /// When the served incarnation acknowledged the stop.
         acked_ms: Option<u64>,
         /// When the last stop was sent.
         tried_ms: u64,
+        /// Lowest possible reading of the served incarnation's clock in an answer to the
+        /// last stop.
+        min_clock_ms: u64,
     },
 }
 
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -101,6 +101,7 @@
 pub use minion_calls::MinionReport;
 pub use minion_calls::RunKey;
 pub use minion_calls::StartResult;
+pub use minion_calls::StopResult;
 pub use policy::Arrival;
 pub use policy::BoxedPolicy;
 pub use policy::FairShare;
--- a/crates/dispatch/src/minion_calls.rs
+++ b/crates/dispatch/src/minion_calls.rs
@@ -138,6 +138,18 @@
     }
 }
 
+/// Result of the call that stops a run on a minion.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StopResult {
+    /// The minion stops the run, or will refuse to start it.
+    Acknowledged {
+        /// The minion's steady clock in milliseconds; 0 if the answer doesn't state it.
+        clock_ms: u64,
+    },
+    /// The call was refused or got no answer.
+    Unacknowledged,
+}
+
 /// A run in progress, as a minion lists it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ActiveRun {
--- a/crates/dispatch/tests/crash_evidence.rs
+++ b/crates/dispatch/tests/crash_evidence.rs
@@ -6,11 +6,14 @@
 use gannetvane_dispatch::AgentAction;
 use gannetvane_dispatch::CrashEvidence;
 use gannetvane_dispatch::ListResult;
+use gannetvane_dispatch::Listing;
 use gannetvane_dispatch::NotStartedReason;
 use gannetvane_dispatch::Order;
 use gannetvane_dispatch::OrderId;
 use gannetvane_dispatch::RunEnd;
 use gannetvane_dispatch::StartResult;
+use gannetvane_dispatch::StopResult;
+use yare::parameterized;
 
 use driver::Driver;
 use driver::empty_listing;
@@ -18,6 +21,26 @@
 use driver::key;
 use driver::starts_in;
 
+/// Reading of the served incarnation's clock in its last listing.
+const LAST_READING_MS: u64 = 600;
+/// A later reading of the served incarnation's clock.
+const SERVED_CLOCK_MS: u64 = 2_000;
+
+/// Returns the first listing of the next incarnation with the same id.
+fn listing_of_next_incarnation() -> ListResult {
+    ListResult::Listed(Listing {
+        started_unix_ms: Some(2_000),
+        clock_ms: LAST_READING_MS,
+        ..Listing::default()
+    })
+}
+
+/// Returns the crash evidence that the only end carries against the task.
+fn only_evidence(ends: &[(OrderId, RunEnd)]) -> Option<CrashEvidence> {
+    assert_eq!(ends.len(), 1, "{ends:?}");
+    evidence(ends[0].1)
+}
+
 /// Returns the end that the agent reports for the only run when its minion is gone.
 fn end(driver: &mut Driver) -> RunEnd {
     let ends = driver.ends_of_refused_minion();
@@ -99,13 +122,117 @@
     let mut driver = Driver::new();
     driver.start_tasks(&["a"]);
     driver.order(Order::Stop(OrderId(1)));
-    driver
-        .agent
-        .stop_answered(driver.now_ms(), &incarnation_at(1_000), &key("a"), true);
+    driver.acknowledge_stop(SERVED_CLOCK_MS);
     driver.answer_with(&ListResult::Broken);
     assert_eq!(evidence(end(&mut driver)), None);
 }
 
+/// The connection of the first start broke, so that the minion may have crashed then.
+#[parameterized(
+    acknowledged = { SERVED_CLOCK_MS },
+    acknowledged_without_clock = { 0 },
+)]
+fn a_stop_that_the_served_incarnation_acknowledged_is_no_crash_of_its_task(clock_ms: u64) {
+    let mut driver = Driver::new();
+    driver.break_start_until_stopped();
+    driver.acknowledge_stop(clock_ms);
+    let ends = driver.ends_after(&listing_of_next_incarnation());
+    assert_eq!(only_evidence(&ends), None);
+}
+
+/// The answer to a stop names no incarnation, but the clock of the next one began anew.
+#[parameterized(
+    just_started = { 1 },
+    later_than_the_last_reading = { LAST_READING_MS + 40 },
+)]
+fn a_stop_that_the_next_incarnation_acknowledged_does_not_hide_the_crash(clock_ms: u64) {
+    let mut driver = Driver::new();
+    driver.break_start_until_stopped();
+    driver.acknowledge_stop(clock_ms);
+    let ends = driver.ends_after(&listing_of_next_incarnation());
+    assert_eq!(only_evidence(&ends), Some(CrashEvidence::Strong));
+}
+
+#[test]
+fn a_stop_acknowledged_by_the_next_incarnation_of_an_active_run_is_weak_evidence() {
+    let mut driver = Driver::new();
+    driver.start_tasks(&["a"]);
+    driver.order(Order::Stop(OrderId(1)));
+    driver.acknowledge_stop(1);
+    let ends = driver.ends_after(&listing_of_next_incarnation());
+    assert_eq!(only_evidence(&ends), Some(CrashEvidence::Weak));
+}
+
+#[test]
+fn a_stop_acknowledged_after_the_next_incarnation_was_listed_changes_nothing() {
+    let mut driver = Driver::new();
+    driver.break_start_until_stopped();
+    let ends = driver.ends_after(&listing_of_next_incarnation());
+    assert_eq!(only_evidence(&ends), Some(CrashEvidence::Strong));
+    driver.report_incarnation(&incarnation_at(2_000));
+    driver.acknowledge_stop(1);
+    assert_eq!(driver.agent.active_runs(), 0);
+}
+
+/// The connection broke for another reason than a crash.
+#[test]
+fn a_stopped_run_that_the_same_incarnation_lists_no_more_is_no_crash_of_its_task() {
+    let mut driver = Driver::new();
+    driver.break_start_until_stopped();
+    driver.acknowledge_stop(SERVED_CLOCK_MS);
+    let ends = driver.ends_after(&ListResult::Listed(Listing {
+        started_unix_ms: Some(1_000),
+        clock_ms: SERVED_CLOCK_MS,
+        ..Listing::default()
+    }));
+    assert_eq!(only_evidence(&ends), None);
+    assert_eq!(driver.agent.active_runs(), 0);
+    assert_eq!(driver.agent.incarnation(), Some(&incarnation_at(1_000)));
+}
+
+/// While the host was suspended, the minion's clock stood still and the agent's went on.
+#[test]
+fn a_stop_is_acknowledged_again_once_the_clock_was_read_after_a_suspension() {
+    let mut driver = Driver::new();
+    driver.start_tasks(&["a"]);
+    driver.advance(300);
+    driver.order(Order::Stop(OrderId(1)));
+    driver.acknowledge_stop(LAST_READING_MS + 1);
+    driver.list_running(&["a"], 0, 0);
+    driver.advance(60);
+    driver.acknowledge_stop(driver.now_ms());
+    let ends = driver.ends_after(&listing_of_next_incarnation());
+    assert_eq!(only_evidence(&ends), None);
+}
+
+/// A minion that gets a new id after a crash refuses the calls to the former one.
+#[test]
+fn a_stop_that_a_minion_with_another_id_refused_does_not_hide_the_crash() {
+    let mut driver = Driver::new();
+    driver.break_start_until_stopped();
+    let (now_ms, incarnation) = (driver.now_ms(), incarnation_at(1_000));
+    let refused = StopResult::Unacknowledged;
+    driver
+        .agent
+        .stop_answered(now_ms, &incarnation, &key("a"), refused);
+    let ends = driver.ends_after(&ListResult::OtherInstance);
+    assert_eq!(only_evidence(&ends), Some(CrashEvidence::Strong));
+}
+
+#[test]
+fn stops_before_twenty_crashes_are_no_crash_of_the_task() {
+    for _ in 0..20 {
+        let mut driver = Driver::new();
+        driver.start_tasks(&["a"]);
+        driver.list_running(&["a"], 0, 0);
+        driver.order(Order::Stop(OrderId(1)));
+        driver.acknowledge_stop(driver.now_ms());
+        driver.answer_with(&ListResult::Broken);
+        let ends = driver.ends_after(&listing_of_next_incarnation());
+        assert_eq!(only_evidence(&ends), None);
+    }
+}
+
 #[test]
 fn a_start_whose_connection_broke_late_is_weak_evidence() {
     let mut driver = Driver::new();
--- a/crates/dispatch/tests/crashing.rs
+++ b/crates/dispatch/tests/crashing.rs
@@ -279,6 +279,27 @@
     assert!(session.violations.is_empty(), "{:?}", session.violations);
 }
 
+/// Times for which crashed minions are silent until they restart, in milliseconds: longer
+/// than an agent sends the unanswered start again, and over several stops after it.
+const SILENT_RESTARTS_MS: std::ops::Range<u64> = 150..340;
+
+/// Crashed minions are silent until they restart with the same id. Some of the next
+/// incarnations answer the stop of the unanswered start before they answer a listing.
+#[test]
+fn a_crash_counts_although_the_next_incarnation_answers_the_stop() {
+    for down_ms in SILENT_RESTARTS_MS {
+        let mut session = session(6, true);
+        session.has_prompt_minions = true;
+        session.silent_restart_ms = Some(down_ms);
+        session.crashing.insert("bad".to_owned());
+        session.submit(0, "bad", 1, 900);
+        session.run(3_000);
+        let crashes = session.crashes["bad"];
+        assert!(crashes <= MAX_CRASHES, "{crashes} after {down_ms} ms each");
+        assert!(session.violations.is_empty(), "{:?}", session.violations);
+    }
+}
+
 fn crashes(session: &Session, id: &str) -> usize {
     session.crashes.get(id).copied().unwrap_or(0)
 }
--- a/crates/dispatch/tests/driver/mod.rs
+++ b/crates/dispatch/tests/driver/mod.rs
@@ -25,6 +25,7 @@
 use gannetvane_dispatch::RunKey;
 use gannetvane_dispatch::StartOrder;
 use gannetvane_dispatch::StartResult;
+use gannetvane_dispatch::StopResult;
 use gannetvane_dispatch::TaskId;
 use gannetvane_wire::NodeId;
 
@@ -199,6 +200,51 @@
             .start_answered(self.now_ms, &incarnation_at(1_000), &key("a"), result);
     }
 
+    /// Breaks off the first start of job "a" and leaves the others unanswered, until the
+    /// agent stops the run.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the agent sends no stop within `MAX_STEPS`.
+    pub fn break_start_until_stopped(&mut self) {
+        let mut actions = self.order_start(1, "a", false);
+        let mut result = StartResult::Broken;
+        for _ in 0..MAX_STEPS {
+            for _ in 0..starts_in(&actions) {
+                self.answer(result);
+                result = StartResult::NoAnswer;
+            }
+            actions = self.advance(5);
+            if actions
+                .iter()
+                .any(|action| matches!(action, AgentAction::Stop { .. }))
+            {
+                return;
+            }
+        }
+        panic!("the agent sent no stop");
+    }
+
+    /// Acknowledges the stop of job "a" at this time of the minion's clock.
+    pub fn acknowledge_stop(&mut self, clock_ms: u64) {
+        let result = StopResult::Acknowledged { clock_ms };
+        self.agent
+            .stop_answered(self.now_ms, &incarnation_at(1_000), &key("a"), result);
+    }
+
+    /// Answers the next listing calls; returns the orders and ends of the runs that the
+    /// agent reports to the entry in the next millisecond.
+    pub fn ends_after(&mut self, result: &ListResult) -> Vec<(OrderId, RunEnd)> {
+        self.answer_with(result);
+        let actions = self.advance(1);
+        let frames = actions.iter().filter_map(|action| match action {
+            AgentAction::Send(_, frame) => Some(frame),
+            _ => None,
+        });
+        let reports = frames.flat_map(|frame| &frame.reports);
+        reports.filter_map(ended).collect()
+    }
+
     /// Answers the start of a job's only task, and lists this end of it.
     pub fn run_task(&mut self, job: &str, end: RunEnd) {
         self.agent.start_answered(
--- a/crates/dispatch/tests/session/crashes.rs
+++ b/crates/dispatch/tests/session/crashes.rs
@@ -163,7 +163,9 @@
         }
         let broken = Event::Started(incarnation.clone(), key.clone(), StartResult::Broken);
         self.post(Side::Agent(agent), broken);
-        self.restart_with_same_id(agent, RESTART_DELAY_MS);
+        let down_ms = self.silent_restart_ms.unwrap_or(RESTART_DELAY_MS);
+        self.restart_with_same_id(agent, down_ms);
+        self.minions[agent].is_host_down = self.silent_restart_ms.is_some();
         false
     }
 
--- a/crates/dispatch/tests/session/mod.rs
+++ b/crates/dispatch/tests/session/mod.rs
@@ -56,6 +56,7 @@
 use gannetvane_dispatch::RunKey;
 use gannetvane_dispatch::StartResult;
 use gannetvane_dispatch::Step;
+use gannetvane_dispatch::StopResult;
 use gannetvane_dispatch::StoredCall;
 use gannetvane_dispatch::StoredCaller;
 use gannetvane_dispatch::TaskId;
@@ -130,7 +131,7 @@
     ToEntry(LinkId, AgentFrame),
     LinkDown(LinkId),
     Started(Incarnation, RunKey, StartResult),
-    Stopped(Incarnation, RunKey, bool),
+    Stopped(Incarnation, RunKey, StopResult),
     Listed(Incarnation, u64, ListResult),
     Reported(MinionReport),
     MinionLeft(String),
@@ -330,6 +331,9 @@
     /// Time between the answer to a start and the crash, in milliseconds. Without
     /// it, the minion crashes during the start.
     pub crash_after_ms: Option<u64>,
+    /// Time in milliseconds for which calls to a minion that crashed under a task time
+    /// out until it restarts. Without it, their connections are refused.
+    pub silent_restart_ms: Option<u64>,
     pending_crashes: PendingCrashes,
     /// Number of the last crash that an entry sent to another entry.
     sent_crashes: BTreeMap<(usize, usize), u64>,
@@ -413,6 +417,7 @@
             crashing: BTreeSet::new(),
             crashes: BTreeMap::new(),
             crash_after_ms: None,
+            silent_restart_ms: None,
             pending_crashes: PendingCrashes::default(),
             sent_crashes: BTreeMap::new(),
             reported: BTreeMap::new(),
@@ -909,10 +914,10 @@
                         .core
                         .start_answered(now_ms, &incarnation, &key, result);
                 }
-                Event::Stopped(incarnation, key, is_done) => {
+                Event::Stopped(incarnation, key, result) => {
                     process
                         .core
-                        .stop_answered(now_ms, &incarnation, &key, is_done);
+                        .stop_answered(now_ms, &incarnation, &key, result);
                 }
                 Event::Listed(incarnation, call, result) => {
                     process
@@ -986,7 +991,7 @@
             } => Event::Started(incarnation.clone(), key.clone(), StartResult::NoAnswer),
             AgentAction::Stop {
                 incarnation, key, ..
-            } => Event::Stopped(incarnation.clone(), key.clone(), false),
+            } => Event::Stopped(incarnation.clone(), key.clone(), StopResult::Unacknowledged),
             AgentAction::List {
                 incarnation, call, ..
             } => Event::Listed(incarnation.clone(), *call, ListResult::NoAnswer),
@@ -1003,7 +1008,7 @@
             } => Event::Started(incarnation.clone(), key.clone(), StartResult::Unreached),
             AgentAction::Stop {
                 incarnation, key, ..
-            } => Event::Stopped(incarnation.clone(), key.clone(), false),
+            } => Event::Stopped(incarnation.clone(), key.clone(), StopResult::Unacknowledged),
             AgentAction::List {
                 incarnation, call, ..
             } => Event::Listed(incarnation.clone(), *call, ListResult::Unreached),
@@ -1098,8 +1103,13 @@
                 Event::Started(incarnation.clone(), key.clone(), result)
             }
             AgentAction::Stop { key, epoch, .. } => {
-                let is_done = is_current && minion.stop(now_ms, key, *epoch);
-                Event::Stopped(incarnation.clone(), key.clone(), is_done)
+                let result = match is_current && minion.stop(now_ms, key, *epoch) {
+                    true => StopResult::Acknowledged {
+                        clock_ms: minion.clock_ms(now_ms),
+                    },
+                    false => StopResult::Unacknowledged,
+                };
+                Event::Stopped(incarnation.clone(), key.clone(), result)
             }
             AgentAction::List {
                 call,
--- a/crates/node/src/agent_node.rs
+++ b/crates/node/src/agent_node.rs
@@ -22,6 +22,7 @@
 use gannetvane_dispatch::MinionReport;
 use gannetvane_dispatch::RunKey;
 use gannetvane_dispatch::StartResult;
+use gannetvane_dispatch::StopResult;
 use gannetvane_dispatch::decode;
 use gannetvane_dispatch::encode;
 use gannetvane_wire::Name;
@@ -78,8 +79,8 @@
     MinionLeft(Name),
     /// A call to start a run ended.
     StartAnswered(Incarnation, RunKey, StartResult),
-    /// A call to stop a run ended; true if the minion acknowledged it.
-    StopAnswered(Incarnation, RunKey, bool),
+    /// A call to stop a run ended.
+    StopAnswered(Incarnation, RunKey, StopResult),
     /// The listing call with this number ended.
     Listed(Incarnation, u64, ListResult),
     /// A search in the store found these entries.
@@ -302,9 +303,8 @@
                 self.agent
                     .start_answered(now_ms, &incarnation, &key, result);
             }
-            Input::StopAnswered(incarnation, key, is_acknowledged) => {
-                self.agent
-                    .stop_answered(now_ms, &incarnation, &key, is_acknowledged);
+            Input::StopAnswered(incarnation, key, result) => {
+                self.agent.stop_answered(now_ms, &incarnation, &key, result);
             }
             Input::Listed(incarnation, call, result) => {
                 self.agent.list_answered(now_ms, &incarnation, call, result);
@@ -407,9 +407,9 @@
         let minion = Rc::clone(&self.minion);
         let inputs = self.inputs.clone();
         tokio::task::spawn_local(async move {
-            let is_acknowledged = minion.stop(&incarnation, key.clone(), epoch).await;
+            let result = minion.stop(&incarnation, key.clone(), epoch).await;
             // The send only fails when the process is about to end.
-            let _ = inputs.send(Input::StopAnswered(incarnation, key, is_acknowledged));
+            let _ = inputs.send(Input::StopAnswered(incarnation, key, result));
         });
     }
 
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -13,6 +13,7 @@
 use gannetvane_dispatch::RoutingTable;
 use gannetvane_dispatch::RunKey;
 use gannetvane_dispatch::StartResult;
+use gannetvane_dispatch::StopResult;
 use gannetvane_wire::Name;
 use thiserror::Error;
 
@@ -21,9 +22,8 @@
 pub trait MinionPort {
     /// Starts a run that the minion may continue until the lease ends.
     async fn start(&self, call: StartCall) -> StartResult;
-    /// Stops a run, or forbids it if the minion has not started it yet. Returns
-    /// whether the minion acknowledged the call.
-    async fn stop(&self, incarnation: &Incarnation, key: RunKey, epoch: u64) -> bool;
+    /// Stops a run, or forbids it if the minion has not started it yet.
+    async fn stop(&self, incarnation: &Incarnation, key: RunKey, epoch: u64) -> StopResult;
     /// Extends the lease, acknowledges ends, and lists the minion's runs.
     async fn list(&self, call: ListCall) -> ListResult;
 }
--- a/crates/node/tests/searching.rs
+++ b/crates/node/tests/searching.rs
@@ -17,6 +17,7 @@
 use gannetvane_dispatch::ListResult;
 use gannetvane_dispatch::RunKey;
 use gannetvane_dispatch::StartResult;
+use gannetvane_dispatch::StopResult;
 use gannetvane_node::AgentNode;
 use gannetvane_node::AgentNodeSettings;
 use gannetvane_node::Clock;
@@ -78,7 +79,7 @@
         pending().await
     }
 
-    async fn stop(&self, _: &Incarnation, _: RunKey, _: u64) -> bool {
+    async fn stop(&self, _: &Incarnation, _: RunKey, _: u64) -> StopResult {
         pending().await
     }
 
--- a/crates/node/tests/suspension.rs
+++ b/crates/node/tests/suspension.rs
@@ -36,6 +36,7 @@
 use gannetvane_dispatch::RunKey;
 use gannetvane_dispatch::StartOrder;
 use gannetvane_dispatch::StartResult;
+use gannetvane_dispatch::StopResult;
 use gannetvane_dispatch::TaskId;
 use gannetvane_dispatch::decode;
 use gannetvane_node::AgentHandle;
@@ -102,11 +103,15 @@
             percent: 10,
         });
         Listing {
-            clock_ms: 1 + u64::try_from(self.start.elapsed().as_millis()).expect("a short test"),
+            clock_ms: self.clock_ms(),
             running: running.collect(),
             ..Listing::default()
         }
     }
+
+    fn clock_ms(&self) -> u64 {
+        1 + u64::try_from(self.start.elapsed().as_millis()).expect("a short test")
+    }
 }
 
 #[async_trait(?Send)]
@@ -116,9 +121,11 @@
         StartResult::Started
     }
 
-    async fn stop(&self, _: &Incarnation, key: RunKey, _: u64) -> bool {
+    async fn stop(&self, _: &Incarnation, key: RunKey, _: u64) -> StopResult {
         self.stopped.borrow_mut().push(key);
-        true
+        StopResult::Acknowledged {
+            clock_ms: self.clock_ms(),
+        }
     }
 
     async fn list(&self, call: ListCall) -> ListResult {
