--- a/crates/dispatch/tests/ended_jobs.rs
+++ b/crates/dispatch/tests/ended_jobs.rs
@@ -110,6 +110,8 @@
         clock_ms: 0,
         retained_ends: vec![end],
         crashes: Vec::new(),
+        delayed_starts: Vec::new(),
+        max_start_delay_ms: 0,
         incarnation: "minion-1".into(),
     }
 }
