The end of a run that failed never counts as done by a later incarnation

What callers saw: a posting made twice. The next incarnation of a minion carries out the start of a stored run that failed on the former one, and the run is done. The owner had the failed end of this run in the log and took the new one for it: it was acknowledged and counted beside the run that the task was started with again.

Change: an end whose run is recorded with the other outcome is superseded. The new test of the decision failed before.

--- a/crates/dispatch/src/ledger/jobs.rs
+++ b/crates/dispatch/src/ledger/jobs.rs
@@ -236,8 +236,13 @@
         return Some(Disposition::Superseded);
     };
     let position = owned_job.position(&end.task);
+    let recorded = position.and_then(|position| owned_job.progress.end_of(position, end.run));
+    if recorded.is_some_and(|is_done| is_done != end.is_done) {
+        // A later incarnation of the minion carried the start out again.
+        return Some(Disposition::Superseded);
+    }
     let is_known_end = match position {
-        Some(position) if owned_job.end.is_none() => owned_job.progress.has_end(position, end.run),
+        Some(_) if owned_job.end.is_none() => recorded.is_some(),
         // The log holds only the runs that did the tasks of an ended job.
         _ => owned_job.is_done_by(&end.task, end.run),
     };
--- a/crates/dispatch/src/stored.rs
+++ b/crates/dispatch/src/stored.rs
@@ -283,10 +283,13 @@
         }
     }
 
-    /// Returns whether the progress contains the end of this run.
-    pub(crate) fn has_end(&self, position: u32, run: u32) -> bool {
-        let failures = self.failures.get(&position);
-        self.done.get(&position) == Some(&run) || failures.is_some_and(|runs| runs.contains(&run))
+    /// Returns whether this run did its work, if the progress contains its end.
+    pub(crate) fn end_of(&self, position: u32, run: u32) -> Option<bool> {
+        if self.done.get(&position) == Some(&run) {
+            return Some(true);
+        }
+        let failures = self.failures.get(&position)?;
+        failures.contains(&run).then_some(false)
     }
 
     /// Returns whether the end of this run must not count, because this run or a later one of
--- a/crates/dispatch/tests/ended_jobs.rs
+++ b/crates/dispatch/tests/ended_jobs.rs
@@ -1,7 +1,9 @@
-//! Retained ends of ended jobs: the next owner of a partition decides on them by task and run,
-//! from the records of the log.
+//! Retained ends on which the next owner of a partition decides from the records of the log: by
+//! task and run, and by how the run ended.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
 
 use gannetvane_dispatch::AgentHello;
 use gannetvane_dispatch::AppendResult;
@@ -17,9 +19,12 @@
 use gannetvane_dispatch::LogRecord;
 use gannetvane_dispatch::Order;
 use gannetvane_dispatch::Partition;
+use gannetvane_dispatch::Queue;
 use gannetvane_dispatch::Resources;
 use gannetvane_dispatch::RetainedEnd;
+use gannetvane_dispatch::Step;
 use gannetvane_dispatch::StoredEnd;
+use gannetvane_dispatch::StoredJob;
 use gannetvane_dispatch::TaskId;
 use gannetvane_wire::NodeId;
 use yare::parameterized;
@@ -30,6 +35,8 @@
 const PARTITION: Partition = Partition(0);
 /// Number of the variant for an ended job in the encoding of a job's record.
 const ENDED: u32 = 1;
+/// Number of the variant for an open job.
+const OPEN: u32 = 0;
 /// First runs of two tasks in the first epoch; the second one superseded the first.
 const RUN: u32 = 4_098;
 const LATER_RUN: u32 = 4_099;
@@ -37,13 +44,23 @@
 /// Returns the disposition that the owner sends for an end of `run` of the task, after it
 /// has read this value as the record of the task's job.
 fn disposition(value: Vec<u8>, step: u32, index: u32, run: u32) -> Option<Disposition> {
+    let record = LogRecord {
+        key: JOB.into(),
+        value,
+    };
+    disposition_from(&[record], step, index, run)
+}
+
+/// Returns the disposition that the owner sends for the end of a run that did the task, after
+/// it has read these records.
+fn disposition_from(records: &[LogRecord], step: u32, index: u32, run: u32) -> Option<Disposition> {
     let settings = DispatcherSettings {
         zone: "selfoss".into(),
         remote_factor: 1.0,
         seed: 1,
     };
     let mut dispatcher = Dispatcher::new(settings, NOW_MS);
-    let mut ledger = serving_ledger(value, &mut dispatcher);
+    let mut ledger = serving_ledger(records, &mut dispatcher);
     let task = TaskId {
         job: JOB.into(),
         step,
@@ -63,8 +80,8 @@
     })
 }
 
-/// Returns a ledger that owns a partition with this value as the record of the job.
-fn serving_ledger(value: Vec<u8>, dispatcher: &mut Dispatcher) -> Ledger {
+/// Returns a ledger that owns a partition with these records.
+fn serving_ledger(records: &[LogRecord], dispatcher: &mut Dispatcher) -> Ledger {
     let mut ledger = Ledger::new(LedgerSettings {
         partitions: 1,
         store_writes_per_s: 1_000,
@@ -85,11 +102,7 @@
         Some(load)
     });
     let load = load.expect("the claimed partition should be read");
-    let record = LogRecord {
-        key: JOB.into(),
-        value,
-    };
-    ledger.loaded(NOW_MS, PARTITION, load, Some(&[record]));
+    ledger.loaded(NOW_MS, PARTITION, load, Some(records));
     ledger
 }
 
@@ -183,3 +196,50 @@
     let done = [(0, RUN), (1, LATER_RUN)].into();
     assert_eq!(decoded, (ENDED, StoredEnd::Completed, done));
 }
+
+/// Returns the records of an open job of one task, of which these runs failed.
+fn open_job_with_failures(failed: &[u32]) -> [LogRecord; 2] {
+    let queue = Queue {
+        name: "slot-check".into(),
+        host: "desk.example".into(),
+        path_prefix: "/slots/".into(),
+        service: "bretti-desk".into(),
+        timeout_ms: 1_500,
+        target_latency_ms: 60,
+        priority: 0,
+        max_attempts: 3,
+        stretch: 1.6,
+        needs_advice: false,
+    };
+    let job = StoredJob {
+        id: JOB.into(),
+        spec: "".into(),
+        steps: vec![Step {
+            count: 1,
+            ..Step::default()
+        }],
+        queue: Arc::new(queue),
+    };
+    let failures: BTreeMap<u32, BTreeSet<u32>> = [(0, failed.iter().copied().collect())].into();
+    let no_runs: BTreeMap<u32, u32> = BTreeMap::new();
+    let progress = (&no_runs, failures, &no_runs);
+    [
+        LogRecord {
+            key: JOB.into(),
+            value: postcard::to_stdvec(&(OPEN, job)).expect("a job should be encodable"),
+        },
+        LogRecord {
+            key: format!("{JOB}.progress").into(),
+            value: postcard::to_stdvec(&progress).expect("numbers should be encodable"),
+        },
+    ]
+}
+
+/// Guards against a second end that counts: a later incarnation of the minion carries out the
+/// start of a run that failed, and its end was taken for the recorded one.
+#[test]
+fn a_run_that_failed_is_not_done_by_a_later_incarnation() {
+    let records = open_job_with_failures(&[RUN]);
+    let disposition = disposition_from(&records, 0, 0, RUN);
+    assert_eq!(disposition, Some(Disposition::Superseded));
+}
