Delayed starts: gossiped sooner, withdrawn, and told where a job comes later

What callers saw: late starts as second runs where the entry that gets the job is not linked to the agent or has started since; and sound tasks held for longer than needed.

Change: reported starts are gossiped at once, those of stored tasks always, others while fewer than 1,024 tasks are known; an own report that comes back as gossip is ignored, so that the agent can withdraw it; a longer one is gossiped again; a job that comes later counts as one that may have run, so it is not refused as never run; a run with an unanswered call still extends the times of its job; a takeover waits for lost agents only for the starts that the former owner can have ordered, and not for links that were closed as planned.

--- a/crates/dispatch/src/agent/delayed_calls.rs
+++ b/crates/dispatch/src/agent/delayed_calls.rs
@@ -117,6 +117,24 @@
         unanswered.chain(pending).max()
     }
 
+    /// Whether the runs of the task that may be started are those of a stored job.
+    fn is_stored(&self, task: &TaskId) -> bool {
+        let first_stored = RunKey {
+            task: task.clone(),
+            run: RUNS_PER_EPOCH,
+        };
+        let pending = self.pending.range(&first_stored..);
+        let unanswered = self.unanswered.range(&first_stored..);
+        let first_keys = [
+            pending.map(|(key, _)| key).next(),
+            unanswered.map(|(key, _)| key).next(),
+        ];
+        first_keys
+            .into_iter()
+            .flatten()
+            .any(|key| key.task == *task)
+    }
+
     /// Tasks of which a start may still be carried out.
     fn tasks(&self) -> Vec<TaskId> {
         let keys = self.pending.keys().chain(self.unanswered.keys());
@@ -223,6 +241,7 @@
             delay_ms => delay_ms + max_uncontrolled_ms(self.max_lease_ms),
         };
         DelayedStart {
+            is_stored: self.delayed_calls.is_stored(&task),
             task,
             agent: self.identity.node,
             remaining_ms,
--- a/crates/dispatch/src/delayed_starts.rs
+++ b/crates/dispatch/src/delayed_starts.rs
@@ -21,6 +21,12 @@
 
 /// Largest number of known starts; those that expire first are forgotten first.
 const MAX_KNOWN_STARTS: usize = 4_096;
+/// Number of tasks with known starts up to which reported starts of jobs that are not stored
+/// are gossiped: it bounds the gossip while many calls are lost.
+const MAX_GOSSIPED_STARTS: usize = 1_024;
+/// Time by which a gossiped start must last longer than known to be gossiped again, in
+/// milliseconds: more than it takes to pass all entries.
+const REGOSSIP_MS: u64 = 1_000;
 /// Minimum time between two searches for expired starts, in milliseconds.
 const EXPIRY_INTERVAL_MS: u64 = 100;
 
@@ -31,6 +37,8 @@
     pub task: TaskId,
     /// Agent that sent the start, or may have sent it.
     pub agent: NodeId,
+    /// Whether the task belongs to a stored job, which any entry may come to own.
+    pub is_stored: bool,
     /// Time after which the start is void and no run of it is left, in milliseconds from
     /// now; 0 if that is already known.
     pub remaining_ms: u64,
@@ -58,46 +66,55 @@
 }
 
 impl KnownDelayedStarts {
-    /// Records a delayed start, or that it is void. Returns whether it was not known, or
-    /// only for a shorter time.
-    pub(crate) fn add(&mut self, now_ms: u64, start: DelayedStart) -> bool {
+    /// Records a delayed start, or that it is void. Returns whether it was not known.
+    pub(crate) fn add(&mut self, now_ms: u64, start: &DelayedStart) -> bool {
         self.insert(now_ms, start, false)
     }
 
     /// Records a delayed start that another entry gossips, and passes it on if it was not
-    /// known.
-    pub(crate) fn add_gossiped(&mut self, now_ms: u64, start: DelayedStart) -> bool {
-        let task = start.task.clone();
-        let is_new = self.insert(now_ms, start, true);
-        self.share(&task);
-        is_new
+    /// known. Returns whether it was not.
+    pub(crate) fn add_gossiped(&mut self, now_ms: u64, start: &DelayedStart) -> bool {
+        let mut known = self.by_task.get(&start.task).into_iter().flatten();
+        let is_known = known.any(|known| {
+            let own = known.agent == start.agent && !known.is_gossiped;
+            own && now_ms + start.remaining_ms <= known.until_ms + REGOSSIP_MS
+        });
+        // The own report must not come back as one that the agent cannot withdraw.
+        !is_known && self.insert(now_ms, start, true)
     }
 
-    fn insert(&mut self, now_ms: u64, start: DelayedStart, is_gossiped: bool) -> bool {
+    fn insert(&mut self, now_ms: u64, start: &DelayedStart, is_gossiped: bool) -> bool {
         if start.remaining_ms == 0 {
-            self.remove(&start);
+            self.remove(start);
             return false;
         }
         let until_ms = now_ms.saturating_add(start.remaining_ms);
         if self.by_task.len() >= MAX_KNOWN_STARTS && !self.by_task.contains_key(&start.task) {
             self.forget_earliest();
         }
-        let of_task = self.by_task.entry(start.task).or_default();
+        let of_task = self.by_task.entry(start.task.clone()).or_default();
         let known = of_task
             .iter_mut()
             .find(|known| known.agent == start.agent && known.is_gossiped == is_gossiped);
-        if let Some(known) = known {
-            let is_longer = until_ms > known.until_ms;
-            known.until_ms = known.until_ms.max(until_ms);
-            return is_longer;
+        let is_new = known.is_none();
+        match known {
+            Some(known) => {
+                known
+                    .sequence
+                    .take_if(|_| until_ms > known.until_ms + REGOSSIP_MS);
+                known.until_ms = known.until_ms.max(until_ms);
+            }
+            None => of_task.push(KnownStart {
+                agent: start.agent,
+                until_ms,
+                is_gossiped,
+                sequence: None,
+            }),
         }
-        of_task.push(KnownStart {
-            agent: start.agent,
-            until_ms,
-            is_gossiped,
-            sequence: None,
-        });
-        true
+        if is_gossiped || start.is_stored || self.by_task.len() <= MAX_GOSSIPED_STARTS {
+            self.share(&start.task);
+        }
+        is_new
     }
 
     fn remove(&mut self, start: &DelayedStart) {
@@ -182,6 +199,7 @@
             starts.iter().filter(is_newer).map(|known| DelayedStart {
                 task: task.clone(),
                 agent: known.agent,
+                is_stored: false,
                 remaining_ms: known.until_ms - now_ms,
             })
         });
--- a/crates/dispatch/src/dispatcher/delayed_starts.rs
+++ b/crates/dispatch/src/dispatcher/delayed_starts.rs
@@ -12,37 +12,54 @@
 use crate::TaskId;
 use crate::dispatcher::Dispatcher;
 use crate::dispatcher::fleet::AgentState;
+use crate::dispatcher::jobs::JobState;
 use crate::dispatcher::jobs::TaskPhase;
 
-/// Agents that were lost and have not greeted since, each with the time until
-/// which a start that it sent for any entry may be carried out.
+/// Until when starts of a lost agent may be carried out.
+#[derive(Clone, Copy, Debug)]
+struct LostAgent {
+    /// Time until which a start that it sent for any entry may be carried out.
+    until_ms: u64,
+    /// Time after which a start is void, in milliseconds.
+    max_start_delay_ms: u64,
+}
+
+/// Agents that were lost and have not greeted since.
 #[derive(Debug, Default)]
 pub(crate) struct LostAgents {
-    until_ms: BTreeMap<NodeId, u64>,
+    by_node: BTreeMap<NodeId, LostAgent>,
 }
 
 impl LostAgents {
     /// Records the loss of an agent whose minion may keep its id, unless the
-    /// agent had ended its runs and took no more.
+    /// connection was closed as planned.
     pub(crate) fn add(&mut self, agent: &AgentState) {
-        if agent.hello.max_start_delay_ms > 0 && !agent.has_stopped() {
-            let until_ms = agent.last_seen_ms + GRANT_MS + agent.hello.max_start_delay_ms;
-            self.until_ms.insert(agent.hello.node, until_ms);
+        let max_start_delay_ms = agent.hello.max_start_delay_ms;
+        if max_start_delay_ms > 0 && !agent.has_finished() {
+            let lost = LostAgent {
+                until_ms: agent.last_seen_ms + GRANT_MS + max_start_delay_ms,
+                max_start_delay_ms,
+            };
+            self.by_node.insert(agent.hello.node, lost);
         }
     }
 
     /// Forgets the agents whose starts cannot be carried out any more.
     pub(crate) fn expire(&mut self, now_ms: u64) {
-        self.until_ms.retain(|_, until_ms| now_ms < *until_ms);
+        self.by_node.retain(|_, lost| now_ms < lost.until_ms);
     }
 }
 
 impl Dispatcher {
-    /// Returns whether an agent was lost of which another entry, lost as well,
-    /// may have ordered starts that are still to be carried out.
-    pub(crate) fn may_have_unknown_starts(&self, now_ms: u64) -> bool {
-        let mut until_ms = self.lost_agents.until_ms.values();
-        until_ms.any(|until_ms| now_ms < *until_ms)
+    /// Returns whether starts may still be carried out that an entry ordered
+    /// until `ordered_until_ms` at agents which are lost, if that entry is lost
+    /// as well.
+    pub(crate) fn may_have_unknown_starts(&self, now_ms: u64, ordered_until_ms: u64) -> bool {
+        let mut lost = self.lost_agents.by_node.values();
+        lost.any(|lost| {
+            let void_ms = ordered_until_ms + lost.max_start_delay_ms;
+            now_ms < lost.until_ms.min(void_ms)
+        })
     }
 
     /// Returns the known delayed starts.
@@ -54,9 +71,8 @@
     /// Records delayed starts that an agent reported.
     pub(crate) fn add_delayed_starts(&mut self, now_ms: u64, starts: Vec<DelayedStart>) {
         for start in starts {
-            let job = start.task.job.clone();
-            if self.delayed_starts.add(now_ms, start) {
-                self.mark_as_run(&job);
+            if self.delayed_starts.add(now_ms, &start) {
+                self.mark_as_run(&start.task.job);
             }
         }
     }
@@ -65,9 +81,8 @@
     /// that were not known.
     pub fn gossip_received(&mut self, now_ms: u64, starts: Vec<DelayedStart>) {
         for start in starts {
-            let job = start.task.job.clone();
-            if self.delayed_starts.add_gossiped(now_ms, start) {
-                self.mark_as_run(&job);
+            if self.delayed_starts.add_gossiped(now_ms, &start) {
+                self.mark_as_run(&start.task.job);
             }
         }
     }
@@ -83,7 +98,7 @@
     /// Records all delayed starts of an agent that greets, in place of those
     /// that were known or assumed.
     pub(crate) fn agent_reported_delayed_starts(&mut self, now_ms: u64, hello: &AgentHello) {
-        self.lost_agents.until_ms.remove(&hello.node);
+        self.lost_agents.by_node.remove(&hello.node);
         self.delayed_starts.forget_agent(hello.node);
         self.add_delayed_starts(now_ms, hello.delayed_starts.clone());
     }
@@ -100,9 +115,10 @@
         let start = DelayedStart {
             task: task.clone(),
             agent: agent.hello.node,
+            is_stored: false,
             remaining_ms: until_ms.saturating_sub(now_ms),
         };
-        self.delayed_starts.add(now_ms, start);
+        self.delayed_starts.add(now_ms, &start);
         self.delayed_starts.share(task);
     }
 
@@ -117,6 +133,16 @@
         }
     }
 
+    /// Returns whether a start of some task of a job may still be carried out.
+    pub(crate) fn has_delayed_starts(&self, now_ms: u64, job: &JobState) -> bool {
+        let mut positions = 0..job.tasks.len();
+        !self.delayed_starts.is_empty()
+            && positions.any(|position| {
+                let task = job.task_id(position);
+                self.delayed_starts.has_task(now_ms, &task)
+            })
+    }
+
     /// Returns whether a start of a task may still be carried out, so that the
     /// task may not be started again.
     pub(crate) fn has_delayed_start(&self, now_ms: u64, id: &Name, position: usize) -> bool {
--- a/crates/dispatch/src/dispatcher/ends.rs
+++ b/crates/dispatch/src/dispatcher/ends.rs
@@ -341,10 +341,6 @@
         if state.is_stop_sent || !self.jobs.get(&state.job).is_some_and(JobState::is_open) {
             return;
         }
-        if self.has_delayed_start(now_ms, &state.job, state.position) {
-            // The task could not be started elsewhere after a stop.
-            return;
-        }
         let host = agent.hello.host.clone();
         // Relative to the other minions, since all of them appear slow while
         // declared times are too short.
@@ -370,7 +366,9 @@
             return;
         };
         let saves_time = remaining_ms > work_ms * MOVE_FACTOR + MOVE_COST_MS;
-        if is_hanging || saves_time && speed < SLOW_SPEED && !has_reached_move_limit {
+        let is_to_move = is_hanging || saves_time && speed < SLOW_SPEED && !has_reached_move_limit;
+        // With a delayed start, the task could not be started elsewhere after a stop.
+        if is_to_move && !self.has_delayed_start(now_ms, &state.job, state.position) {
             self.move_run(now_ms, order, &state, &host, remaining_ms);
         }
     }
--- a/crates/dispatch/src/dispatcher/fleet.rs
+++ b/crates/dispatch/src/dispatcher/fleet.rs
@@ -255,10 +255,10 @@
         self.free() == self.hello.capacity
     }
 
-    /// Returns whether nothing runs on the minion and the agent takes no starts,
-    /// as far as is known.
-    pub(crate) fn has_stopped(&self) -> bool {
-        self.has_reported_free && !self.is_accepting_starts && self.is_idle()
+    /// Returns whether the agent takes no starts from this entry and has ended
+    /// all that the entry ordered, as before a planned close.
+    pub(crate) fn has_finished(&self) -> bool {
+        self.has_reported_free && !self.is_accepting_starts && self.outstanding.is_empty()
     }
 
     /// Returns the fraction of the minion's processor capacity that is in use.
--- a/crates/dispatch/src/dispatcher/intake.rs
+++ b/crates/dispatch/src/dispatcher/intake.rs
@@ -84,7 +84,8 @@
         }
         let id = job.id.clone();
         let now_ms = self.last_tick_ms.max(received_ms);
-        let state = JobState::new(received_ms, caller, job, &self.estimates);
+        let mut state = JobState::new(received_ms, caller, job, &self.estimates);
+        state.may_have_run = self.has_delayed_starts(now_ms, &state);
         let is_admitted = self.policy_admits(now_ms, &state);
         self.jobs.insert(id.clone(), state);
         self.apply_known_crashes(&id);
--- a/crates/dispatch/src/ledger/jobs.rs
+++ b/crates/dispatch/src/ledger/jobs.rs
@@ -194,7 +194,8 @@
         for id in due {
             start(now_ms, owned, &id, dispatcher);
         }
-    } else if now_ms >= owned.former_runs_gone_at_ms && !dispatcher.may_have_unknown_starts(now_ms)
+    } else if now_ms >= owned.former_runs_gone_at_ms
+        && !dispatcher.may_have_unknown_starts(now_ms, owned.former_runs_gone_at_ms)
     {
         owned.record_takeover(now_ms);
     }
