--- a/crates/dispatch/src/agent/links.rs
+++ b/crates/dispatch/src/agent/links.rs
@@ -7,6 +7,7 @@
 use crate::Agent;
 use crate::AgentAction;
 use crate::AgentFrame;
+use crate::DelayedStart;
 use crate::Demand;
 use crate::KEEPALIVE_MS;
 use crate::LinkId;
@@ -43,9 +44,13 @@
     last_used_ms: u64,
     /// Reports for the next frame.
     reports: Vec<Report>,
+    /// Delayed starts for the next frame.
+    delayed_starts: Vec<DelayedStart>,
     pub(crate) last_sent_ms: u64,
     /// Free resources in the last frame.
     last_free: Resources,
+    /// Number of settled starts in the last frame.
+    last_settled: u64,
     /// Whether the next frame announces an offer.
     pub(crate) has_offer: bool,
     /// Whether the last frame said that starts are admitted.
@@ -71,8 +76,10 @@
             starts_received: 0,
             last_used_ms: now_ms,
             reports: Vec::new(),
+            delayed_starts: Vec::new(),
             last_sent_ms: now_ms,
             last_free: Resources::default(),
+            last_settled: 0,
             has_offer: false,
             was_accepting_starts: false,
             demand: Demand::default(),
@@ -191,7 +198,9 @@
             return;
         };
         let crashes = self.crashes.since(now_ms, 0);
-        let hello = minion.hello(&self.identity, now_ms, crashes);
+        let mut hello = minion.hello(&self.identity, now_ms, crashes);
+        hello.delayed_starts = self.known_delayed_starts(now_ms);
+        hello.max_start_delay_ms = self.max_start_delay_ms();
         let leftover_runs = self
             .runs
             .iter()
@@ -220,17 +229,23 @@
         let update_interval_ms =
             FREE_UPDATE_INTERVAL_MS * entries.div_ceil(ENTRIES_AT_FULL_RATE).max(1);
         let speed_permille = self.speed.permille(now_ms);
+        let may_delay_starts = self.max_start_delay_ms() > 0;
         let demands = self.links.values().map(|link| link.demand);
         let demand = demands.fold(Demand::default(), Demand::plus);
         for (id, link) in &mut self.links {
             let free = all_free.minus(&self.offers.reserved_for_others(*id));
             let pause_ms = now_ms.saturating_sub(link.last_sent_ms);
+            let first_unsettled = self.runs.first_unsettled(*id);
+            let starts_settled = first_unsettled.map_or(link.starts_received, |first| first - 1);
             let is_keepalive = pause_ms >= KEEPALIVE_MS;
-            let has_free_change = free != link.last_free && pause_ms >= update_interval_ms;
+            let has_settled_start = may_delay_starts && starts_settled > link.last_settled;
+            let has_change = free != link.last_free || has_settled_start;
+            let has_due_change = has_change && pause_ms >= update_interval_ms;
             let is_accepting_starts =
                 is_accepting_starts && !link.is_retiring && trial.is_none_or(|trial| trial == *id);
             let is_due = !link.reports.is_empty()
-                || has_free_change
+                || !link.delayed_starts.is_empty()
+                || has_due_change
                 || is_keepalive
                 || link.has_offer
                 || link.was_accepting_starts != is_accepting_starts;
@@ -243,15 +258,18 @@
             }
             link.last_sent_ms = now_ms;
             link.last_free = free;
+            link.last_settled = starts_settled;
             link.was_accepting_starts = is_accepting_starts;
             let frame = AgentFrame {
                 clock_ms: now_ms,
                 starts_received: link.starts_received,
+                starts_settled,
                 free,
                 speed_permille,
                 is_accepting_starts,
                 has_offer: std::mem::take(&mut link.has_offer),
                 demand,
+                delayed_starts: std::mem::take(&mut link.delayed_starts),
                 reports,
             };
             self.actions.push(AgentAction::Send(*id, frame));
@@ -292,6 +310,14 @@
         }
     }
 
+    /// Tells all greeted entries of a delayed start. An entry that is greeted later learns
+    /// of it from the greeting.
+    pub(crate) fn tell_delayed_start(&mut self, start: &DelayedStart) {
+        for link in self.links.values_mut().filter(|link| link.is_greeted) {
+            link.delayed_starts.push(start.clone());
+        }
+    }
+
     /// Sends a report to all greeted entries.
     pub(crate) fn report_to_all(&mut self, report: &Report) {
         for link in self.links.values_mut().filter(|link| link.is_greeted) {
--- a/crates/dispatch/src/agent/mod.rs
+++ b/crates/dispatch/src/agent/mod.rs
@@ -303,9 +303,11 @@
     /// be held up behind long tasks while resources become free elsewhere.
     fn start_ordered(&mut self, now_ms: u64, link: LinkId, start: StartOrder) {
         let mut is_retiring = false;
+        let mut number = 0;
         if let Some(state) = self.links.get_mut(&link) {
             state.starts_received += 1;
             is_retiring = state.is_retiring;
+            number = state.starts_received;
         }
         let order = start.id;
         if !self.admits(now_ms) || is_retiring {
@@ -318,11 +320,11 @@
             );
             return;
         }
-        let run = Run::new(now_ms, link, start);
+        let run = Run::new(now_ms, link, number, start);
         let has_resources = self.free_resources_for(link).can_fit(&run.needs);
         let is_isolated = !run.is_suspect || !self.runs.has_other_suspect(&run.key.task.job);
         let can_start = has_resources && is_isolated && !self.runs.is_task_active(&run.key);
-        if !can_start || !self.can_extend_lease(now_ms) {
+        if !can_start {
             self.report_end(link, order, RunEnd::NotStarted(NotStartedReason::Full), 0);
             return;
         }
@@ -358,7 +360,7 @@
     /// Offers the free resources to entries whose tasks wait.
     fn offer_free_resources(&mut self, now_ms: u64) {
         let is_healthy = self.breaker.state(now_ms) == BreakerState::Closed;
-        if !is_healthy || !self.is_accepting_starts() {
+        if !is_healthy || !self.is_accepting_starts() || !self.can_extend_lease(now_ms) {
             self.offers.clear();
             return;
         }
@@ -369,9 +371,11 @@
         }
     }
 
-    /// Whether the agent and the health of its minion allow a start now.
+    /// Whether the agent, the health of its minion and the minion's lease allow a start
+    /// now. Entries learn it, so that they do not order what would be refused.
     pub(crate) fn admits(&self, now_ms: u64) -> bool {
         self.is_accepting_starts()
+            && self.can_extend_lease(now_ms)
             && match self.breaker.state(now_ms) {
                 BreakerState::Closed => true,
                 BreakerState::Open => false,
--- a/crates/dispatch/src/dispatcher/ends.rs
+++ b/crates/dispatch/src/dispatcher/ends.rs
@@ -75,6 +75,7 @@
         agent.outstanding.remove(&order);
         let host = agent.hello.host.clone();
         let speed = agent.speed;
+        let max_start_delay_ms = agent.hello.max_start_delay_ms;
         let Some(job) = self.jobs.get_mut(&state.job) else {
             return;
         };
@@ -119,7 +120,7 @@
                 // A delayed call may still start the run until this time. The
                 // wait ends earlier if the agent greets again, since nothing of
                 // the run is left then.
-                let until_ms = now_ms + MAX_CALL_DELAY_MS;
+                let until_ms = now_ms + MAX_CALL_DELAY_MS.max(max_start_delay_ms);
                 task.phase = TaskPhase::Orphaned { until_ms };
                 task.avoid(&host);
                 self.hosts.record(&host).record_failure(now_ms);
@@ -243,6 +244,7 @@
             return;
         };
         job.outcome = Some(outcome);
+        let is_final = outcome == JobOutcome::Completed || job.is_stored;
         let took_ms = now_ms.saturating_sub(job.received_ms);
         let queued_ms = job
             .first_start_ms
@@ -273,6 +275,9 @@
         for order in orders {
             self.send_stop(order);
         }
+        if !is_final {
+            self.share_delayed_starts(id);
+        }
         self.actions.push(DispatcherAction::Event(EntryEvent {
             event: outcome_event(outcome),
             job: Some(id.clone()),
@@ -361,7 +366,9 @@
             return;
         };
         let saves_time = remaining_ms > work_ms * MOVE_FACTOR + MOVE_COST_MS;
-        if is_hanging || saves_time && speed < SLOW_SPEED && !has_reached_move_limit {
+        let is_to_move = is_hanging || saves_time && speed < SLOW_SPEED && !has_reached_move_limit;
+        // With a delayed start, the task could not be started elsewhere after a stop.
+        if is_to_move && !self.has_delayed_start(now_ms, &state.job, state.position) {
             self.move_run(now_ms, order, &state, &host, remaining_ms);
         }
     }
--- a/crates/dispatch/src/dispatcher/rounds.rs
+++ b/crates/dispatch/src/dispatcher/rounds.rs
@@ -135,9 +135,7 @@
             return true;
         };
         let job = Arc::clone(&state.job);
-        let is_waiting = |position: &usize| state.tasks[*position].phase == TaskPhase::Waiting;
-        let positions: Vec<usize> = (0..state.tasks.len()).filter(is_waiting).collect();
-        for position in positions {
+        for position in self.startable_tasks(now_ms, id) {
             let Some(link) = self.choose_agent(now_ms, &job, position, candidates) else {
                 return false;
             };
--- a/crates/dispatch/src/ledger/jobs.rs
+++ b/crates/dispatch/src/ledger/jobs.rs
@@ -194,7 +194,9 @@
         for id in due {
             start(now_ms, owned, &id, dispatcher);
         }
-    } else if now_ms >= owned.former_runs_gone_at_ms {
+    } else if now_ms >= owned.former_runs_gone_at_ms
+        && !dispatcher.may_have_unknown_starts(now_ms, owned.former_runs_gone_at_ms)
+    {
         owned.record_takeover(now_ms);
     }
 }
@@ -234,14 +236,16 @@
     let Some(owned_job) = owned.jobs.get_mut(id) else {
         return Some(Disposition::Superseded);
     };
-    let position = owned_job
-        .job
-        .as_ref()
-        .and_then(|job| job.position(&end.task));
+    let position = owned_job.position(&end.task);
+    let recorded = position.and_then(|position| owned_job.progress.end_of(position, end.run));
+    if recorded.is_some_and(|is_done| is_done != end.is_done) {
+        // A later incarnation of the minion carried the start out again.
+        return Some(Disposition::Superseded);
+    }
     let is_known_end = match position {
-        Some(position) => owned_job.progress.has_end(position, end.run),
-        // An ended job only has the numbers of its runs left.
-        None => owned_job.progress.done.values().any(|run| *run == end.run),
+        Some(_) if owned_job.end.is_none() => recorded.is_some(),
+        // The log holds only the runs that did the tasks of an ended job.
+        _ => owned_job.is_done_by(&end.task, end.run),
     };
     if is_known_end {
         // The end of an unfinished job may not be in the log yet.
--- a/crates/dispatch/tests/driver/mod.rs
+++ b/crates/dispatch/tests/driver/mod.rs
@@ -25,6 +25,7 @@
 use gannetvane_dispatch::RunKey;
 use gannetvane_dispatch::StartOrder;
 use gannetvane_dispatch::StartResult;
+use gannetvane_dispatch::StopResult;
 use gannetvane_dispatch::TaskId;
 use gannetvane_wire::NodeId;
 
@@ -33,6 +34,8 @@
 /// up.
 const MAX_STEPS: usize = 100;
 const LINK: LinkId = LinkId(1);
+/// Number of the first run of a stored task.
+const FIRST_STORED_RUN: u32 = 4_096;
 pub const CAPACITY: Resources = Resources {
     cpu_milli: 4_000,
     memory_mb: 1_024,
@@ -182,23 +185,97 @@
     /// agent's actions.
     pub fn order_start(&mut self, order: u64, job: &str, is_suspect: bool) -> Vec<AgentAction> {
         self.order(Order::Start(StartOrder {
-            id: OrderId(order),
-            task: key(job).task,
-            run: 1,
-            spec: "".into(),
             is_suspect,
-            needs: TASK_RESOURCES,
-            expected_ms: 100,
-            is_stored: false,
+            ..start_order(order, job)
         }))
     }
 
+    /// Runs the only task of a stored job to its end, which the minion then retains;
+    /// returns the number of the end.
+    pub fn run_stored_task(&mut self, order: u64, job: &str) -> u64 {
+        let stored = StartOrder {
+            run: FIRST_STORED_RUN,
+            is_stored: true,
+            ..start_order(order, job)
+        };
+        let key = RunKey {
+            task: stored.task.clone(),
+            run: stored.run,
+        };
+        let calls = starts_in(&self.order(Order::Start(stored)));
+        for _ in 0..calls {
+            self.agent.start_answered(
+                self.now_ms,
+                &incarnation_at(1_000),
+                &key,
+                StartResult::Started,
+            );
+        }
+        self.last_end_number += 1;
+        let ended = EndedRun {
+            number: self.last_end_number,
+            key: Some(key),
+            end: RunEnd::Done,
+        };
+        self.answer_with(&ListResult::Listed(Listing {
+            clock_ms: 600,
+            ended: vec![ended],
+            ..Listing::default()
+        }));
+        self.last_end_number
+    }
+
     /// Answers the start call of job "a".
     pub fn answer(&mut self, result: StartResult) {
         self.agent
             .start_answered(self.now_ms, &incarnation_at(1_000), &key("a"), result);
     }
 
+    /// Breaks off the first start of job "a" and leaves the others unanswered, until the
+    /// agent stops the run.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the agent sends no stop within `MAX_STEPS`.
+    pub fn break_start_until_stopped(&mut self) {
+        let mut actions = self.order_start(1, "a", false);
+        let mut result = StartResult::Broken;
+        for _ in 0..MAX_STEPS {
+            for _ in 0..starts_in(&actions) {
+                self.answer(result);
+                result = StartResult::NoAnswer;
+            }
+            actions = self.advance(5);
+            if actions
+                .iter()
+                .any(|action| matches!(action, AgentAction::Stop { .. }))
+            {
+                return;
+            }
+        }
+        panic!("the agent sent no stop");
+    }
+
+    /// Acknowledges the stop of job "a" at this time of the minion's clock.
+    pub fn acknowledge_stop(&mut self, clock_ms: u64) {
+        let result = StopResult::Acknowledged { clock_ms };
+        self.agent
+            .stop_answered(self.now_ms, &incarnation_at(1_000), &key("a"), result);
+    }
+
+    /// Answers the next listing calls; returns the orders and ends of the runs that the
+    /// agent reports to the entry in the next millisecond.
+    pub fn ends_after(&mut self, result: &ListResult) -> Vec<(OrderId, RunEnd)> {
+        self.answer_with(result);
+        let actions = self.advance(1);
+        let frames = actions.iter().filter_map(|action| match action {
+            AgentAction::Send(_, frame) => Some(frame),
+            _ => None,
+        });
+        let reports = frames.flat_map(|frame| &frame.reports);
+        reports.filter_map(ended).collect()
+    }
+
     /// Answers the start of a job's only task, and lists this end of it.
     pub fn run_task(&mut self, job: &str, end: RunEnd) {
         self.agent.start_answered(
@@ -321,6 +398,19 @@
     }
 }
 
+fn start_order(order: u64, job: &str) -> StartOrder {
+    StartOrder {
+        id: OrderId(order),
+        task: key(job).task,
+        run: 1,
+        spec: "".into(),
+        is_suspect: false,
+        needs: TASK_RESOURCES,
+        expected_ms: 100,
+        is_stored: false,
+    }
+}
+
 fn report(incarnation: Incarnation, capacity: Resources, sequence: u64) -> MinionReport {
     MinionReport {
         incarnation,
--- a/crates/dispatch/tests/session/mod.rs
+++ b/crates/dispatch/tests/session/mod.rs
@@ -32,6 +32,7 @@
 use gannetvane_dispatch::BoxedPolicy;
 use gannetvane_dispatch::CallerId;
 use gannetvane_dispatch::Crash;
+use gannetvane_dispatch::DelayedStart;
 use gannetvane_dispatch::Directory;
 use gannetvane_dispatch::Dispatcher;
 use gannetvane_dispatch::DispatcherAction;
@@ -56,6 +57,7 @@
 use gannetvane_dispatch::RunKey;
 use gannetvane_dispatch::StartResult;
 use gannetvane_dispatch::Step;
+use gannetvane_dispatch::StopResult;
 use gannetvane_dispatch::StoredCall;
 use gannetvane_dispatch::StoredCaller;
 use gannetvane_dispatch::TaskId;
@@ -130,7 +132,7 @@
     ToEntry(LinkId, AgentFrame),
     LinkDown(LinkId),
     Started(Incarnation, RunKey, StartResult),
-    Stopped(Incarnation, RunKey, bool),
+    Stopped(Incarnation, RunKey, StopResult),
     Listed(Incarnation, u64, ListResult),
     Reported(MinionReport),
     MinionLeft(String),
@@ -140,6 +142,7 @@
     Appended(Partition, u32, u64, AppendResult),
     Loaded(Partition, u64, Option<Vec<LogRecord>>),
     Crashes(Vec<Crash>),
+    DelayedStarts(Vec<DelayedStart>),
 }
 
 /// Dispatcher of an entry, and its ledger of the partitions that it owns.
@@ -279,6 +282,8 @@
     /// `None` for a call that is answered in time, or the delay in milliseconds
     /// after which an unanswered call is carried out.
     pub call_delay: Box<dyn FnMut(u64, usize) -> Option<u64>>,
+    /// Decides about each start call, by time and agent, before `call_delay` does.
+    pub start_delay: Box<dyn FnMut(u64, usize) -> Option<u64>>,
     /// Whether stops are unanswered and carried out `STOP_DELAY_MS` later, while
     /// other calls are answered.
     pub delays_stops: bool,
@@ -330,9 +335,14 @@
     /// Time between the answer to a start and the crash, in milliseconds. Without
     /// it, the minion crashes during the start.
     pub crash_after_ms: Option<u64>,
+    /// Time in milliseconds for which calls to a minion that crashed under a task time
+    /// out until it restarts. Without it, their connections are refused.
+    pub silent_restart_ms: Option<u64>,
     pending_crashes: PendingCrashes,
     /// Number of the last crash that an entry sent to another entry.
     sent_crashes: BTreeMap<(usize, usize), u64>,
+    /// Number of the last delayed start that an entry sent to another entry.
+    sent_delayed_starts: BTreeMap<(usize, usize), u64>,
     /// For each agent, its start number and the id of its minion at the last
     /// periodic report.
     reported: BTreeMap<usize, (u64, String)>,
@@ -386,6 +396,7 @@
             cuts: BTreeSet::new(),
             delayed_calls: Vec::new(),
             call_delay: Box::new(|_, _| None),
+            start_delay: Box::new(|_, _| None),
             delays_stops: false,
             callers: Vec::new(),
             starts: BTreeMap::new(),
@@ -413,8 +424,10 @@
             crashing: BTreeSet::new(),
             crashes: BTreeMap::new(),
             crash_after_ms: None,
+            silent_restart_ms: None,
             pending_crashes: PendingCrashes::default(),
             sent_crashes: BTreeMap::new(),
+            sent_delayed_starts: BTreeMap::new(),
             reported: BTreeMap::new(),
             newly_refused: Vec::new(),
             evacuated: BTreeSet::new(),
@@ -613,6 +626,8 @@
         self.entries[entry].down_until_ms = self.now_ms + for_ms;
         self.sent_crashes
             .retain(|(from, to), _| *from != entry && *to != entry);
+        self.sent_delayed_starts
+            .retain(|(from, to), _| *from != entry && *to != entry);
         self.break_links(|link| link.entry == entry, Side::Entry(entry));
         for state in &mut self.callers {
             if state.entry == entry && state.outcome.is_none() && state.caller.take().is_some() {
@@ -909,10 +924,10 @@
                         .core
                         .start_answered(now_ms, &incarnation, &key, result);
                 }
-                Event::Stopped(incarnation, key, is_done) => {
+                Event::Stopped(incarnation, key, result) => {
                     process
                         .core
-                        .stop_answered(now_ms, &incarnation, &key, is_done);
+                        .stop_answered(now_ms, &incarnation, &key, result);
                 }
                 Event::Listed(incarnation, call, result) => {
                     process
@@ -939,7 +954,11 @@
             AgentAction::Start { .. } | AgentAction::Stop { .. } | AgentAction::List { .. } => {
                 let is_delayed_stop =
                     self.delays_stops && matches!(action, AgentAction::Stop { .. });
-                match (self.call_delay)(self.now_ms, agent) {
+                let start_delay_ms = match action {
+                    AgentAction::Start { .. } => (self.start_delay)(self.now_ms, agent),
+                    _ => None,
+                };
+                match start_delay_ms.or_else(|| (self.call_delay)(self.now_ms, agent)) {
                     None if is_delayed_stop => self.delay_call(agent, &action, STOP_DELAY_MS),
                     None => self.carry_out(agent, &action, true),
                     Some(delay_ms) => self.delay_call(agent, &action, delay_ms),
@@ -986,7 +1005,7 @@
             } => Event::Started(incarnation.clone(), key.clone(), StartResult::NoAnswer),
             AgentAction::Stop {
                 incarnation, key, ..
-            } => Event::Stopped(incarnation.clone(), key.clone(), false),
+            } => Event::Stopped(incarnation.clone(), key.clone(), StopResult::Unacknowledged),
             AgentAction::List {
                 incarnation, call, ..
             } => Event::Listed(incarnation.clone(), *call, ListResult::NoAnswer),
@@ -1003,7 +1022,7 @@
             } => Event::Started(incarnation.clone(), key.clone(), StartResult::Unreached),
             AgentAction::Stop {
                 incarnation, key, ..
-            } => Event::Stopped(incarnation.clone(), key.clone(), false),
+            } => Event::Stopped(incarnation.clone(), key.clone(), StopResult::Unacknowledged),
             AgentAction::List {
                 incarnation, call, ..
             } => Event::Listed(incarnation.clone(), *call, ListResult::Unreached),
@@ -1098,8 +1117,13 @@
                 Event::Started(incarnation.clone(), key.clone(), result)
             }
             AgentAction::Stop { key, epoch, .. } => {
-                let is_done = is_current && minion.stop(now_ms, key, *epoch);
-                Event::Stopped(incarnation.clone(), key.clone(), is_done)
+                let result = match is_current && minion.stop(now_ms, key, *epoch) {
+                    true => StopResult::Acknowledged {
+                        clock_ms: minion.clock_ms(now_ms),
+                    },
+                    false => StopResult::Unacknowledged,
+                };
+                Event::Stopped(incarnation.clone(), key.clone(), result)
             }
             AgentAction::List {
                 call,
@@ -1208,6 +1232,7 @@
                     ledger.appended(now_ms, partition, epoch, number, result, dispatcher);
                 }
                 Event::Crashes(crashes) => dispatcher.add_crashes(now_ms, crashes),
+                Event::DelayedStarts(starts) => dispatcher.gossip_received(now_ms, starts),
                 Event::Loaded(partition, load, records) => {
                     ledger.loaded(now_ms, partition, load, records.as_deref());
                 }
@@ -1219,6 +1244,7 @@
         process.due_ms = ledger_due_ms.map_or(due_ms, |ledger_ms| ledger_ms.min(due_ms));
         let (actions, calls) = (dispatcher.take_actions(), ledger.take_actions());
         self.gossip_crashes(entry);
+        self.gossip_delayed_starts(entry);
         for action in actions {
             self.entry_action(entry, action);
         }
@@ -1242,6 +1268,24 @@
         }
     }
 
+    /// Sends delayed starts that an entry gossips since the last call to the other
+    /// entries.
+    fn gossip_delayed_starts(&mut self, entry: usize) {
+        let now_ms = self.now_ms;
+        // An entry that is down has no connection; it gets all of them once it is up.
+        let is_connected = |other: &usize| *other != entry && self.entries[*other].is_up(now_ms);
+        let others: Vec<usize> = (0..self.entries.len()).filter(is_connected).collect();
+        for other in others {
+            let known = self.entries[entry].core.dispatcher.delayed_starts();
+            let last_sent = self.sent_delayed_starts.entry((entry, other)).or_default();
+            let starts = known.since(now_ms, *last_sent);
+            *last_sent = known.last_sequence();
+            if !starts.is_empty() {
+                self.post(Side::Entry(other), Event::DelayedStarts(starts));
+            }
+        }
+    }
+
     fn entry_action(&mut self, entry: usize, action: DispatcherAction) {
         match action {
             DispatcherAction::Send(id, frame) => {
