--- a/crates/dispatch/tests/late_starts.rs
+++ b/crates/dispatch/tests/late_starts.rs
@@ -624,3 +624,81 @@
     assert_eq!(session.stored[job].end, Some(StoredEnd::Completed));
     assert_no_second_stored_run(&mut session);
 }
+
+/// Guards against a job that is given up as too late although its task is at work: the
+/// progress of a run with an unanswered call must extend the times of its job.
+#[parameterized(
+    one_call_unanswered = { 1 },
+    all_calls_answered = { 0 },
+)]
+fn a_run_with_an_unanswered_call_extends_its_job(unanswered: usize) {
+    let mut session = session(unanswered, FOREVER_MS);
+    let job = session.submit_declared(0, JOB, 1, 4_500, 100);
+    session.run_until_answered(job, 30_000);
+    assert_eq!(session.outcome(job), Some(JobOutcome::Completed));
+}
+
+/// Guards against a job that is sent again and refused as never run while a start of it may
+/// still be carried out.
+#[parameterized(
+    same_entry = { 0 },
+    other_entry = { 1 },
+)]
+fn a_job_with_a_delayed_start_is_not_refused_as_never_run(entry: usize) {
+    let (mut session, job) = submit(400, 11_000);
+    session.run(10);
+    session.disconnect_caller(job);
+    session.forget_caller(job);
+    session.run(RESEND_DELAY_MS);
+    let again = session.submit(entry, JOB, 1, 400);
+    session.run_until_answered(again, 20_000);
+    assert_eq!(session.outcome(again), Some(JobOutcome::TooLate));
+}
+
+/// Guards against a start that an entry assumes to be delayed and gets back as gossip, so that
+/// the agent that returns cannot withdraw it.
+#[parameterized(
+    one_entry = { 1 },
+    two_entries = { 2 },
+)]
+fn an_assumed_delayed_start_ends_as_the_agent_returns(entries: usize) {
+    let mut session = Session::new(entries, 2);
+    session.report_start_times();
+    session.resize_minion(1, Resources::default());
+    session.run(100);
+    session.submit_declared(0, JOB, 1, 300, 60_000);
+    run_until_called(&mut session, 1);
+    session.cut(0, 0);
+    session.run(600);
+    session.heal();
+    let calls = session.start_calls.len();
+    session.run(2_000);
+    assert!(session.start_calls.len() > calls);
+}
+
+/// Guards against a late start that lengthens the lease of everything on the next incarnation:
+/// a run that an entry orders there after it outlives the loss of the agent by that lease.
+#[test]
+fn a_late_start_lengthens_the_lease_of_no_other_run() {
+    let delay_ms = 2_500;
+    let mut session = Session::new(2, 2);
+    session.report_start_times();
+    session.set_max_lease(15_000);
+    session.run(AGE_MS);
+    session.resize_minion(1, Resources::default());
+    session.run(100);
+    leave_unanswered(&mut session, 1, delay_ms);
+    let job = session.submit(0, JOB, 1, 4_000);
+    run_until_called(&mut session, 1);
+    session.disconnect_caller(job);
+    session.forget_caller(job);
+    session.resize_minion(1, Resources::default());
+    restart_if(&mut session, before_the_epoch_is_shown(delay_ms));
+    session.run(delay_ms + 500);
+    session.submit(0, "00000000000000b2", 1, 12_000);
+    session.run(300);
+    session.suspend_agent(0, FOREVER_MS);
+    session.resize_minion(1, MINION_CAPACITY);
+    session.run(13_000);
+    assert_no_second_run(&session);
+}
