An entry ignores a greeting that a later connection of the agent has overtaken

What callers saw: a task that ran twice for some 40 ms. A greeting that arrives after that of the agent's next connection was taken for the newer one: the entry dropped the live connection, freed the tasks that it had ordered there, and started them elsewhere.

Whether bytes of the old connection can arrive that late on the real transport was not checked.

Change: a greeting of the same agent process whose clock is lower than that of a greeting that is served closes its connection and says nothing. The new test failed before.

--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -266,6 +266,14 @@
     /// Adds an agent that greeted. Nothing that was ordered over its earlier
     /// connections is left on its minion.
     pub fn agent_up(&mut self, now_ms: u64, link: LinkId, hello: AgentHello) {
+        let is_overtaken = |agent: &AgentState| {
+            agent.hello.node == hello.node && hello.clock_ms < agent.hello.clock_ms
+        };
+        if self.agents.values().any(is_overtaken) {
+            // The agent has closed this connection and greeted on a later one.
+            self.actions.push(DispatcherAction::Close(link));
+            return;
+        }
         let detail = format!(
             "host={} zone={} capacity={:?}",
             hello.host, hello.zone, hello.capacity
--- a/crates/dispatch/tests/late_starts.rs
+++ b/crates/dispatch/tests/late_starts.rs
@@ -676,6 +676,27 @@
     assert!(session.start_calls.len() > calls);
 }
 
+/// Guards against a greeting that a later link of the same agent has overtaken: it says nothing
+/// of what was ordered on the later link.
+#[parameterized(
+    overtaken = { true },
+    in_order = { false },
+)]
+fn an_overtaken_greeting_starts_nothing_twice(is_overtaken: bool) {
+    let mut session = session(0, 0);
+    let killed_ms = session.now_ms;
+    if is_overtaken {
+        session.hold_next_greeting(0, 0, 2_000);
+    }
+    session.kill_agent(0, 250);
+    session.run(1_700);
+    session.submit(0, JOB, 1, 6_000);
+    session.run(killed_ms + 1_970 - session.now_ms);
+    session.resize_minion(1, MINION_CAPACITY);
+    session.run(6_000);
+    assert_no_duplicates(&session);
+}
+
 /// Guards against a late start that lengthens the lease of everything on the next incarnation:
 /// a run that an entry orders there after it outlives the loss of the agent by that lease.
 #[test]
