A start whose connection broke is sent again only to the incarnation that it was for

What callers saw: a task that crashes minions took down four, and with the wait for delayed starts a job whose task crashes its minion was answered 504 in place of failed.

Cause: after the connection of a start broke, the agent sent the start again, 50 ms later and unanswered, while the minion was silent; the next incarnation could carry it out.

Change: after a break the start waits for a listing that was requested since. A call whose connection broke ended with it, so only calls that timed out count as delayed; the acknowledgement of ends waits for both as before.

Open: a call that is left unanswered and whose connection breaks with its minion before its time-out counts as ended.

--- a/crates/dispatch/src/agent/delayed_calls.rs
+++ b/crates/dispatch/src/agent/delayed_calls.rs
@@ -18,11 +18,13 @@
 use crate::LinkId;
 use crate::OrderId;
 use crate::RunKey;
+use crate::StartResult;
 use crate::TaskId;
 use crate::agent::minion::Minion;
 use crate::agent::run_table::Run;
 use crate::lease::MAX_CALL_DELAY_MS;
 use crate::lease::max_uncontrolled_ms;
+use crate::minion_calls::CallOutcome;
 use crate::stored::RUNS_PER_EPOCH;
 
 /// Time by which a delayed start is reported to last longer than known, in milliseconds,
@@ -39,6 +41,9 @@
     /// Runs with an unanswered start, each with the time until which that start may be
     /// carried out.
     unanswered: BTreeMap<RunKey, u64>,
+    /// Those of them of which a start timed out. The others ended with their connection,
+    /// which broke as the minion crashed, and no later incarnation gets them.
+    timed_out: BTreeMap<RunKey, u64>,
     /// Tasks whose delayed starts were reported to the entries, each with the time until
     /// which a start may be carried out according to the report.
     reported: BTreeMap<TaskId, u64>,
@@ -80,6 +85,12 @@
         }
     }
 
+    /// Records that a start timed out.
+    fn start_timed_out(&mut self, now_ms: u64, key: &RunKey) {
+        self.timed_out
+            .insert(key.clone(), now_ms + MAX_CALL_DELAY_MS);
+    }
+
     /// Records that some call got no answer. Calls of an earlier agent may then be
     /// unanswered as well.
     pub(crate) fn call_unanswered(&mut self) {
@@ -112,9 +123,9 @@
         };
         let mut pending = self.pending.range(&first..=&last);
         let pending = pending.next().map(|_| now_ms + MAX_CALL_DELAY_MS);
-        let unanswered = self.unanswered.range(&first..=&last);
-        let unanswered = unanswered.map(|(_, until_ms)| *until_ms);
-        unanswered.chain(pending).max()
+        let timed_out = self.timed_out.range(&first..=&last);
+        let timed_out = timed_out.map(|(_, until_ms)| *until_ms);
+        timed_out.chain(pending).max()
     }
 
     /// Whether the runs of the task that may be started are those of a stored job.
@@ -124,10 +135,10 @@
             run: RUNS_PER_EPOCH,
         };
         let pending = self.pending.range(&first_stored..);
-        let unanswered = self.unanswered.range(&first_stored..);
+        let timed_out = self.timed_out.range(&first_stored..);
         let first_keys = [
             pending.map(|(key, _)| key).next(),
-            unanswered.map(|(key, _)| key).next(),
+            timed_out.map(|(key, _)| key).next(),
         ];
         first_keys
             .into_iter()
@@ -137,7 +148,7 @@
 
     /// Tasks of which a start may still be carried out.
     fn tasks(&self) -> Vec<TaskId> {
-        let keys = self.pending.keys().chain(self.unanswered.keys());
+        let keys = self.pending.keys().chain(self.timed_out.keys());
         let mut tasks: Vec<TaskId> = keys.map(|key| key.task.clone()).collect();
         tasks.sort_unstable();
         tasks.dedup();
@@ -166,6 +177,7 @@
     /// Forgets the starts that cannot be carried out any more.
     pub(crate) fn expire(&mut self, now_ms: u64) {
         self.unanswered.retain(|_, until_ms| now_ms < *until_ms);
+        self.timed_out.retain(|_, until_ms| now_ms < *until_ms);
         self.reported.retain(|_, until_ms| now_ms < *until_ms);
     }
 }
@@ -180,6 +192,7 @@
         }
         let tasks = self.delayed_calls.tasks();
         self.delayed_calls.unanswered.clear();
+        self.delayed_calls.timed_out.clear();
         for task in tasks {
             self.report_delayed_start(now_ms, &task);
         }
@@ -200,12 +213,17 @@
         now_ms: u64,
         incarnation: &Incarnation,
         key: &RunKey,
-        is_answered: bool,
+        result: StartResult,
     ) {
+        let is_answered = result.call_outcome() != CallOutcome::Unanswered;
         let served_id = self.delayed_calls.minion_id.as_ref();
         let is_void = served_id.is_some_and(|id| id != incarnation.id());
         self.delayed_calls
             .start_ended(now_ms, key, is_answered || is_void);
+        let may_keep_id = incarnation.started_unix_ms().is_some();
+        if result == StartResult::NoAnswer && may_keep_id && !is_void {
+            self.delayed_calls.start_timed_out(now_ms, key);
+        }
         if !is_answered || self.delayed_calls.reported.contains_key(&key.task) {
             self.report_delayed_start(now_ms, &key.task);
         }
--- a/crates/dispatch/src/agent/listings.rs
+++ b/crates/dispatch/src/agent/listings.rs
@@ -208,6 +208,7 @@
         let mut gone = Vec::new();
         let is_complete = listing.ended.len() < MAX_LISTED_ENDS;
         for run in self.runs.iter_mut() {
+            run.retry_broken_start(now_ms, sent_ms);
             let listed = listing
                 .running
                 .iter()
--- a/crates/dispatch/src/agent/run_table.rs
+++ b/crates/dispatch/src/agent/run_table.rs
@@ -87,6 +87,9 @@
     /// Whether the connection of a start broke so long after the call was sent that the
     /// minion may not have read it.
     is_read_uncertain: bool,
+    /// When the connection of a start broke, until a listing shows that the incarnation that
+    /// it was sent to is still there.
+    pub(crate) awaits_listing_since_ms: Option<u64>,
     /// Number of starts that got no answer.
     pub(crate) unanswered: u32,
     /// When the start is sent again.
@@ -125,6 +128,7 @@
             is_outcome_unknown: false,
             connection_broke_ms: None,
             is_read_uncertain: false,
+            awaits_listing_since_ms: None,
             unanswered: 0,
             retry_at_ms: None,
         }
@@ -161,6 +165,7 @@
     /// took long, the minion may have been suspended for all that time and not have
     /// read the call.
     pub(crate) fn start_connection_broke(&mut self, now_ms: u64) {
+        self.awaits_listing_since_ms = Some(now_ms);
         if now_ms <= self.sent_ms + READ_AT_ONCE_MS {
             self.connection_broke_ms = Some(now_ms);
         } else {
@@ -168,6 +173,17 @@
         }
     }
 
+    /// Plans the next try of a start whose connection broke before `sent_ms`: a listing that
+    /// was requested then shows that its incarnation is still there.
+    pub(crate) fn retry_broken_start(&mut self, now_ms: u64, sent_ms: u64) {
+        let broken = self
+            .awaits_listing_since_ms
+            .take_if(|since_ms| sent_ms > *since_ms);
+        if broken.is_some() && self.phase == Phase::Starting && self.pending == 0 {
+            self.retry_at_ms = Some(now_ms);
+        }
+    }
+
     /// Evidence that a crash of the minion gives against the task: none if the run was
     /// stopped before, or if the minion may have ended before it got the start.
     pub(crate) fn crash_evidence(&self) -> Option<CrashEvidence> {
--- a/crates/dispatch/src/agent/starts.rs
+++ b/crates/dispatch/src/agent/starts.rs
@@ -74,7 +74,7 @@
         result: StartResult,
     ) {
         let is_answered = result.call_outcome() != CallOutcome::Unanswered;
-        self.delayed_call_ended(now_ms, incarnation, key, is_answered);
+        self.delayed_call_ended(now_ms, incarnation, key, result);
         if !self.serves(incarnation) {
             return;
         }
@@ -146,7 +146,9 @@
     }
 
     /// Plans the next try of an unanswered start, or stops the run after too many. The
-    /// same start may be sent again, since the minion carries it out only once.
+    /// same start may be sent again, since the minion carries it out only once. If the
+    /// connection broke, the minion may have crashed, and the next incarnation must not get
+    /// the start: a listing must show first that this one is still there.
     pub(crate) fn start_unanswered(&mut self, now_ms: u64, link: LinkId, order: OrderId) {
         let Some(run) = self.runs.get_mut(link, order) else {
             return;
@@ -155,7 +157,8 @@
         let job = run.key.task.job.clone();
         let detail = format!("run={} tries={}", run.key.run, run.unanswered);
         if run.phase == Phase::Starting && run.unanswered < MAX_START_TRIES {
-            run.retry_at_ms = Some((run.started_ms + MIN_START_INTERVAL_MS).max(now_ms + 1));
+            let retry_at_ms = (run.started_ms + MIN_START_INTERVAL_MS).max(now_ms + 1);
+            run.retry_at_ms = run.awaits_listing_since_ms.is_none().then_some(retry_at_ms);
         } else if run.phase == Phase::Starting {
             self.stop_run(now_ms, link, order);
         }
--- a/crates/dispatch/tests/crashing.rs
+++ b/crates/dispatch/tests/crashing.rs
@@ -279,9 +279,9 @@
     assert!(session.violations.is_empty(), "{:?}", session.violations);
 }
 
-/// Times for which crashed minions are silent until they restart, in milliseconds: longer
-/// than an agent sends the unanswered start again, and over several stops after it.
-const SILENT_RESTARTS_MS: std::ops::Range<u64> = 150..340;
+/// Times for which crashed minions are silent until they restart, in milliseconds: over the
+/// tries of an unanswered start, and several stops after it.
+const SILENT_RESTARTS_MS: std::ops::Range<u64> = 10..340;
 
 /// Crashed minions are silent until they restart with the same id. Some of the next
 /// incarnations answer the stop of the unanswered start before they answer a listing.
--- a/crates/dispatch/tests/driver/mod.rs
+++ b/crates/dispatch/tests/driver/mod.rs
@@ -231,29 +231,19 @@
             .start_answered(self.now_ms, &incarnation_at(1_000), &key("a"), result);
     }
 
-    /// Breaks off the first start of job "a" and leaves the others unanswered, until the
-    /// agent stops the run.
+    /// Breaks off the start of job "a" and orders its stop, which the agent sends.
     ///
     /// # Panics
     ///
-    /// Panics if the agent sends no stop within `MAX_STEPS`.
+    /// Panics if the agent sends no stop.
     pub fn break_start_until_stopped(&mut self) {
-        let mut actions = self.order_start(1, "a", false);
-        let mut result = StartResult::Broken;
-        for _ in 0..MAX_STEPS {
-            for _ in 0..starts_in(&actions) {
-                self.answer(result);
-                result = StartResult::NoAnswer;
-            }
-            actions = self.advance(5);
-            if actions
-                .iter()
-                .any(|action| matches!(action, AgentAction::Stop { .. }))
-            {
-                return;
-            }
+        let actions = self.order_start(1, "a", false);
+        for _ in 0..starts_in(&actions) {
+            self.answer(StartResult::Broken);
         }
-        panic!("the agent sent no stop");
+        let actions = self.order(Order::Stop(OrderId(1)));
+        let is_stop = |action: &AgentAction| matches!(action, AgentAction::Stop { .. });
+        assert!(actions.iter().any(is_stop), "the agent sent no stop");
     }
 
     /// Acknowledges the stop of job "a" at this time of the minion's clock.
