Entries log each crash that counts against a task, with who told it

Callers got failed after one crash. The logs told the signs that came as the end of a run, but not those of greetings, of other entries and of the entry's own note of lost agents (crash-told had no detail), nor the weight.

crash-counted takes the place of crash-told: source, evidence, number, age and the weight since. No decision has changed.

--- a/crates/dispatch/src/dispatcher/crashes.rs
+++ b/crates/dispatch/src/dispatcher/crashes.rs
@@ -22,6 +22,21 @@
 /// Largest number of runs that are remembered after their agents were lost.
 const MAX_LOST_RUNS: usize = 1_024;
 
+/// How an entry learned of a crash.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CrashSource {
+    /// The agent reported it as the end of a run that this entry had ordered.
+    RunEnd,
+    /// An agent listed it in its greeting.
+    Greeting,
+    /// Another entry gossiped it.
+    Entry,
+    /// This entry inferred it: an agent was lost together with its minion.
+    LostAgent,
+    /// It was known before the job arrived.
+    Known,
+}
+
 /// A run that was ordered at an agent when the agent was lost.
 #[derive(Debug)]
 struct LostRun {
@@ -92,7 +107,7 @@
         };
         let run = job.run_key(state.position);
         let crash = Crash::observed(&run, order, agent.hello.node, evidence);
-        self.add_crash(now_ms, crash);
+        self.add_crash(now_ms, crash, CrashSource::RunEnd);
     }
 
     /// Returns the known crashes.
@@ -101,13 +116,22 @@
         &self.crashes
     }
 
-    /// Records crashes that an agent or another entry reported.
+    /// Records crashes that another entry reported.
     pub fn add_crashes(&mut self, now_ms: u64, crashes: Vec<Crash>) {
+        self.add_crashes_from(now_ms, crashes, CrashSource::Entry);
+    }
+
+    /// Records the crashes that an agent listed in its greeting.
+    pub(crate) fn add_greeted_crashes(&mut self, now_ms: u64, crashes: Vec<Crash>) {
+        self.add_crashes_from(now_ms, crashes, CrashSource::Greeting);
+    }
+
+    /// Records crashes, and gives up the jobs whose tasks have had too many.
+    fn add_crashes_from(&mut self, now_ms: u64, crashes: Vec<Crash>, source: CrashSource) {
         for crash in crashes {
             let id = crash.task.job.clone();
-            let is_new = self.add_crash(now_ms, crash);
+            let is_new = self.add_crash(now_ms, crash, source);
             if is_new && self.jobs.get(&id).is_some_and(JobState::is_open) {
-                self.event("crash-told", Some(id.clone()), String::new());
                 self.advance_job(now_ms, &id);
             }
         }
@@ -117,7 +141,7 @@
     /// greets may have been lost together with its minion.
     pub(crate) fn add_unseen_crashes(&mut self, now_ms: u64, agent: &AgentHello) {
         let crashes = self.lost_runs.lost_with_minion(now_ms, agent);
-        self.add_crashes(now_ms, crashes);
+        self.add_crashes_from(now_ms, crashes, CrashSource::LostAgent);
     }
 
     /// Counts the known crashes against the tasks of a job that was just
@@ -125,35 +149,46 @@
     pub(crate) fn apply_known_crashes(&mut self, id: &Name) {
         let known: Vec<Crash> = self.crashes.of_job(id).cloned().collect();
         for crash in known {
-            self.apply_crash(crash);
+            self.apply_crash(crash, CrashSource::Known);
         }
     }
 
     /// Records a crash and counts it against its task; returns whether it was
     /// new.
-    fn add_crash(&mut self, now_ms: u64, crash: Crash) -> bool {
+    fn add_crash(&mut self, now_ms: u64, crash: Crash, source: CrashSource) -> bool {
         let is_new = self.crashes.add(now_ms, crash.clone());
         if is_new {
-            self.apply_crash(crash);
+            self.apply_crash(crash, source);
         }
         is_new
     }
 
     /// Counts a crash against its task. If the task is stored, the crash must
     /// be recorded in the log before the task is started again.
-    fn apply_crash(&mut self, crash: Crash) {
+    fn apply_crash(&mut self, crash: Crash, source: CrashSource) {
         let Some(job) = self.jobs.get_mut(&crash.task.job) else {
             return;
         };
         let Some(position) = job.record_crash(&crash) else {
             return;
         };
-        if job.is_stored && job.is_open() {
+        let is_open = job.is_open();
+        let detail = format!(
+            "position={position} source={source:?} evidence={:?} crash={:016x} age_ms={} weight={}",
+            crash.evidence,
+            crash.number,
+            crash.age_ms,
+            job.tasks[position].crash_weight(),
+        );
+        if job.is_stored && is_open {
             job.tasks[position].await_crash_record();
             self.stored_events.push(StoredEvent::Crashed {
                 position: u32::try_from(position).unwrap_or(u32::MAX),
-                crash,
+                crash: crash.clone(),
             });
         }
+        if is_open {
+            self.event("crash-counted", Some(crash.task.job), detail);
+        }
     }
 }
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -281,7 +281,7 @@
         self.event("agent-up", None, detail);
         self.hosts.record_greeting(&hello);
         self.retained_ends_reported(link, hello.retained_ends.clone());
-        self.add_crashes(now_ms, hello.crashes.clone());
+        self.add_greeted_crashes(now_ms, hello.crashes.clone());
         self.add_unseen_crashes(now_ms, &hello);
         let host = hello.host.clone();
         let stale = self
