A crash is no evidence against a run whose lease had lapsed

Cause: an agent that resumes reads answers of before as signs of life, extends the lease, and is then refused. It told the crash against every run that it had ever seen, though the minion had ended them when the lease was over. An awake agent tells nothing then, since it gives up the minion as silent first; so what a crash weighed depended on the order in which inputs were read.

Before the agent extends a lease that is over, and before it gives up a minion, it notes that the runs may have lapsed. A call that was sent since and shows the run takes the note back. Such runs give neither weak evidence nor strong evidence by a later listing. run-lost tells it (lapsed).

--- a/crates/dispatch/src/agent/incarnations.rs
+++ b/crates/dispatch/src/agent/incarnations.rs
@@ -367,7 +367,7 @@
     /// Logs what is known of a run that ended with its minion.
     fn log_lost_run(&mut self, now_ms: u64, run: &Run, end: RunEnd) {
         let detail = format!(
-            "task={}.{} run={} end={end:?} phase={:?} seen={} listed={} cut_off={} pending={} refusal={:?} unanswered={} ran_ms={}",
+            "task={}.{} run={} end={end:?} phase={:?} seen={} listed={} cut_off={} lapsed={} pending={} refusal={:?} unanswered={} ran_ms={}",
             run.key.task.step,
             run.key.task.index,
             run.key.run,
@@ -375,6 +375,7 @@
             run.was_seen_running,
             run.was_listed,
             run.connection_broke_ms.is_some(),
+            run.has_lapsed(),
             run.pending,
             run.refusal,
             run.unanswered,
@@ -389,6 +390,7 @@
             return;
         }
         self.give_up_checks();
+        self.note_lapsed_lease(now_ms);
         let active_runs: Vec<(LinkId, OrderId)> =
             self.runs.iter().map(|run| (run.link, run.order)).collect();
         for (link, order) in active_runs {
--- a/crates/dispatch/src/agent/listing_calls.rs
+++ b/crates/dispatch/src/agent/listing_calls.rs
@@ -39,6 +39,7 @@
 impl Agent {
     /// Sends listing calls when a listing is needed and too few calls are pending.
     pub(crate) fn list_if_due(&mut self, now_ms: u64) {
+        self.note_lapsed_lease(now_ms);
         let can_extend = self.can_extend_lease(now_ms);
         let acknowledgeable_through = self.acknowledgeable_through(now_ms);
         let has_runs = self.runs.has_sent_starts();
--- a/crates/dispatch/src/agent/listings.rs
+++ b/crates/dispatch/src/agent/listings.rs
@@ -214,7 +214,7 @@
                 .iter()
                 .find(|row| row.key.as_ref() == Some(&run.key));
             if let Some(row) = listed {
-                run.was_seen_running = true;
+                run.seen_running(sent_ms);
                 run.was_listed = true;
                 let (done_ms, spent_ms) = run.advance(now_ms, row.percent);
                 self.speed.add(now_ms, done_ms, spent_ms);
--- a/crates/dispatch/src/agent/minion.rs
+++ b/crates/dispatch/src/agent/minion.rs
@@ -273,6 +273,15 @@
         })
     }
 
+    /// Records that the runs may have lapsed, if the lease is over. It must be called
+    /// before the lease is extended and before the minion is given up.
+    pub(crate) fn note_lapsed_lease(&mut self, now_ms: u64) {
+        let minion = self.minion.as_ref();
+        if minion.is_some_and(|minion| now_ms > minion.lease_until_ms) {
+            self.runs.lease_lapsed(now_ms);
+        }
+    }
+
     /// Stops a run, unless it is being stopped already.
     pub(crate) fn stop_run(&mut self, now_ms: u64, link: LinkId, order: OrderId) {
         let min_clock_ms = self.min_minion_clock_at(now_ms);
--- a/crates/dispatch/src/agent/run_table.rs
+++ b/crates/dispatch/src/agent/run_table.rs
@@ -87,6 +87,9 @@
     /// Whether the connection of a start broke so long after the call was sent that the
     /// minion may not have read it.
     is_read_uncertain: bool,
+    /// When the agent found that the minion's lease was over, until the minion is known to
+    /// run it since.
+    lapsed_ms: Option<u64>,
     /// When the connection of a start broke, until a listing shows that the incarnation that
     /// it was sent to is still there.
     pub(crate) awaits_listing_since_ms: Option<u64>,
@@ -128,6 +131,7 @@
             is_outcome_unknown: false,
             connection_broke_ms: None,
             is_read_uncertain: false,
+            lapsed_ms: None,
             awaits_listing_since_ms: None,
             unanswered: 0,
             retry_at_ms: None,
@@ -155,6 +159,11 @@
         !self.was_listed || self.pending > 0 || self.is_outcome_unknown || self.unanswered > 0
     }
 
+    /// Whether a start of the run was sent, so that the minion may have it.
+    fn has_sent_start(&self) -> bool {
+        self.hedged_calls > 0 || self.unanswered > 0 || self.was_seen_running
+    }
+
     /// Whether no start of the run is sent any more and none is pending.
     fn is_start_settled(&self) -> bool {
         let may_send_starts = matches!(self.phase, Phase::Checking | Phase::Starting);
@@ -184,8 +193,21 @@
         }
     }
 
+    /// Records that the minion runs it, as the answer to a call that was sent at `sent_ms`
+    /// shows.
+    pub(crate) fn seen_running(&mut self, sent_ms: u64) {
+        self.was_seen_running = true;
+        self.lapsed_ms.take_if(|lapsed_ms| sent_ms >= *lapsed_ms);
+    }
+
+    /// Whether the minion may have ended it because its lease was over.
+    pub(crate) fn has_lapsed(&self) -> bool {
+        self.lapsed_ms.is_some()
+    }
+
     /// Evidence that a crash of the minion gives against the task: none if the run was
-    /// stopped before, or if the minion may have ended before it got the start.
+    /// stopped before, if its lease may have lapsed before, or if the minion may have ended
+    /// before it got the start.
     pub(crate) fn crash_evidence(&self) -> Option<CrashEvidence> {
         let is_stopped = matches!(
             self.phase,
@@ -197,7 +219,7 @@
         match (
             is_stopped,
             self.connection_broke_ms,
-            self.was_seen_running || self.is_read_uncertain,
+            (self.was_seen_running || self.is_read_uncertain) && !self.has_lapsed(),
         ) {
             (false, Some(_), _) => Some(CrashEvidence::Strong),
             (false, None, true) => Some(CrashEvidence::Weak),
@@ -284,11 +306,20 @@
     /// Records that the connection of a listing broke while the listing waited for an
     /// end. The runs that the minion had taken were active then.
     pub(crate) fn listing_connection_broke(&mut self, now_ms: u64) {
-        for run in self.runs.values_mut().filter(|run| run.was_seen_running) {
+        let is_active = |run: &&mut Run| run.was_seen_running && !run.has_lapsed();
+        for run in self.runs.values_mut().filter(is_active) {
             run.connection_broke_ms = Some(now_ms);
         }
     }
 
+    /// Records that the lease of all runs was over at this time. The minion may have ended
+    /// them before, so that its crash is no evidence against their tasks.
+    pub(crate) fn lease_lapsed(&mut self, now_ms: u64) {
+        for run in self.runs.values_mut().filter(|run| run.has_sent_start()) {
+            run.lapsed_ms = Some(now_ms);
+        }
+    }
+
     /// Records that the minion was alive at this time. Connections that broke before
     /// are no evidence of how it ended.
     pub(crate) fn minion_answered(&mut self, at_ms: u64) {
--- a/crates/dispatch/src/agent/starts.rs
+++ b/crates/dispatch/src/agent/starts.rs
@@ -47,6 +47,7 @@
 
     /// Sends one start call.
     fn send_start(&mut self, now_ms: u64, link: LinkId, order: OrderId) {
+        self.note_lapsed_lease(now_ms);
         let (Some(minion), Some(run)) = (&mut self.minion, self.runs.get_mut(link, order)) else {
             return;
         };
@@ -97,7 +98,7 @@
         run.pending = run.pending.saturating_sub(1);
         match result {
             StartResult::Started => {
-                run.was_seen_running = true;
+                run.seen_running(run.sent_ms);
                 run.connection_broke_ms = None;
                 run.confirmed_ms = now_ms;
                 if run.phase == Phase::Starting {
