A job fails only after two observed crashes under a task

Callers got failed after one crash under a task.

Cause: an entry that had lost an agent took the next incarnation of its minion for a crash under each run that it had ordered there (Unseen), whenever that crash came: the run may have been done, or its lease have lapsed, seconds before. One strong sign was enough to make such guesses count. Class of fault: a guess of the one who was not there stands in for one of the two crashes that entitle an entry to tell a caller failed.

Unseen evidence now counts only beside strong evidence of two crashes: it may be the third crash of a stored task, and never one of the two.

Tests of crashing tasks unchanged and green.

--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -302,6 +302,9 @@
     NotStarted(NotStartedReason),
 }
 
+/// Number of crashes with strong evidence that prove that a task crashes its minions.
+const PROOF_CRASHES: usize = 2;
+
 /// How certain it is that a task was running when its minion crashed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum CrashEvidence {
@@ -316,12 +319,11 @@
 
 impl CrashEvidence {
     /// Returns the weight of all crash evidence against a task. Unseen evidence counts only
-    /// beside strong evidence: the loss of a host with all its runs alone says nothing about
-    /// a task.
+    /// beside strong evidence of two crashes: the run may have ended before its host was
+    /// lost, so it must not be one of the two crashes that a job may fail for.
     pub(crate) fn weight(all_evidence: impl Iterator<Item = Self> + Clone) -> u32 {
-        let is_proven = all_evidence
-            .clone()
-            .any(|evidence| evidence == Self::Strong);
+        let is_strong = |evidence: &Self| *evidence == Self::Strong;
+        let is_proven = all_evidence.clone().filter(is_strong).count() >= PROOF_CRASHES;
         let weights = all_evidence.map(|evidence| match evidence {
             Self::Strong => 2,
             Self::Weak => 1,
