A crash is told also if the agent gives its minion up as silent

Cause: whether a broken connection was evidence depended on how the agent gave the minion up afterwards. Silence alone tells nothing as before; a connection that broke while the run was there, with no answer since, is strong evidence also then. A minion that leaves is no crash.

Test: a_start_whose_connection_broke_before_a_silence_is_a_crash_of_its_task fails before (None), passes now, with two tests of innocence beside it.

--- a/crates/dispatch/src/agent/incarnations.rs
+++ b/crates/dispatch/src/agent/incarnations.rs
@@ -14,6 +14,7 @@
 use crate::Agent;
 use crate::AgentAction;
 use crate::Crash;
+use crate::CrashEvidence;
 use crate::Incarnation;
 use crate::LinkId;
 use crate::ListResult;
@@ -51,6 +52,8 @@
 pub(crate) enum Loss {
     /// The minion ended without notice.
     Crashed,
+    /// The minion answered no call until its lease was over, without having given notice.
+    Silent,
     /// The minion left, or is out of reach.
     Gone,
 }
@@ -343,6 +346,10 @@
             incarnation.is_some_and(|incarnation| incarnation.started_unix_ms().is_some());
         let crash = match loss {
             Loss::Crashed => run.crash_evidence(),
+            // Silence alone is no evidence, but a connection that broke before it is.
+            Loss::Silent => run
+                .crash_evidence()
+                .filter(|evidence| *evidence == CrashEvidence::Strong),
             Loss::Gone => None,
         };
         if may_keep_id && run.may_run_in_next_incarnation() {
--- a/crates/dispatch/src/agent/minion.rs
+++ b/crates/dispatch/src/agent/minion.rs
@@ -381,8 +381,12 @@
         } else if is_lease_over && minion.has_left {
             self.lose_minion(now_ms, Loss::Gone);
         } else if is_lease_over && is_unanswered && has_runs {
+            let loss = match Loss::of(minion) {
+                Loss::Crashed => Loss::Silent,
+                other => other,
+            };
             self.event("minion-silent", None, String::new());
-            self.lose_minion(now_ms, Loss::Gone);
+            self.lose_minion(now_ms, loss);
         } else if !has_recent_report && !has_runs {
             self.event("minion-unreported", None, String::new());
             self.lose_minion(now_ms, Loss::Gone);
--- a/crates/dispatch/tests/crash_evidence.rs
+++ b/crates/dispatch/tests/crash_evidence.rs
@@ -257,6 +257,37 @@
     assert_eq!(evidence, [CrashEvidence::Weak]);
 }
 
+/// The connection of the start broke, and the minion answers nothing until it is given up as
+/// silent, because its host refuses no connections.
+#[test]
+fn a_start_whose_connection_broke_before_a_silence_is_a_crash_of_its_task() {
+    let mut driver = Driver::new();
+    driver.start();
+    driver.answer(StartResult::Broken);
+    let ends = driver.ends_of_silent_minion();
+    assert_eq!(only_evidence(&ends), Some(CrashEvidence::Strong));
+}
+
+#[test]
+fn a_run_whose_minion_is_only_silent_is_no_crash_of_its_task() {
+    let mut driver = Driver::new();
+    driver.start_tasks(&["a"]);
+    driver.list_running(&["a"], 0, 0);
+    let ends = driver.ends_of_silent_minion();
+    assert_eq!(only_evidence(&ends), None);
+}
+
+#[test]
+fn a_leaving_minion_that_becomes_silent_has_not_crashed() {
+    let mut driver = Driver::new();
+    driver.start_tasks(&["a"]);
+    driver.list_running(&["a"], 0, 0);
+    driver.agent.minion_left(incarnation_at(1_000).id());
+    driver.answer_with(&ListResult::Broken);
+    let ends = driver.ends_of_silent_minion();
+    assert_eq!(only_evidence(&ends), None);
+}
+
 #[test]
 fn a_start_whose_connection_broke_late_is_weak_evidence() {
     let mut driver = Driver::new();
--- a/crates/dispatch/tests/driver/mod.rs
+++ b/crates/dispatch/tests/driver/mod.rs
@@ -411,6 +411,30 @@
         panic!("the agent did not greet");
     }
 
+    /// Leaves all calls to the minion unanswered until the agent gives it up; returns the
+    /// orders and ends of the runs that the agent reports to the entry meanwhile.
+    pub fn ends_of_silent_minion(&mut self) -> Vec<(OrderId, RunEnd)> {
+        let mut ends = Vec::new();
+        for _ in 0..MAX_STEPS {
+            for action in self.advance(20) {
+                match action {
+                    AgentAction::List {
+                        call, incarnation, ..
+                    } => self.answer_call(&incarnation, call, ListResult::NoAnswer),
+                    AgentAction::Start { .. } => self.answer(StartResult::NoAnswer),
+                    AgentAction::Send(_, frame) => {
+                        ends.extend(frame.reports.iter().filter_map(ended));
+                    }
+                    _ => {}
+                }
+            }
+            if self.agent.incarnation().is_none() {
+                break;
+            }
+        }
+        ends
+    }
+
     /// Whether the agent's last frame of the next 100 ms says that it accepts starts.
     pub fn is_accepting_starts(&mut self) -> bool {
         let frames = self
