A start that no minion answered for is half a proof of a crash until it happens again

Its first start went to a minion whose connections were reset in the same 3 ms in which another task crashed it; the start broke without having been read, and weighed as much as a crash that was seen. A second, true crash 0.6 s later made four.

Cause: of all starts in flight when a minion ends, each breaks, and at most one of them can be the cause. Evidence now tells them apart: Strong (a listing broke while the minion had the run), StartCrashed (the start broke and the minion is known to have had the run), StartBroken (it never answered for it). StartBroken weighs 1, and 2 beside another start broken or crashed: a task that crashes its minion during the start does so again, so two such crashes still give it up, and three of any kind do.

Tests: a_start_that_no_minion_read_and_one_crash_fail_no_job fails before (Failed) and passes now.

--- a/crates/dispatch/src/agent/incarnations.rs
+++ b/crates/dispatch/src/agent/incarnations.rs
@@ -349,7 +349,7 @@
             // Silence alone is no evidence, but a connection that broke before it is.
             Loss::Silent => run
                 .crash_evidence()
-                .filter(|evidence| *evidence == CrashEvidence::Strong),
+                .filter(|evidence| *evidence != CrashEvidence::Weak),
             Loss::Gone => None,
         };
         if may_keep_id && run.may_run_in_next_incarnation() {
--- a/crates/dispatch/src/agent/run_table.rs
+++ b/crates/dispatch/src/agent/run_table.rs
@@ -84,6 +84,8 @@
     /// of the run's start broke right after the call was sent, or the connection of a
     /// listing broke while the listing waited for an end and the minion had the run.
     pub(crate) connection_broke_ms: Option<u64>,
+    /// Whether the connection of a start broke right after the call was sent.
+    has_broken_start: bool,
     /// Whether the connection of a start broke so long after the call was sent that the
     /// minion may not have read it.
     is_read_uncertain: bool,
@@ -130,6 +132,7 @@
             refusal: None,
             is_outcome_unknown: false,
             connection_broke_ms: None,
+            has_broken_start: false,
             is_read_uncertain: false,
             lapsed_ms: None,
             awaits_listing_since_ms: None,
@@ -177,11 +180,18 @@
         self.awaits_listing_since_ms = Some(now_ms);
         if now_ms <= self.sent_ms + READ_AT_ONCE_MS {
             self.connection_broke_ms = Some(now_ms);
+            self.has_broken_start = true;
         } else {
             self.is_read_uncertain = true;
         }
     }
 
+    /// Records that the minion accepted a start: connections that broke before are no evidence.
+    pub(crate) fn start_accepted(&mut self) {
+        self.connection_broke_ms = None;
+        self.has_broken_start = false;
+    }
+
     /// Plans the next try of a start whose connection broke before `sent_ms`: a listing that
     /// was requested then shows that its incarnation is still there.
     pub(crate) fn retry_broken_start(&mut self, now_ms: u64, sent_ms: u64) {
@@ -221,12 +231,21 @@
             self.connection_broke_ms,
             (self.was_seen_running || self.is_read_uncertain) && !self.has_lapsed(),
         ) {
-            (false, Some(_), _) => Some(CrashEvidence::Strong),
+            (false, Some(_), _) => Some(self.broken_connection_evidence()),
             (false, None, true) => Some(CrashEvidence::Weak),
             _ => None,
         }
     }
 
+    /// Evidence that the connection which broke gives against the task.
+    fn broken_connection_evidence(&self) -> CrashEvidence {
+        match (self.was_seen_running, self.has_broken_start) {
+            (true, false) => CrashEvidence::Strong,
+            (true, true) => CrashEvidence::StartCrashed,
+            (false, _) => CrashEvidence::StartBroken,
+        }
+    }
+
     pub(crate) fn ran_ms(&self, now_ms: u64) -> u64 {
         now_ms.saturating_sub(self.started_ms)
     }
@@ -324,8 +343,10 @@
     /// are no evidence of how it ended.
     pub(crate) fn minion_answered(&mut self, at_ms: u64) {
         for run in self.runs.values_mut() {
-            run.connection_broke_ms
-                .take_if(|connection_broke_ms| at_ms > *connection_broke_ms);
+            let broke_before = |broke_ms: &mut u64| at_ms > *broke_ms;
+            if run.connection_broke_ms.take_if(broke_before).is_some() {
+                run.has_broken_start = false;
+            }
         }
     }
 
--- a/crates/dispatch/src/agent/starts.rs
+++ b/crates/dispatch/src/agent/starts.rs
@@ -99,7 +99,7 @@
         match result {
             StartResult::Started => {
                 run.seen_running(run.sent_ms);
-                run.connection_broke_ms = None;
+                run.start_accepted();
                 run.confirmed_ms = now_ms;
                 if run.phase == Phase::Starting {
                     run.phase = Phase::Running;
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -302,7 +302,8 @@
     NotStarted(NotStartedReason),
 }
 
-/// Number of crashes with strong evidence that prove that a task crashes its minions.
+/// Number of crashes with evidence of the same kind that prove that a task crashes its
+/// minions.
 const PROOF_CRASHES: usize = 2;
 
 /// How certain it is that a task was running when its minion crashed.
@@ -315,17 +316,31 @@
     Strong,
     /// The agent was lost with the minion, so nobody observed the end of the run.
     Unseen,
+    /// The connection of the start broke, and the minion never answered for the run. It may
+    /// have crashed under another task before it read the start.
+    StartBroken,
+    /// The connection of the start broke, and the minion is known to have had the run.
+    StartCrashed,
 }
 
 impl CrashEvidence {
-    /// Returns the weight of all crash evidence against a task. Unseen evidence counts only
-    /// beside strong evidence of two crashes: the run may have ended before its host was
-    /// lost, so it must not be one of the two crashes that a job may fail for.
+    /// Returns the weight of all crash evidence against a task.
+    ///
+    /// A single broken start weighs less than strong evidence: a task that crashes its minion
+    /// during the start does so again. Unseen evidence counts only beside a proof: the run may
+    /// have ended before its host was lost, so it must not be one of the two crashes that a
+    /// job may fail for.
     pub(crate) fn weight(all_evidence: impl Iterator<Item = Self> + Clone) -> u32 {
-        let is_strong = |evidence: &Self| *evidence == Self::Strong;
-        let is_proven = all_evidence.clone().filter(is_strong).count() >= PROOF_CRASHES;
+        let count = |kind| {
+            let of_kind = all_evidence.clone().filter(|evidence| *evidence == kind);
+            of_kind.count()
+        };
+        let start_crashes = count(Self::StartCrashed);
+        let has_broken_starts = count(Self::StartBroken) + start_crashes >= PROOF_CRASHES;
+        let is_proven = has_broken_starts || count(Self::Strong) + start_crashes >= PROOF_CRASHES;
         let weights = all_evidence.map(|evidence| match evidence {
-            Self::Strong => 2,
+            Self::Strong | Self::StartCrashed => 2,
+            Self::StartBroken => 1 + u32::from(has_broken_starts),
             Self::Weak => 1,
             Self::Unseen => u32::from(is_proven),
         });
--- a/crates/dispatch/tests/crashing.rs
+++ b/crates/dispatch/tests/crashing.rs
@@ -460,3 +460,20 @@
     assert_eq!(session.outcome(job), Some(JobOutcome::Completed));
     assert!(session.violations.is_empty(), "{:?}", session.violations);
 }
+
+/// Minions crash before they have read the start of a task; later one crashes under it.
+#[test]
+fn a_start_that_no_minion_read_and_one_crash_fail_no_job() {
+    let mut session = session(6, false);
+    for agent in 0..6 {
+        session.stop_responding_and_crash(agent, 4);
+    }
+    let job = session.submit_declared(0, "good", 1, 900, 3_000);
+    session.run(100);
+    let agent = run_until_started(&mut session, "good");
+    session.run(300);
+    session.crash_minion_for(agent, 600);
+    session.run(5_000);
+    assert_eq!(session.outcome(job), Some(JobOutcome::Completed));
+    assert!(session.violations.is_empty(), "{:?}", session.violations);
+}
