Random plays print how their jobs ended

rate_of_failing_seeds counted the seeds that fail, but not what a change costs the callers. It now also prints the number of jobs by outcome.

--- a/crates/dispatch/tests/interleavings.rs
+++ b/crates/dispatch/tests/interleavings.rs
@@ -5,12 +5,15 @@
 
 use std::collections::BTreeMap;
 
+use gannetvane_dispatch::JobOutcome;
+use gannetvane_dispatch::StoredEnd;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use session::Behavior;
 use session::LogCallOutcome;
 use session::Session;
+use session::StoredView;
 use session::seeds;
 use yare::parameterized;
 
@@ -382,7 +385,23 @@
     failures
 }
 
-/// Prints every seed that fails, and how many of all seeds failed.
+/// Counts the callers of a session by the outcomes of their jobs, and the stored jobs that
+/// are complete.
+fn count_outcomes(session: &Session, counts: &mut BTreeMap<String, usize>) {
+    for caller in &session.callers {
+        let outcome = match caller.outcome {
+            Some(JobOutcome::Refused { .. }) => "Refused".to_owned(),
+            Some(outcome) => format!("{outcome:?}"),
+            None => "unanswered".to_owned(),
+        };
+        *counts.entry(outcome).or_default() += 1;
+    }
+    let is_complete = |job: &&StoredView| job.end == Some(StoredEnd::Completed);
+    *counts.entry("stored and completed".to_owned()).or_default() +=
+        session.stored.iter().filter(is_complete).count();
+}
+
+/// Prints every seed that fails, how many of all seeds failed, and the outcomes of the jobs.
 #[parameterized(
     stored_new_ids = { |seed| play_stored(seed, Restarts::NewIds) },
     stored_same_ids = { |seed| play_stored(seed, Restarts::SameIds) },
@@ -396,14 +415,18 @@
 fn rate_of_failing_seeds(play: fn(u64) -> Session) {
     let seeds = seeds(SEEDS, &[]);
     let mut failed = 0;
+    let mut outcomes = BTreeMap::new();
     for seed in &seeds {
-        let failures = failures(&play(*seed));
+        let session = play(*seed);
+        count_outcomes(&session, &mut outcomes);
+        let failures = failures(&session);
         if !failures.is_empty() {
             failed += 1;
             println!("seed {seed}: {failures:?}");
         }
     }
     println!("{failed} of {} seeds failed", seeds.len());
+    println!("outcomes: {outcomes:?}");
 }
 
 /// One job in this many crashes minions when rates of crashes are counted.
