An entry learns how long an inherited lease outlives its agent

What callers saw: a booking or a posting made twice. A call that was meant for a former incarnation of a minion is carried out by the next one, under the same id, before that one has seen an epoch. The call states the end of the lease on the former, older clock, so the lease becomes as long as the minion ever grants (15 s on the fleet), and it never shortens. A run that is ordered there later outlives the loss of its agent by that lease, while its entry starts the task anew after 1.2 s.

Evidence: a_late_start_lengthens_the_lease_of_no_other_run fails at every play on (4,238 ms of two runs from 32,705 ms on, run 1 on the minion of the lost agent and run 2 elsewhere).

Cause: only the agent can know that a late call may have extended the lease, and until when: no such call is carried out after the incarnation has seen its epoch. It used this for acknowledgements only.

Change: when the next incarnation shows that it has seen the epoch, the agent determines whether a call that extends the lease (start or listing) may have been carried out there: one is pending or timed out, was answered by that incarnation, or was sent by a former agent of a young minion. If so, the greeting carries the time that remains of that lease; there is no greeting without it before a start is ordered. An entry that loses the agent keeps the tasks of its runs waiting for that time and gossips them; the agent gives a silent minion up only after it. Without such a call nothing changes: a_lost_agent_without_a_late_call_holds_its_runs_no_longer (15 s leases; an agent that restarts, a minion that restarts).

Ruled out: to wait for the longest lease at each lost agent (all its runs pay); to take no starts until the lease is over (15 s of a minion at each late call).

--- a/crates/dispatch/src/agent/delayed_calls.rs
+++ b/crates/dispatch/src/agent/delayed_calls.rs
@@ -110,6 +110,11 @@
         until_ms.filter(|until_ms| now_ms < *until_ms)
     }
 
+    /// Whether a start call is pending.
+    pub(crate) fn has_pending(&self) -> bool {
+        !self.pending.is_empty()
+    }
+
     /// Time until which a start of the task may be carried out, if one may: for pending
     /// calls as if they had been sent just now.
     fn task_until_ms(&self, now_ms: u64, task: &TaskId) -> Option<u64> {
@@ -191,6 +196,7 @@
             return;
         }
         let tasks = self.delayed_calls.tasks();
+        self.lease_calls.clear();
         self.delayed_calls.unanswered.clear();
         self.delayed_calls.timed_out.clear();
         for task in tasks {
@@ -221,6 +227,9 @@
         self.delayed_calls
             .start_ended(now_ms, key, is_answered || is_void);
         let may_keep_id = incarnation.started_unix_ms().is_some();
+        if may_keep_id && !is_void {
+            self.lease_calls.start_ended(now_ms, result);
+        }
         if result == StartResult::NoAnswer && may_keep_id && !is_void {
             self.delayed_calls.start_timed_out(now_ms, key);
         }
--- a/crates/dispatch/src/agent/incarnations.rs
+++ b/crates/dispatch/src/agent/incarnations.rs
@@ -145,6 +145,7 @@
         self.speed = MinionSpeed::default();
         if report.incarnation.started_unix_ms().is_some() {
             self.delayed_calls.inherit(now_ms);
+            self.lease_calls.inherit(now_ms);
             self.minion_id_reported(now_ms, report.incarnation.id());
         }
         self.minion = Some(Minion::new(now_ms, report));
@@ -280,6 +281,8 @@
             None,
             format!("born_unix_ms={started_unix_ms:?}"),
         );
+        // That incarnation has also carried out the listing call, which may extend the lease.
+        self.lease_calls.uncertain_until(now_ms);
         self.minion_ended(now_ms, "listing of another incarnation");
         // If the time of day was set back, both incarnations can have the same start
         // time, and reports of the new one must not be ignored.
@@ -319,6 +322,7 @@
             self.epochs.fenced();
             minion.epoch = 0;
             minion.has_no_leftovers = false;
+            minion.inherited_lease_until_ms = None;
             self.event("epoch-refused", None, String::new());
         }
     }
--- a/crates/dispatch/src/agent/listing_calls.rs
+++ b/crates/dispatch/src/agent/listing_calls.rs
@@ -104,6 +104,10 @@
         };
         let call = self.next_call;
         self.next_call += 1;
+        let incarnation = minion.report.incarnation.clone();
+        if deadline_ms.is_some() && incarnation.started_unix_ms().is_some() {
+            self.lease_calls.listing_sent(call);
+        }
         minion.pending_listings.push(PendingListing {
             call,
             sent_ms: now_ms,
@@ -113,7 +117,7 @@
         });
         self.actions.push(AgentAction::List {
             call,
-            incarnation: minion.report.incarnation.clone(),
+            incarnation,
             epoch: minion.epoch,
             acknowledged_through,
             deadline_ms,
--- a/crates/dispatch/src/agent/listings.rs
+++ b/crates/dispatch/src/agent/listings.rs
@@ -50,6 +50,8 @@
         call: u64,
         result: ListResult,
     ) {
+        let has_timed_out = result == ListResult::NoAnswer;
+        self.lease_calls.listing_ended(now_ms, call, has_timed_out);
         if self.is_candidate(incarnation) {
             self.candidate_answered(now_ms, call, &result);
             return;
@@ -134,7 +136,11 @@
         if !minion.has_no_leftovers && incarnation.started_unix_ms().is_some() {
             let max_lease_ms = self.max_lease_ms;
             minion.retained_ends.inherit_lease(now_ms, max_lease_ms);
+            self.note_inherited_lease(now_ms, listing.clock_ms);
         }
+        let Some(minion) = &mut self.minion else {
+            return;
+        };
         minion.acknowledged_through = minion
             .acknowledged_through
             .max(pending.acknowledged_through);
--- a/crates/dispatch/src/agent/minion.rs
+++ b/crates/dispatch/src/agent/minion.rs
@@ -69,6 +69,10 @@
     pub(crate) answered_ms: u64,
     /// Latest end of the lease that any call requested, on the agent's clock.
     pub(crate) lease_until_ms: u64,
+    /// Time until which runs may go on without the agent because a call that was meant for an
+    /// earlier incarnation may have extended the lease; `None` until the minion has seen the
+    /// agent's epoch, 0 if no call did.
+    pub(crate) inherited_lease_until_ms: Option<u64>,
     /// Number of the last end that was listed.
     pub(crate) listed_through: u64,
     /// Number of the last end that is known to be acknowledged.
@@ -105,6 +109,7 @@
             reported_ms: now_ms,
             answered_ms: now_ms,
             lease_until_ms: now_ms,
+            inherited_lease_until_ms: None,
             listed_through: 0,
             acknowledged_through: 0,
             has_no_leftovers: false,
@@ -210,6 +215,10 @@
             incarnation: self.report.incarnation.to_string().into(),
             delayed_starts: Vec::new(),
             max_start_delay_ms: 0,
+            inherited_lease_ms: self
+                .inherited_lease_until_ms
+                .unwrap_or(0)
+                .saturating_sub(now_ms),
         }
     }
 
@@ -250,7 +259,8 @@
     /// Records that the lease is extended. Returns its new end on the minion's clock.
     pub(crate) fn extend_lease(&mut self, now_ms: u64) -> u64 {
         let margin_ms = MINION_LEASE_MS / CLOCK_LAG_DIVISOR;
-        self.lease_until_ms = now_ms + MINION_LEASE_MS + margin_ms;
+        let until_ms = now_ms + MINION_LEASE_MS + margin_ms;
+        self.lease_until_ms = self.lease_until_ms.max(until_ms);
         self.clock_at(now_ms) + MINION_LEASE_MS
     }
 }
--- a/crates/dispatch/src/agent/mod.rs
+++ b/crates/dispatch/src/agent/mod.rs
@@ -8,6 +8,7 @@
 mod epochs;
 mod evacuation;
 mod incarnations;
+mod inherited_lease;
 mod links;
 mod listing_calls;
 mod listings;
@@ -48,6 +49,7 @@
 use crate::agent::delayed_calls::DelayedCalls;
 use crate::agent::epochs::Epochs;
 use crate::agent::incarnations::Candidate;
+use crate::agent::inherited_lease::LeaseCalls;
 use crate::agent::links::Link;
 use crate::agent::minion::Minion;
 use crate::agent::offers::Offers;
@@ -144,6 +146,7 @@
     pub(crate) last_ended: Option<Incarnation>,
     pub(crate) epochs: Epochs,
     pub(crate) delayed_calls: DelayedCalls,
+    pub(crate) lease_calls: LeaseCalls,
     /// Crashes of the minion, for the entries that are greeted next.
     pub(crate) crashes: KnownCrashes,
     /// Longest lease that the minion grants, in milliseconds.
@@ -172,6 +175,7 @@
             last_ended: None,
             epochs: Epochs::default(),
             delayed_calls: DelayedCalls::default(),
+            lease_calls: LeaseCalls::default(),
             crashes: KnownCrashes::default(),
             max_lease_ms: MINION_LEASE_MS,
             runs: RunTable::default(),
--- a/crates/dispatch/src/dispatcher/delayed_starts.rs
+++ b/crates/dispatch/src/dispatcher/delayed_starts.rs
@@ -9,6 +9,7 @@
 use crate::DelayedStart;
 use crate::GRANT_MS;
 use crate::KnownDelayedStarts;
+use crate::OrderId;
 use crate::TaskId;
 use crate::dispatcher::Dispatcher;
 use crate::dispatcher::fleet::AgentState;
@@ -103,20 +104,30 @@
         self.add_delayed_starts(now_ms, hello.delayed_starts.clone());
     }
 
-    /// Assumes that a start of a task is delayed, because its agent was lost
-    /// while the start may have been pending.
-    pub(crate) fn assume_delayed_start(&mut self, agent: &AgentState, task: &TaskId) {
-        if agent.hello.max_start_delay_ms == 0 {
-            return;
-        }
+    /// Assumes that the start of an order is delayed, or that its run goes on,
+    /// because its agent was lost while the start may have been pending or
+    /// while the minion had an inherited lease.
+    pub(crate) fn assume_delayed_start(
+        &mut self,
+        agent: &AgentState,
+        order: OrderId,
+        task: &TaskId,
+    ) {
+        let may_be_delayed =
+            agent.hello.max_start_delay_ms > 0 && agent.may_have_pending_start(order);
         // The agent may have sent the start until the last grant expired.
-        let until_ms = agent.last_sent_ms + GRANT_MS + agent.hello.max_start_delay_ms;
+        let void_ms = agent.last_sent_ms + GRANT_MS + agent.hello.max_start_delay_ms;
+        let void_ms = if may_be_delayed { void_ms } else { 0 };
+        let until_ms = void_ms.max(agent.inherited_lease_until_ms);
         let now_ms = self.last_tick_ms;
+        if until_ms <= now_ms {
+            return;
+        }
         let start = DelayedStart {
             task: task.clone(),
             agent: agent.hello.node,
             is_stored: false,
-            remaining_ms: until_ms.saturating_sub(now_ms),
+            remaining_ms: until_ms - now_ms,
         };
         self.delayed_starts.add(now_ms, &start);
         self.delayed_starts.share(task);
--- a/crates/dispatch/src/dispatcher/fleet.rs
+++ b/crates/dispatch/src/dispatcher/fleet.rs
@@ -118,6 +118,9 @@
     /// Whether `chosen_entries` was chosen from the list that was last sent to
     /// all agents.
     pub(crate) is_chosen_from_sent: bool,
+    /// Time until which its runs may go on without it because of an inherited lease, in
+    /// milliseconds.
+    pub(crate) inherited_lease_until_ms: u64,
 }
 
 impl AgentState {
@@ -133,6 +136,7 @@
             is_accepting_starts: false,
             is_evacuated: false,
             has_offered: false,
+            inherited_lease_until_ms: now_ms + hello.inherited_lease_ms,
             hello,
             outbox: Vec::new(),
             last_seen_ms: now_ms,
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -313,6 +313,7 @@
         self.event("agent-down", None, detail);
         self.lost_agents.add(&agent);
         let until_ms = agent.last_sent_ms + RUNS_GONE_AFTER_MS;
+        let until_ms = until_ms.max(agent.inherited_lease_until_ms);
         for order in orders {
             let Some(state) = self.orders.remove(&order) else {
                 continue;
@@ -321,9 +322,7 @@
                 job.tasks[state.position].phase = TaskPhase::Orphaned { until_ms };
                 job.may_have_run = true;
                 let run = job.run_key(state.position);
-                if agent.may_have_pending_start(order) {
-                    self.assume_delayed_start(&agent, &run.task);
-                }
+                self.assume_delayed_start(&agent, order, &run.task);
                 self.lost_runs
                     .add(self.last_tick_ms, order, run, &agent.hello);
             }
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -90,6 +90,9 @@
     /// controls the minion, in milliseconds; 0 if no later incarnation of the minion can have
     /// its id.
     pub max_start_delay_ms: u64,
+    /// Time for which runs may go on without an agent because a call that was meant for an
+    /// earlier incarnation may have extended the lease, in milliseconds; 0 if none did.
+    pub inherited_lease_ms: u64,
 }
 
 /// Work that callers submit for a service, and work that waits for resources there.
--- a/crates/dispatch/tests/ended_jobs.rs
+++ b/crates/dispatch/tests/ended_jobs.rs
@@ -125,6 +125,7 @@
         crashes: Vec::new(),
         delayed_starts: Vec::new(),
         max_start_delay_ms: 0,
+        inherited_lease_ms: 0,
         incarnation: "minion-1".into(),
     }
 }
--- a/crates/dispatch/tests/overload.rs
+++ b/crates/dispatch/tests/overload.rs
@@ -149,6 +149,7 @@
         crashes: Vec::new(),
         delayed_starts: Vec::new(),
         max_start_delay_ms: 0,
+        inherited_lease_ms: 0,
         incarnation: "minion-1".into(),
     };
     dispatcher.agent_up(now_ms, link, hello);
--- a/crates/node/tests/entry.rs
+++ b/crates/node/tests/entry.rs
@@ -248,6 +248,7 @@
         crashes: Vec::new(),
         delayed_starts: Vec::new(),
         max_start_delay_ms: 0,
+        inherited_lease_ms: 0,
         incarnation: "minion-1".into(),
     }
 }
