A second agent witnesses each start, in case entry and agent are lost together

What callers saw: a booking or a posting made twice. An entry orders a start, its agent sends it and gets no answer; both are lost in the same moment. The caller sends its job to another entry, which starts the task at once, and the next incarnation of the minion, under the same id, carries the first start out.

Cause: a start binds for 12 s and the longest lease, and only the entry, its agent and those that they told know of it.

Change: an entry makes each start known to a third process, another agent, no later than to the agent that is to send it, and does not wait for an answer. The witness forgets a start that is settled; if it is delayed, the entry says until when. A witness that loses the entry reports to its entries, and to those that greet it later; they gossip it. An entry that has lost the agent too starts the task again only when the start is void. Only for minions that tell start times and for jobs that are not stored (there the next owner waits).

--- a/crates/dispatch/src/agent/links.rs
+++ b/crates/dispatch/src/agent/links.rs
@@ -92,6 +92,7 @@
     pub fn link_down(&mut self, now_ms: u64, link: LinkId) {
         if self.links.remove(&link).is_some() {
             self.abandon_runs(now_ms, link, "link-broken");
+            self.report_witnessed(now_ms, link);
         }
     }
 
@@ -159,6 +160,7 @@
         }
         for link in done {
             self.links.remove(&link);
+            self.witness.forget_link(link);
             self.actions.push(AgentAction::Close(link));
         }
     }
@@ -173,6 +175,7 @@
             );
             self.actions.push(AgentAction::Close(link));
             self.abandon_runs(now_ms, link, "grant-expired");
+            self.report_witnessed(now_ms, link);
         }
     }
 
@@ -183,6 +186,7 @@
             self.links.remove(&link);
             self.actions.push(AgentAction::Close(link));
             self.abandon_runs(now_ms, link, "minion-gone");
+            self.witness.forget_link(link);
         }
     }
 
@@ -201,6 +205,7 @@
         let mut hello = minion.hello(&self.identity, now_ms, crashes);
         hello.delayed_starts = self.known_delayed_starts(now_ms);
         hello.max_start_delay_ms = self.max_start_delay_ms();
+        hello.witnessed_starts = self.witness.starts_of_lost_entries(now_ms);
         let leftover_runs = self
             .runs
             .iter()
--- a/crates/dispatch/src/agent/minion.rs
+++ b/crates/dispatch/src/agent/minion.rs
@@ -219,6 +219,7 @@
                 .inherited_lease_until_ms
                 .unwrap_or(0)
                 .saturating_sub(now_ms),
+            witnessed_starts: Vec::new(),
         }
     }
 
--- a/crates/dispatch/src/agent/mod.rs
+++ b/crates/dispatch/src/agent/mod.rs
@@ -21,6 +21,7 @@
 mod starts;
 mod suspect_starts;
 mod trial;
+mod witness;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -58,6 +59,7 @@
 use crate::agent::run_table::RunTable;
 use crate::agent::speed::MinionSpeed;
 use crate::agent::trial::Trial;
+use crate::agent::witness::Witness;
 
 /// Identity of an agent, for as long as its process runs.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -147,6 +149,7 @@
     pub(crate) epochs: Epochs,
     pub(crate) delayed_calls: DelayedCalls,
     pub(crate) lease_calls: LeaseCalls,
+    pub(crate) witness: Witness,
     /// Crashes of the minion, for the entries that are greeted next.
     pub(crate) crashes: KnownCrashes,
     /// Longest lease that the minion grants, in milliseconds.
@@ -176,6 +179,7 @@
             epochs: Epochs::default(),
             delayed_calls: DelayedCalls::default(),
             lease_calls: LeaseCalls::default(),
+            witness: Witness::default(),
             crashes: KnownCrashes::default(),
             max_lease_ms: MINION_LEASE_MS,
             runs: RunTable::default(),
@@ -252,6 +256,8 @@
                 }
                 Order::Evacuations(newer) => self.apply_evacuations(&newer),
                 Order::Entries(entries) => self.actions.push(AgentAction::Entries(entries)),
+                Order::Witness(starts) => self.hold_witnessed(now_ms, link, &starts),
+                Order::ForgetWitnessed(orders) => self.forget_witnessed(link, &orders),
             }
         }
     }
@@ -266,6 +272,7 @@
     pub fn tick(&mut self, now_ms: u64) -> u64 {
         self.expire_retained_ends(now_ms);
         self.delayed_calls.expire(now_ms);
+        self.witness.expire(now_ms);
         self.crashes.expire(now_ms);
         self.expire_links(now_ms);
         self.close_retired_links(now_ms);
--- a/crates/dispatch/src/delayed_starts.rs
+++ b/crates/dispatch/src/delayed_starts.rs
@@ -170,6 +170,19 @@
         starts.any(|known| now_ms < known.until_ms)
     }
 
+    /// Returns the start of the task that may be carried out last, if one may.
+    pub(crate) fn of_task(&self, now_ms: u64, task: &TaskId) -> Option<DelayedStart> {
+        let starts = self.by_task.get(task).into_iter().flatten();
+        let last = starts.max_by_key(|known| known.until_ms);
+        let last = last.filter(|known| now_ms < known.until_ms)?;
+        Some(DelayedStart {
+            task: task.clone(),
+            agent: last.agent,
+            is_stored: false,
+            remaining_ms: last.until_ms - now_ms,
+        })
+    }
+
     /// Adds the known starts of a task to the gossip.
     pub(crate) fn share(&mut self, task: &TaskId) {
         let starts = self.by_task.get_mut(task).into_iter().flatten();
--- a/crates/dispatch/src/dispatcher/delayed_starts.rs
+++ b/crates/dispatch/src/dispatcher/delayed_starts.rs
@@ -29,6 +29,9 @@
 #[derive(Debug, Default)]
 pub(crate) struct LostAgents {
     by_node: BTreeMap<NodeId, LostAgent>,
+    /// Agents whose connection ended in any way, each with the time until which
+    /// starts that it sent may be carried out.
+    disconnected: BTreeMap<NodeId, u64>,
 }
 
 impl LostAgents {
@@ -36,18 +39,34 @@
     /// connection was closed as planned.
     pub(crate) fn add(&mut self, agent: &AgentState) {
         let max_start_delay_ms = agent.hello.max_start_delay_ms;
+        let until_ms = agent.last_seen_ms + GRANT_MS + max_start_delay_ms;
+        if max_start_delay_ms > 0 {
+            self.disconnected.insert(agent.hello.node, until_ms);
+        }
         if max_start_delay_ms > 0 && !agent.has_finished() {
             let lost = LostAgent {
-                until_ms: agent.last_seen_ms + GRANT_MS + max_start_delay_ms,
+                until_ms,
                 max_start_delay_ms,
             };
             self.by_node.insert(agent.hello.node, lost);
         }
     }
 
+    /// Forgets an agent that greets.
+    fn remove(&mut self, agent: NodeId) {
+        self.by_node.remove(&agent);
+        self.disconnected.remove(&agent);
+    }
+
+    /// Returns whether an agent was connected and has not greeted since.
+    pub(crate) fn has_disconnected(&self, agent: NodeId) -> bool {
+        self.disconnected.contains_key(&agent)
+    }
+
     /// Forgets the agents whose starts cannot be carried out any more.
     pub(crate) fn expire(&mut self, now_ms: u64) {
         self.by_node.retain(|_, lost| now_ms < lost.until_ms);
+        self.disconnected.retain(|_, until_ms| now_ms < *until_ms);
     }
 }
 
@@ -90,7 +109,7 @@
 
     /// Records that some of a job may run, so that it is not refused as never
     /// run.
-    fn mark_as_run(&mut self, id: &Name) {
+    pub(crate) fn mark_as_run(&mut self, id: &Name) {
         if let Some(job) = self.jobs.get_mut(id) {
             job.may_have_run = true;
         }
@@ -99,8 +118,9 @@
     /// Records all delayed starts of an agent that greets, in place of those
     /// that were known or assumed.
     pub(crate) fn agent_reported_delayed_starts(&mut self, now_ms: u64, hello: &AgentHello) {
-        self.lost_agents.by_node.remove(&hello.node);
+        self.lost_agents.remove(hello.node);
         self.delayed_starts.forget_agent(hello.node);
+        self.witnessed_starts.forget_agent(hello.node);
         self.add_delayed_starts(now_ms, hello.delayed_starts.clone());
     }
 
@@ -147,21 +167,29 @@
     /// Returns whether a start of some task of a job may still be carried out.
     pub(crate) fn has_delayed_starts(&self, now_ms: u64, job: &JobState) -> bool {
         let mut positions = 0..job.tasks.len();
-        !self.delayed_starts.is_empty()
-            && positions.any(|position| {
-                let task = job.task_id(position);
-                self.delayed_starts.has_task(now_ms, &task)
-            })
+        self.knows_delayed_starts()
+            && positions.any(|position| self.may_be_started(now_ms, &job.task_id(position)))
+    }
+
+    /// Returns whether any delayed start is known, so that tasks must be
+    /// checked.
+    fn knows_delayed_starts(&self) -> bool {
+        !self.delayed_starts.is_empty() || !self.witnessed_starts.is_empty()
+    }
+
+    /// Returns whether a known start of the task may still be carried out.
+    fn may_be_started(&self, now_ms: u64, task: &TaskId) -> bool {
+        self.delayed_starts.has_task(now_ms, task) || self.has_witnessed_start(now_ms, task)
     }
 
     /// Returns whether a start of a task may still be carried out, so that the
     /// task may not be started again.
     pub(crate) fn has_delayed_start(&self, now_ms: u64, id: &Name, position: usize) -> bool {
-        if self.delayed_starts.is_empty() {
+        if !self.knows_delayed_starts() {
             return false;
         }
         let job = self.jobs.get(id);
-        job.is_some_and(|job| self.delayed_starts.has_task(now_ms, &job.task_id(position)))
+        job.is_some_and(|job| self.may_be_started(now_ms, &job.task_id(position)))
     }
 
     /// Returns the tasks of a job that wait and may be started, by their index.
--- a/crates/dispatch/src/dispatcher/ends.rs
+++ b/crates/dispatch/src/dispatcher/ends.rs
@@ -73,6 +73,12 @@
             return;
         };
         agent.outstanding.remove(&order);
+        if let Some(witness) = state.witness {
+            self.release_witness(order, &state, witness);
+        }
+        let Some(agent) = self.agents.get(&state.link) else {
+            return;
+        };
         let host = agent.hello.host.clone();
         let speed = agent.speed;
         let max_start_delay_ms = agent.hello.max_start_delay_ms;
--- a/crates/dispatch/src/dispatcher/fleet.rs
+++ b/crates/dispatch/src/dispatcher/fleet.rs
@@ -11,6 +11,7 @@
 use crate::AgentHello;
 use crate::Demand;
 use crate::GRANT_MS;
+use crate::KEEPALIVE_MS;
 use crate::MAX_LINKED_ENTRIES;
 use crate::Order;
 use crate::OrderId;
@@ -26,6 +27,10 @@
 /// milliseconds: two keepalives.
 const STALE_AGENT_MS: u64 = 250;
 
+/// Time since the last frame to a witness after which it is told which starts to forget, in
+/// milliseconds. If the entry is lost before, the tasks wait without need.
+const FORGET_DELAY_MS: u64 = 20;
+
 /// Agents report the speed of a minion in thousandths of the ordinary speed.
 const PERMILLE: f64 = 1_000.0;
 
@@ -121,6 +126,8 @@
     /// Time until which its runs may go on without it because of an inherited lease, in
     /// milliseconds.
     pub(crate) inherited_lease_until_ms: u64,
+    /// Witnessed starts that it may forget, which the next frame names.
+    pub(crate) forgettable_starts: Vec<OrderId>,
 }
 
 impl AgentState {
@@ -137,6 +144,7 @@
             is_evacuated: false,
             has_offered: false,
             inherited_lease_until_ms: now_ms + hello.inherited_lease_ms,
+            forgettable_starts: Vec::new(),
             hello,
             outbox: Vec::new(),
             last_seen_ms: now_ms,
@@ -198,6 +206,30 @@
         number.is_some_and(|number| number > self.starts_settled)
     }
 
+    /// Returns the orders without an end of which no start is pending at the agent.
+    pub(crate) fn settled_orders(&self) -> impl Iterator<Item = OrderId> {
+        let is_settled =
+            |(_, (number, _)): &(&OrderId, &(u64, Resources))| *number <= self.starts_settled;
+        self.outstanding
+            .iter()
+            .filter(is_settled)
+            .map(|(id, _)| *id)
+    }
+
+    /// Returns when the next frame to it is due, in milliseconds.
+    pub(crate) fn frame_due_ms(&self) -> u64 {
+        let pause_ms = match self.forgettable_starts.is_empty() {
+            true => KEEPALIVE_MS,
+            false => FORGET_DELAY_MS,
+        };
+        self.last_sent_ms + pause_ms
+    }
+
+    /// Returns whether its last frame is recent.
+    pub(crate) fn is_fresh(&self, now_ms: u64) -> bool {
+        now_ms <= self.last_seen_ms + STALE_AGENT_MS
+    }
+
     /// Returns the needs of the start orders that the agent had not received at
     /// its last frame.
     fn unreceived(&self) -> impl Iterator<Item = Resources> {
@@ -240,9 +272,7 @@
 
     /// Returns whether the agent can get starts at present.
     pub(crate) fn accepts_starts(&self, now_ms: u64) -> bool {
-        self.is_accepting_starts
-            && !self.is_evacuated
-            && now_ms <= self.last_seen_ms + STALE_AGENT_MS
+        self.is_accepting_starts && !self.is_evacuated && self.is_fresh(now_ms)
     }
 
     /// Returns the demand on this agent from the other entries.
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -18,6 +18,8 @@
 mod rounds;
 mod stored_runs;
 mod views;
+mod witnessed_starts;
+mod witnesses;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -38,9 +40,11 @@
 use crate::KnownCrashes;
 use crate::KnownDelayedStarts;
 use crate::LinkId;
+use crate::Order;
 use crate::OrderId;
 use crate::RUNS_GONE_AFTER_MS;
 use crate::Report;
+use crate::ReportedStarts;
 use crate::RoutingTable;
 use crate::dispatcher::crashes::LostRuns;
 use crate::dispatcher::delayed_starts::LostAgents;
@@ -51,6 +55,7 @@
 use crate::dispatcher::jobs::TaskPhase;
 use crate::dispatcher::overload::MINION_WAIT_DIVISOR;
 use crate::dispatcher::overload::SHED_INTERVAL_MS;
+use crate::dispatcher::witnesses::Witnesses;
 use crate::policy::BoxedPolicy;
 use crate::policy::FairShare;
 use crate::policy::WorkRate;
@@ -117,6 +122,8 @@
     pub(crate) expected_ms: f64,
     pub(crate) ordered_ms: u64,
     pub(crate) is_stop_sent: bool,
+    /// Link of the agent that witnesses the start, as long as it must hold it.
+    pub(crate) witness: Option<LinkId>,
 }
 
 /// The core of an entry. Events and the present time in milliseconds go in;
@@ -158,6 +165,9 @@
     /// again until then.
     pub(crate) delayed_starts: KnownDelayedStarts,
     pub(crate) lost_agents: LostAgents,
+    pub(crate) witnesses: Witnesses,
+    /// Starts of lost entries that witnesses reported.
+    pub(crate) witnessed_starts: ReportedStarts,
 }
 
 impl Dispatcher {
@@ -199,6 +209,8 @@
             lost_runs: LostRuns::default(),
             delayed_starts: KnownDelayedStarts::default(),
             lost_agents: LostAgents::default(),
+            witnesses: Witnesses::default(),
+            witnessed_starts: ReportedStarts::default(),
         }
     }
 
@@ -293,7 +305,9 @@
             self.agent_down(stale, "greeted-again");
         }
         self.agent_reported_delayed_starts(now_ms, &hello);
+        let witnessed_starts = hello.witnessed_starts.clone();
         self.agents.insert(link, AgentState::new(now_ms, hello));
+        self.witnessed_starts_reported(now_ms, witnessed_starts);
         self.send_evacuations(link);
         self.release_orphans(&host);
     }
@@ -323,6 +337,9 @@
                 job.may_have_run = true;
                 let run = job.run_key(state.position);
                 self.assume_delayed_start(&agent, order, &run.task);
+                if let Some(witness) = state.witness {
+                    self.release_witness(order, &state, witness);
+                }
                 self.lost_runs
                     .add(self.last_tick_ms, order, run, &agent.hello);
             }
@@ -333,6 +350,7 @@
             self.event("task-orphaned", Some(state.job.clone()), detail);
             self.remove_if_stopped(&state.job);
         }
+        self.replace_witness(link);
     }
 
     /// Processes a frame from an agent.
@@ -358,8 +376,10 @@
                     elapsed_ms,
                     idle_ms,
                 } => self.run_progressed(now_ms, order, percent, elapsed_ms, idle_ms),
+                Report::WitnessedStarts(starts) => self.witnessed_starts_reported(now_ms, starts),
             }
         }
+        self.release_settled_starts(now_ms, link);
     }
 
     /// Does what is due and returns the time by which to call again, in
@@ -376,8 +396,10 @@
         self.crashes.expire(now_ms);
         self.delayed_starts.expire(now_ms);
         self.lost_agents.expire(now_ms);
+        self.expire_witnessed_starts(now_ms);
         self.expire_jobs(now_ms);
         self.place(now_ms);
+        self.witness_starts(now_ms);
         self.probe(now_ms);
         if now_ms >= self.last_shed_ms + SHED_INTERVAL_MS {
             self.last_shed_ms = now_ms;
@@ -390,10 +412,7 @@
 
     /// Returns the time by which to call [`Self::tick`] again, in milliseconds.
     pub(crate) fn next_due_ms(&self, now_ms: u64) -> u64 {
-        let frames = self
-            .agents
-            .values()
-            .map(|agent| agent.last_sent_ms + KEEPALIVE_MS);
+        let frames = self.agents.values().map(AgentState::frame_due_ms);
         let open = self.jobs.values().filter(|job| job.is_open());
         let jobs = open.map(|job| {
             let minion_wait_ms = (job.objective_ms - job.received_ms) / MINION_WAIT_DIVISOR + 1;
@@ -425,18 +444,38 @@
         }
     }
 
+    /// Returns the agents for which orders or a keepalive are due. Those that
+    /// get no starts come first, so that a witness gets a start before the
+    /// agent that is to send it.
+    fn due_agents(&self, now_ms: u64) -> Vec<LinkId> {
+        let is_due =
+            |agent: &AgentState| !agent.outbox.is_empty() || now_ms >= agent.frame_due_ms();
+        let has_starts = |agent: &AgentState| {
+            let mut orders = agent.outbox.iter();
+            orders.any(|order| matches!(order, Order::Start(_)))
+        };
+        let due = self.agents.iter().filter(|(_, agent)| is_due(agent));
+        let mut due: Vec<(bool, LinkId)> = due
+            .map(|(link, agent)| (has_starts(agent), *link))
+            .collect();
+        due.sort_unstable();
+        due.into_iter().map(|(_, link)| link).collect()
+    }
+
     /// Sends a frame to each agent for which orders or a keepalive are due.
     pub(crate) fn send_frames(&mut self, now_ms: u64) {
-        let is_due = |agent: &AgentState| {
-            !agent.outbox.is_empty() || now_ms >= agent.last_sent_ms + KEEPALIVE_MS
-        };
-        if !self.agents.values().any(is_due) {
+        let due = self.due_agents(now_ms);
+        if due.is_empty() {
             return;
         }
         let demands = self.demands(now_ms);
-        for (link, agent) in &mut self.agents {
-            if !is_due(agent) {
+        for link in due {
+            let Some(agent) = self.agents.get_mut(&link) else {
                 continue;
+            };
+            if !agent.forgettable_starts.is_empty() {
+                let orders = std::mem::take(&mut agent.forgettable_starts);
+                agent.outbox.push(Order::ForgetWitnessed(orders));
             }
             let demand = demands.get(&agent.hello.service).copied();
             agent.sent_demand = demand.unwrap_or_default();
@@ -446,7 +485,7 @@
                 orders: std::mem::take(&mut agent.outbox),
             };
             agent.last_sent_ms = now_ms;
-            self.actions.push(DispatcherAction::Send(*link, frame));
+            self.actions.push(DispatcherAction::Send(link, frame));
         }
     }
 
--- a/crates/dispatch/src/dispatcher/rounds.rs
+++ b/crates/dispatch/src/dispatcher/rounds.rs
@@ -229,6 +229,8 @@
         let is_suspect = task.crash_weight() > 0;
         state.first_start_ms.get_or_insert(now_ms);
         agent.add_order(order, step.needs);
+        // The next owner of a stored job waits for the starts of a lost agent anyway.
+        let may_be_delayed = agent.hello.max_start_delay_ms > 0 && !state.is_stored;
         let work = expected_ms * f64::from(step.needs.cpu_milli);
         let started = self.started_work.entry(job.queue.service.clone());
         started.or_default().add(now_ms, work);
@@ -251,7 +253,11 @@
                 expected_ms,
                 ordered_ms: now_ms,
                 is_stop_sent: false,
+                witness: None,
             },
         );
+        if may_be_delayed {
+            self.witnesses.add(order);
+        }
     }
 }
--- a/crates/dispatch/src/gossip.rs
+++ b/crates/dispatch/src/gossip.rs
@@ -8,6 +8,7 @@
 use crate::KnownCrashes;
 use crate::KnownDelayedStarts;
 use crate::PeerFrame;
+use crate::ReportedStarts;
 use crate::RoutingTable;
 use crate::SeenEntry;
 
@@ -31,6 +32,8 @@
     pub crashes: KnownCrashes,
     /// Starts that minions may still carry out.
     pub delayed_starts: KnownDelayedStarts,
+    /// Starts of lost entries that witnesses reported.
+    pub witnessed_starts: ReportedStarts,
 }
 
 /// Position of one connection in the gossip: what was sent on it so far.
@@ -44,6 +47,8 @@
     sent_crash_sequence: u64,
     /// Sequence number of the newest delayed start that was sent.
     sent_delayed_start_sequence: u64,
+    /// Sequence number of the newest witnessed start that was sent.
+    sent_witnessed_start_sequence: u64,
     /// Entries known when the last list was sent, sorted.
     sent_entries: Vec<SocketAddr>,
     /// Time of the last frame with all entries, in milliseconds.
@@ -68,6 +73,9 @@
         let last_sequence = self.sent_delayed_start_sequence;
         let delayed_starts = gossip.delayed_starts.since(now_ms, last_sequence);
         self.sent_delayed_start_sequence = gossip.delayed_starts.last_sequence();
+        let last_sequence = self.sent_witnessed_start_sequence;
+        let witnessed_starts = gossip.witnessed_starts.since(now_ms, last_sequence);
+        self.sent_witnessed_start_sequence = gossip.witnessed_starts.last_sequence();
         PeerFrame {
             entries: self.next_entries(now_ms, gossip, known),
             table: has_newer_table.then(|| (*gossip.table).clone()),
@@ -75,6 +83,7 @@
             evacuations: has_newer_evacuations.then(|| gossip.evacuations.clone()),
             crashes,
             delayed_starts,
+            witnessed_starts,
         }
     }
 
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -37,6 +37,7 @@
 mod resources;
 mod route;
 mod stored;
+mod witnessed_starts;
 
 pub use agent::Agent;
 pub use agent::AgentAction;
@@ -125,3 +126,6 @@
 pub use stored::StoredEnd;
 pub use stored::StoredJob;
 pub use stored::StoredState;
+pub use witnessed_starts::ReportedStarts;
+pub use witnessed_starts::WitnessedOrder;
+pub use witnessed_starts::WitnessedStarts;
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -20,6 +20,7 @@
 use crate::StoredAnswer;
 use crate::StoredCall;
 use crate::TaskId;
+use crate::WitnessedStarts;
 
 /// Number of a connection between an entry and another process. Each of the two processes
 /// numbers its own connections.
@@ -93,6 +94,8 @@
     /// Time for which runs may go on without an agent because a call that was meant for an
     /// earlier incarnation may have extended the lease, in milliseconds; 0 if none did.
     pub inherited_lease_ms: u64,
+    /// Starts of entries that the agent has lost, which it holds as their witness.
+    pub witnessed_starts: Vec<DelayedStart>,
 }
 
 /// Work that callers submit for a service, and work that waits for resources there.
@@ -158,6 +161,10 @@
     Entries(Vec<SocketAddr>),
     /// Evacuated zones, in which no task may start.
     Evacuations(Evacuations),
+    /// Hold starts that other agents are ordered to send, or replace what is held of them.
+    Witness(WitnessedStarts),
+    /// Forget these witnessed starts: nothing of them can be carried out late.
+    ForgetWitnessed(Vec<OrderId>),
 }
 
 /// What the owner of a stored job decided on a retained end of one of its tasks.
@@ -266,6 +273,8 @@
     RetainedEnds(Vec<RetainedEnd>),
     /// New capacity of the minion, which has shrunk or grown.
     Capacity(Resources),
+    /// Starts of a lost entry, which the agent holds as their witness.
+    WitnessedStarts(Vec<DelayedStart>),
     /// Progress of a run.
     Progress {
         /// Order that started the run.
@@ -395,6 +404,9 @@
     /// Delayed starts of jobs that callers may send to the receiver, if they became known
     /// since the last frame.
     pub delayed_starts: Vec<DelayedStart>,
+    /// Starts of lost entries that witnesses reported, if they became known since the last
+    /// frame.
+    pub witnessed_starts: Vec<DelayedStart>,
 }
 
 /// Answer to each [`PeerFrame`]; it shows the sender that the connection works.
--- a/crates/dispatch/tests/ended_jobs.rs
+++ b/crates/dispatch/tests/ended_jobs.rs
@@ -126,6 +126,7 @@
         delayed_starts: Vec::new(),
         max_start_delay_ms: 0,
         inherited_lease_ms: 0,
+        witnessed_starts: Vec::new(),
         incarnation: "minion-1".into(),
     }
 }
--- a/crates/dispatch/tests/growth/agent.rs
+++ b/crates/dispatch/tests/growth/agent.rs
@@ -65,6 +65,7 @@
         delayed_starts: Vec::new(),
         max_start_delay_ms: 0,
         inherited_lease_ms: 0,
+        witnessed_starts: Vec::new(),
         incarnation: "minion-1".into(),
     }
 }
--- a/crates/dispatch/tests/interleavings.rs
+++ b/crates/dispatch/tests/interleavings.rs
@@ -347,6 +347,9 @@
 #[parameterized(
     of_a_long_task = { 50_758, 3_000 },
     of_a_short_task = { 50_175, 900 },
+    of_lost_entries_and_a_lost_agent = { 60_988, 900 },
+    of_a_restarted_entry_and_a_lost_one = { 71_930, 3_000 },
+    of_a_long_task_of_lost_processes = { 111_159, 3_000 },
 )]
 fn a_late_start_of_a_waited_task_is_never_a_second_run(seed: u64, max_work_ms: u64) {
     let session = play(seed, max_work_ms, Restarts::SameIds);
--- a/crates/dispatch/tests/overload.rs
+++ b/crates/dispatch/tests/overload.rs
@@ -150,6 +150,7 @@
         delayed_starts: Vec::new(),
         max_start_delay_ms: 0,
         inherited_lease_ms: 0,
+        witnessed_starts: Vec::new(),
         incarnation: "minion-1".into(),
     };
     dispatcher.agent_up(now_ms, link, hello);
--- a/crates/dispatch/tests/session/mod.rs
+++ b/crates/dispatch/tests/session/mod.rs
@@ -143,6 +143,7 @@
     Loaded(Partition, u64, Option<Vec<LogRecord>>),
     Crashes(Vec<Crash>),
     DelayedStarts(Vec<DelayedStart>),
+    WitnessedStarts(Vec<DelayedStart>),
 }
 
 /// Dispatcher of an entry, and its ledger of the partitions that it owns.
@@ -357,6 +358,8 @@
     sent_crashes: BTreeMap<(usize, usize), u64>,
     /// Number of the last delayed start that an entry sent to another entry.
     sent_delayed_starts: BTreeMap<(usize, usize), u64>,
+    /// Number of the last witnessed start that an entry sent to another entry.
+    sent_witnessed_starts: BTreeMap<(usize, usize), u64>,
     /// For each agent, its start number and the id of its minion at the last
     /// periodic report.
     reported: BTreeMap<usize, (u64, String)>,
@@ -444,6 +447,7 @@
             pending_crashes: PendingCrashes::default(),
             sent_crashes: BTreeMap::new(),
             sent_delayed_starts: BTreeMap::new(),
+            sent_witnessed_starts: BTreeMap::new(),
             reported: BTreeMap::new(),
             newly_refused: Vec::new(),
             evacuated: BTreeSet::new(),
@@ -595,6 +599,11 @@
         self.entries[entry].due_ms = now_ms;
     }
 
+    /// Returns the entry that a caller sent its job to last.
+    pub fn entry_of(&self, position: usize) -> usize {
+        self.callers[position].entry
+    }
+
     pub fn outcome(&self, position: usize) -> Option<JobOutcome> {
         self.callers[position].outcome
     }
@@ -645,6 +654,8 @@
             .retain(|(from, to), _| *from != entry && *to != entry);
         self.sent_delayed_starts
             .retain(|(from, to), _| *from != entry && *to != entry);
+        self.sent_witnessed_starts
+            .retain(|(from, to), _| *from != entry && *to != entry);
         self.break_links(|link| link.entry == entry, Side::Entry(entry));
         for state in &mut self.callers {
             if state.entry == entry && state.outcome.is_none() && state.caller.take().is_some() {
@@ -760,6 +771,14 @@
         &mut self.entries[entry].core.dispatcher
     }
 
+    /// Makes each entry send the list of all entries to its agents.
+    pub fn send_all_entries(&mut self) {
+        let all: Vec<SocketAddr> = (0..self.entries.len()).map(addr).collect();
+        for entry in &mut self.entries {
+            entry.core.dispatcher.send_entries(&all);
+        }
+    }
+
     /// Begins the planned stop of an entry.
     pub fn stop_entry(&mut self, entry: usize) {
         let process = &mut self.entries[entry];
@@ -1290,6 +1309,9 @@
                 }
                 Event::Crashes(crashes) => dispatcher.add_crashes(now_ms, crashes),
                 Event::DelayedStarts(starts) => dispatcher.gossip_received(now_ms, starts),
+                Event::WitnessedStarts(starts) => {
+                    dispatcher.witnessed_starts_reported(now_ms, starts);
+                }
                 Event::Loaded(partition, load, records) => {
                     ledger.loaded(now_ms, partition, load, records.as_deref());
                 }
@@ -1340,6 +1362,14 @@
             if !starts.is_empty() {
                 self.post(Side::Entry(other), Event::DelayedStarts(starts));
             }
+            let known = self.entries[entry].core.dispatcher.witnessed_starts();
+            let last_sent = self.sent_witnessed_starts.entry((entry, other));
+            let last_sent = last_sent.or_default();
+            let starts = known.since(now_ms, *last_sent);
+            *last_sent = known.last_sequence();
+            if !starts.is_empty() {
+                self.post(Side::Entry(other), Event::WitnessedStarts(starts));
+            }
         }
     }
 
--- a/crates/node/src/entry_node.rs
+++ b/crates/node/src/entry_node.rs
@@ -250,6 +250,7 @@
             self.execute_ledger_actions();
             self.gossip_crashes();
             self.gossip_delayed_starts();
+            self.gossip_witnessed_starts();
         }
         info!(self.log, "stopped"; "open_jobs" => self.dispatcher.unfinished_jobs());
         tokio::time::sleep(Duration::from_millis(FLUSH_MS)).await;
@@ -364,6 +365,8 @@
         self.dispatcher.add_crashes(now_ms, frame.crashes);
         self.dispatcher
             .gossip_received(now_ms, frame.delayed_starts);
+        self.dispatcher
+            .witnessed_starts_reported(now_ms, frame.witnessed_starts);
     }
 
     /// Spreads crashes that became known here to other entries.
@@ -385,6 +388,16 @@
         }
     }
 
+    /// Spreads the starts of lost entries that witnesses reported.
+    fn gossip_witnessed_starts(&mut self) {
+        let starts = self.dispatcher.witnessed_starts();
+        if self.gossip.borrow().witnessed_starts.last_sequence() != starts.last_sequence() {
+            let starts = starts.clone();
+            self.gossip
+                .send_modify(|gossip| gossip.witnessed_starts = starts);
+        }
+    }
+
     /// Applies the set of evacuated zones if it is newer. Callers do this before they
     /// apply a configuration from the same message, so that an entry that is ready
     /// because of the configuration also has the evacuations.
--- a/crates/node/tests/entry.rs
+++ b/crates/node/tests/entry.rs
@@ -249,6 +249,7 @@
         delayed_starts: Vec::new(),
         max_start_delay_ms: 0,
         inherited_lease_ms: 0,
+        witnessed_starts: Vec::new(),
         incarnation: "minion-1".into(),
     }
 }
@@ -374,6 +375,7 @@
             evacuations: None,
             crashes: Vec::new(),
             delayed_starts: Vec::new(),
+            witnessed_starts: Vec::new(),
         };
         write_frame(&mut peer, &frame).await;
         assert!(decode::<PeerAck>(&read_frame(&mut peer).await).is_ok());
