Witness: fewer wrappers, and times of frames that cannot overflow

A frame with a damaged time must not stop a process: the times of witnessed starts and of an inherited lease are added with saturation. The agent calls its witness state directly.

--- a/crates/dispatch/src/agent/inherited_lease.rs
+++ b/crates/dispatch/src/agent/inherited_lease.rs
@@ -12,8 +12,8 @@
 use crate::lease::MAX_CALL_DELAY_MS;
 use crate::lease::max_uncontrolled_ms;
 
-/// Longest time for which an agent goes on calling an incarnation that has ended, in
-/// milliseconds. It gives up a silent minion when the lease is over.
+/// Longest time for which an agent goes on extending the lease of an incarnation that has
+/// ended, in milliseconds. It stops soon after the last answer.
 const MAX_MISDIRECTED_MS: u64 = 1_000;
 /// Fraction of the elapsed time by which a minion's clock may be off, as a divisor: 2%.
 const CLOCK_DRIFT_DIVISOR: u64 = 50;
--- a/crates/dispatch/src/agent/mod.rs
+++ b/crates/dispatch/src/agent/mod.rs
@@ -256,8 +256,8 @@
                 }
                 Order::Evacuations(newer) => self.apply_evacuations(&newer),
                 Order::Entries(entries) => self.actions.push(AgentAction::Entries(entries)),
-                Order::Witness(starts) => self.hold_witnessed(now_ms, link, &starts),
-                Order::ForgetWitnessed(orders) => self.forget_witnessed(link, &orders),
+                Order::Witness(starts) => self.witness.hold(now_ms, link, &starts),
+                Order::ForgetWitnessed(orders) => self.witness.forget(link, &orders),
             }
         }
     }
--- a/crates/dispatch/src/agent/witness.rs
+++ b/crates/dispatch/src/agent/witness.rs
@@ -28,7 +28,9 @@
     task: TaskId,
     /// Agent that is to send the start.
     agent: NodeId,
+    /// Whether the agent may still send it.
     may_be_sent: bool,
+    /// Time after which nothing of it is left, as in [`WitnessedStarts::void_after_ms`].
     void_after_ms: u64,
     received_ms: u64,
 }
@@ -40,14 +42,15 @@
             true => HOLD_FACTOR,
             false => 1,
         };
-        self.received_ms + factor * self.void_after_ms
+        let hold_ms = self.void_after_ms.saturating_mul(factor);
+        self.received_ms.saturating_add(hold_ms)
     }
 
     /// When nothing of the start is left, in milliseconds, if its entry is lost now.
     fn void_ms(&self, now_ms: u64) -> u64 {
         match self.may_be_sent {
             // The agent may send it until the last grant of the entry expires.
-            true => now_ms + GRANT_MS + self.void_after_ms,
+            true => (now_ms + GRANT_MS).saturating_add(self.void_after_ms),
             false => self.expires_ms(),
         }
     }
@@ -65,7 +68,7 @@
 
 impl Witness {
     /// Holds starts for the entry of a link.
-    fn hold(&mut self, now_ms: u64, link: LinkId, starts: &WitnessedStarts) {
+    pub(crate) fn hold(&mut self, now_ms: u64, link: LinkId, starts: &WitnessedStarts) {
         for start in &starts.orders {
             let held = HeldStart {
                 task: TaskId {
@@ -86,7 +89,7 @@
     }
 
     /// Forgets starts that the entry of a link does not need any more.
-    fn forget(&mut self, link: LinkId, orders: &[OrderId]) {
+    pub(crate) fn forget(&mut self, link: LinkId, orders: &[OrderId]) {
         for order in orders {
             self.of_links.remove(&(link, *order));
         }
@@ -153,27 +156,14 @@
 }
 
 impl Agent {
-    /// Holds starts of other agents.
-    pub(crate) fn hold_witnessed(&mut self, now_ms: u64, link: LinkId, starts: &WitnessedStarts) {
-        self.witness.hold(now_ms, link, starts);
-    }
-
-    /// Forgets starts of other agents.
-    pub(crate) fn forget_witnessed(&mut self, link: LinkId, orders: &[OrderId]) {
-        self.witness.forget(link, orders);
-    }
-
     /// Reports the witnessed starts of an entry that is lost to all other entries.
     pub(crate) fn report_witnessed(&mut self, now_ms: u64, lost: LinkId) {
         let starts = self.witness.entry_lost(now_ms, lost);
         if starts.is_empty() {
             return;
         }
-        self.event(
-            "witnessed-starts-reported",
-            None,
-            format!("starts={}", starts.len()),
-        );
+        let detail = format!("starts={}", starts.len());
+        self.event("witnessed-starts-reported", None, detail);
         self.report_to_all(&Report::WitnessedStarts(starts));
     }
 }
--- a/crates/dispatch/src/dispatcher/fleet.rs
+++ b/crates/dispatch/src/dispatcher/fleet.rs
@@ -143,7 +143,7 @@
             is_accepting_starts: false,
             is_evacuated: false,
             has_offered: false,
-            inherited_lease_until_ms: now_ms + hello.inherited_lease_ms,
+            inherited_lease_until_ms: now_ms.saturating_add(hello.inherited_lease_ms),
             forgettable_starts: Vec::new(),
             hello,
             outbox: Vec::new(),
--- a/crates/dispatch/src/witnessed_starts.rs
+++ b/crates/dispatch/src/witnessed_starts.rs
@@ -80,7 +80,7 @@
         if start.remaining_ms == 0 || is_full && !self.by_task.contains_key(&start.task) {
             return false;
         }
-        let void_ms = now_ms + start.remaining_ms;
+        let void_ms = now_ms.saturating_add(start.remaining_ms);
         let of_task = self.by_task.entry(start.task).or_default();
         if let Some(known) = of_task.iter_mut().find(|known| known.agent == start.agent) {
             known.void_ms = known.void_ms.max(void_ms);
