A start that is known to be delayed has three witnesses

An agent that closes a link keeps delayed starts for entries that it greets later.

Tried first: an entry that replaces the witnesses of delayed starts.

--- a/crates/dispatch/src/agent/links.rs
+++ b/crates/dispatch/src/agent/links.rs
@@ -160,7 +160,7 @@
         }
         for link in done {
             self.links.remove(&link);
-            self.witness.forget_link(link);
+            self.witness.link_closed(now_ms, link);
             self.actions.push(AgentAction::Close(link));
         }
     }
@@ -186,7 +186,7 @@
             self.links.remove(&link);
             self.actions.push(AgentAction::Close(link));
             self.abandon_runs(now_ms, link, "minion-gone");
-            self.witness.forget_link(link);
+            self.witness.link_closed(now_ms, link);
         }
     }
 
--- a/crates/dispatch/src/agent/witness.rs
+++ b/crates/dispatch/src/agent/witness.rs
@@ -95,10 +95,13 @@
         }
     }
 
-    /// Forgets all starts of a link that this agent closes although the entry is there, which
-    /// chooses another witness.
-    pub(crate) fn forget_link(&mut self, link: LinkId) {
-        self.of_links.retain(|(of_link, _), _| *of_link != link);
+    /// Forgets the starts of a link that this agent closes although the entry is there, which
+    /// chooses another witness. Starts that are known to be delayed are kept for entries that
+    /// are greeted later, since the entry may be lost before it chooses.
+    pub(crate) fn link_closed(&mut self, now_ms: u64, link: LinkId) {
+        self.of_links
+            .retain(|(of_link, _), held| *of_link != link || !held.may_be_sent);
+        self.entry_lost(now_ms, link);
     }
 
     /// Records that the entry of a link is lost, and returns its starts.
--- a/crates/dispatch/src/dispatcher/witnesses.rs
+++ b/crates/dispatch/src/dispatcher/witnesses.rs
@@ -5,6 +5,7 @@
 
 use gannetvane_wire::Name;
 
+use crate::DelayedStart;
 use crate::LinkId;
 use crate::Order;
 use crate::OrderId;
@@ -14,6 +15,10 @@
 use crate::dispatcher::OrderState;
 use crate::dispatcher::fleet::AgentState;
 
+/// Number of witnesses of a start that is known to be delayed. Such starts are few, and they
+/// bind for longer than an entry may take to replace a witness.
+const DELAYED_WITNESSES: usize = 3;
+
 /// The orders of an entry that need a witness.
 #[derive(Debug, Default)]
 pub(crate) struct Witnesses {
@@ -41,7 +46,6 @@
         }
         let links = orders.iter().filter_map(|order| self.orders.get(order));
         let mut links: Vec<LinkId> = links.map(|state| state.link).collect();
-        links.sort_unstable();
         links.dedup();
         self.witnesses.choices += 1;
         let common = self.choose_witness(now_ms, &links);
@@ -89,12 +93,12 @@
         Some((start, hello.max_start_delay_ms))
     }
 
-    /// Returns an agent that is not in `ordered` and has answered recently, if
+    /// Returns an agent that is not in `others` and has answered recently, if
     /// there is one. One in another availability zone than the entry is
     /// preferred, since a zone may fail as a whole.
-    fn choose_witness(&self, now_ms: u64, ordered: &[LinkId]) -> Option<LinkId> {
+    fn choose_witness(&self, now_ms: u64, others: &[LinkId]) -> Option<LinkId> {
         let can_witness = |(link, agent): &(&LinkId, &AgentState)| {
-            agent.is_fresh(now_ms) && ordered.binary_search(link).is_err()
+            agent.is_fresh(now_ms) && !others.contains(link)
         };
         let candidates: Vec<(LinkId, bool)> = self
             .agents
@@ -150,22 +154,45 @@
         let job = self.jobs.get(&state.job);
         let task = job.map(|job| job.task_id(state.position));
         let delayed = task.and_then(|task| self.delayed_starts.of_task(self.last_tick_ms, &task));
-        let Some(agent) = self.agents.get_mut(&witness) else {
-            return;
-        };
-        match delayed {
-            Some(start) => agent.outbox.push(Order::Witness(WitnessedStarts {
-                job: start.task.job,
-                may_be_sent: false,
-                void_after_ms: start.remaining_ms,
-                orders: vec![WitnessedOrder {
-                    order,
-                    step: start.task.step,
-                    index: start.task.index,
-                    agent: start.agent,
-                }],
-            })),
-            None => agent.forgettable_starts.push(order),
+        match (delayed, self.agents.get_mut(&witness)) {
+            (Some(start), _) => self.witness_delayed_start(order, &start, witness),
+            (None, Some(agent)) => agent.forgettable_starts.push(order),
+            (None, None) => {}
+        }
+    }
+
+    /// Makes it known to several witnesses until when the start of an order may
+    /// be carried out late.
+    fn witness_delayed_start(&mut self, order: OrderId, start: &DelayedStart, witness: LinkId) {
+        let mut agents = self.agents.iter();
+        let sender = agents.find(|(_, agent)| agent.hello.node == start.agent);
+        let mut chosen: Vec<LinkId> = sender.map(|(link, _)| *link).into_iter().collect();
+        let mut next = Some(witness);
+        for _ in 0..DELAYED_WITNESSES {
+            let Some(witness) = next else {
+                break;
+            };
+            if let Some(agent) = self.agents.get_mut(&witness) {
+                let held = delayed_for_witness(order, start);
+                agent.outbox.push(Order::Witness(held));
+            }
+            chosen.push(witness);
+            next = self.choose_witness(self.last_tick_ms, &chosen);
         }
     }
 }
+
+/// Returns a delayed start as a witness gets it.
+fn delayed_for_witness(order: OrderId, start: &DelayedStart) -> WitnessedStarts {
+    WitnessedStarts {
+        job: start.task.job.clone(),
+        may_be_sent: false,
+        void_after_ms: start.remaining_ms,
+        orders: vec![WitnessedOrder {
+            order,
+            step: start.task.step,
+            index: start.task.index,
+            agent: start.agent,
+        }],
+    }
+}
