A witness is told what to forget when its entry is awake

Hypothesis: an entry that wakes up to send what a witness may forget costs its callers.

Only sites whose minions tell start times are concerned: elsewhere there is nothing to forget.

--- a/crates/dispatch/src/dispatcher/fleet.rs
+++ b/crates/dispatch/src/dispatcher/fleet.rs
@@ -28,7 +28,8 @@
 const STALE_AGENT_MS: u64 = 250;
 
 /// Time since the last frame to a witness after which it is told which starts to forget, in
-/// milliseconds. If the entry is lost before, the tasks wait without need.
+/// milliseconds, if the entry is awake then. If the entry is lost before, the tasks wait
+/// without need.
 const FORGET_DELAY_MS: u64 = 20;
 
 /// Agents report the speed of a minion in thousandths of the ordinary speed.
@@ -216,7 +217,8 @@
             .map(|(id, _)| *id)
     }
 
-    /// Returns when the next frame to it is due, in milliseconds.
+    /// Returns when the next frame to it is due if the entry is awake, in
+    /// milliseconds.
     pub(crate) fn frame_due_ms(&self) -> u64 {
         let pause_ms = match self.forgettable_starts.is_empty() {
             true => KEEPALIVE_MS,
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -412,7 +412,10 @@
 
     /// Returns the time by which to call [`Self::tick`] again, in milliseconds.
     pub(crate) fn next_due_ms(&self, now_ms: u64) -> u64 {
-        let frames = self.agents.values().map(AgentState::frame_due_ms);
+        let frames = self
+            .agents
+            .values()
+            .map(|agent| agent.last_sent_ms + KEEPALIVE_MS);
         let open = self.jobs.values().filter(|job| job.is_open());
         let jobs = open.map(|job| {
             let minion_wait_ms = (job.objective_ms - job.received_ms) / MINION_WAIT_DIVISOR + 1;
