witness_starts in three shorter functions

One function chose the witness, grouped the orders and sent them.

Looked at and left: KnownDelayedStarts and ReportedStarts both list what is newer than a sequence number (ten alike lines); their entries differ in what withdraws them.

--- a/crates/dispatch/src/dispatcher/witnesses.rs
+++ b/crates/dispatch/src/dispatcher/witnesses.rs
@@ -19,6 +19,9 @@
 /// bind for longer than an entry may take to replace a witness.
 const DELAYED_WITNESSES: usize = 3;
 
+/// Orders by witness, job and the time after which their starts are void.
+type WitnessGroups = BTreeMap<(LinkId, Name, u64), Vec<WitnessedOrder>>;
+
 /// The orders of an entry that need a witness.
 #[derive(Debug, Default)]
 pub(crate) struct Witnesses {
@@ -49,23 +52,34 @@
         links.dedup();
         self.witnesses.choices += 1;
         let common = self.choose_witness(now_ms, &links);
-        let mut groups: BTreeMap<(LinkId, Name, u64), Vec<WitnessedOrder>> = BTreeMap::new();
+        let mut groups = WitnessGroups::new();
         for order in orders {
             let Some(state) = self.orders.get(&order) else {
                 continue;
             };
             let witness = common.or_else(|| self.choose_witness(now_ms, &[state.link]));
-            let (Some(witness), Some((start, void_after_ms))) =
-                (witness, self.witnessed_order(order, state))
-            else {
-                continue;
-            };
-            let group = (witness, state.job.clone(), void_after_ms);
-            groups.entry(group).or_default().push(start);
-            if let Some(state) = self.orders.get_mut(&order) {
-                state.witness = Some(witness);
+            if let Some(witness) = witness {
+                self.add_to_group(order, witness, &mut groups);
             }
         }
+        self.send_groups(groups);
+    }
+
+    /// Adds an order to those of its job that a witness gets.
+    fn add_to_group(&mut self, order: OrderId, witness: LinkId, groups: &mut WitnessGroups) {
+        let state = self.orders.get(&order);
+        let witnessed = state.and_then(|state| self.witnessed_order(order, state));
+        let (Some((start, void_after_ms)), Some(state)) = (witnessed, self.orders.get_mut(&order))
+        else {
+            return;
+        };
+        state.witness = Some(witness);
+        let group = (witness, state.job.clone(), void_after_ms);
+        groups.entry(group).or_default().push(start);
+    }
+
+    /// Sends the orders of each group to its witness.
+    fn send_groups(&mut self, groups: WitnessGroups) {
         for ((witness, job, void_after_ms), orders) in groups {
             let Some(agent) = self.agents.get_mut(&witness) else {
                 continue;
