--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -10,7 +10,6 @@
 mod estimate;
 mod evacuation;
 pub(crate) mod fleet;
-mod fleet_growth;
 mod intake;
 mod jobs;
 mod outbox;
@@ -53,7 +52,6 @@
 use crate::dispatcher::estimate::Estimates;
 use crate::dispatcher::fleet::AgentState;
 use crate::dispatcher::fleet::Hosts;
-use crate::dispatcher::fleet_growth::FleetGrowth;
 use crate::dispatcher::jobs::JobState;
 use crate::dispatcher::jobs::TaskPhase;
 use crate::dispatcher::overload::MINION_WAIT_DIVISOR;
@@ -141,7 +139,6 @@
     /// Entries in the list that was last sent to all agents.
     sent_entries: BTreeSet<SocketAddr>,
     pub(crate) hosts: Hosts,
-    pub(crate) fleet_growth: FleetGrowth,
     pub(crate) jobs: BTreeMap<Name, JobState>,
     pub(crate) orders: BTreeMap<OrderId, OrderState>,
     pub(crate) callers: BTreeMap<CallerId, Name>,
@@ -197,7 +194,6 @@
             agents: BTreeMap::new(),
             sent_entries: BTreeSet::new(),
             hosts: Hosts::default(),
-            fleet_growth: FleetGrowth::default(),
             jobs: BTreeMap::new(),
             orders: BTreeMap::new(),
             callers: BTreeMap::new(),
@@ -324,7 +320,6 @@
         );
         self.event("agent-up", None, detail);
         self.hosts.record_greeting(&hello);
-        self.fleet_growth.greeted(now_ms, &hello.service);
         self.retained_ends_reported(link, hello.retained_ends.clone());
         self.add_greeted_crashes(now_ms, hello.crashes.clone());
         self.add_unseen_crashes(now_ms, &hello);
@@ -430,7 +425,6 @@
         self.delayed_starts.expire(now_ms);
         self.lost_agents.expire(now_ms);
         self.expire_witnessed_starts(now_ms);
-        self.fleet_growth.expire(now_ms);
         self.report_uplink(now_ms);
         self.expire_jobs(now_ms);
         self.place(now_ms);
--- a/crates/dispatch/src/dispatcher/overload.rs
+++ b/crates/dispatch/src/dispatcher/overload.rs
@@ -115,7 +115,7 @@
         let service = &job.job.queue.service;
         if !job.has_never_run()
             || !self.has_minions(service)
-            || !self.is_fleet_known(now_ms, service)
+            || !self.have_all_reported_free(service)
         {
             return false;
         }
--- a/crates/dispatch/src/dispatcher/views.rs
+++ b/crates/dispatch/src/dispatcher/views.rs
@@ -50,7 +50,7 @@
             capacity_milli,
             offered_milli: f64::from(demand.offered_milli),
             waiting_core_ms: f64::from(demand.waiting_core_ms),
-            is_capacity_known: is_view_current && self.is_fleet_known(now_ms, service),
+            is_capacity_known: is_view_current && self.have_all_reported_free(service),
         }
     }
 
@@ -93,14 +93,6 @@
         agents.filter(move |agent| agent.hello.service == *service)
     }
 
-    /// Returns whether the connected agents show the capacity of a service: all of them have
-    /// reported their free resources, and most were connected already.
-    pub(crate) fn is_fleet_known(&self, now_ms: u64, service: &Name) -> bool {
-        let connected = self.agents_of(service).count();
-        let is_growing = self.fleet_growth.is_growing(now_ms, service, connected);
-        !is_growing && self.have_all_reported_free(service)
-    }
-
     /// Returns whether all connected agents of a service have reported their
     /// free resources. They do so within a few milliseconds, and may have
     /// plenty of free resources.
