--- a/crates/dispatch/src/dispatcher/probes.rs
+++ b/crates/dispatch/src/dispatcher/probes.rs
@@ -18,9 +18,6 @@
 /// Number of agents that are probed for each waiting task. More would cost
 /// messages and find free resources no sooner.
 const PROBES_PER_TASK: usize = 3;
-/// Number of agents that are probed for each waiting task while the entry's
-/// network link is busy, since probes delay the orders of tasks that can start.
-const PROBES_PER_TASK_BUSY: usize = 1;
 
 impl Dispatcher {
     /// Sends probes for the waiting tasks, and declines the offers that were
@@ -65,11 +62,7 @@
         let Some(context) = self.placement_context(now_ms, &job, first) else {
             return;
         };
-        let probes_per_task = match self.uplink.is_busy() {
-            true => PROBES_PER_TASK_BUSY,
-            false => PROBES_PER_TASK,
-        };
-        let count = waiting.len() * probes_per_task;
+        let count = waiting.len() * PROBES_PER_TASK;
         let mut jitter = || self.rng.random::<f64>();
         let chosen = placement::choose_probed(&agents, &self.hosts, &context, &mut jitter, count);
         // A small fleet has fewer agents than that, so each is probed for more
--- a/crates/dispatch/src/policy/uplink.rs
+++ b/crates/dispatch/src/policy/uplink.rs
@@ -56,12 +56,6 @@
         self.bytes_per_ms.map_or(0.0, |rate| sent / rate)
     }
 
-    /// Returns whether the link was busy at the last [`take_change`](Self::take_change).
-    #[must_use]
-    pub fn is_busy(&self) -> bool {
-        self.is_busy
-    }
-
     /// Returns whether the link has become busy, or free again, since the last call; `None` if
     /// neither.
     pub fn take_change(&mut self, now_ms: u64) -> Option<bool> {
