--- a/crates/daemon/tests/soak/site.rs
+++ b/crates/daemon/tests/soak/site.rs
@@ -66,6 +66,10 @@
     pub folder: Folder,
 }
 
+/// Rates of the entries' network links, in megabits per second: one that is always wide
+/// enough, and one that a few jobs fill.
+const LINKS_MBPS: [f64; 2] = [1_000.0, 0.2];
+
 impl Soak {
     pub fn start(seed: u64, size: Size) -> Self {
         let folder = Folder::create(seed);
@@ -112,8 +116,9 @@
         let metrics = free_addr();
         let text = settings(&name, link, metrics, seed, store)
             + &format!(
-                "[entry]\nfront_address = \"{front}\"\nready_address = \"{}\"\n",
-                free_addr()
+                "[entry]\nfront_address = \"{front}\"\nready_address = \"{}\"\nlink_mbps = {}\n",
+                free_addr(),
+                LINKS_MBPS[entry % LINKS_MBPS.len()],
             );
         self.add_program("platform-entry", &name, &text, metrics);
         self.fronts.push(Proxy::start(front));
--- a/crates/dispatch/src/policy/placement.rs
+++ b/crates/dispatch/src/policy/placement.rs
@@ -62,9 +62,17 @@
     let with_enough_free = agents.iter().filter(|(_, agent)| {
         is_eligible(agent, hosts, context) && agent.free().can_fit(&context.step.needs)
     });
-    let costs = with_enough_free.map(|(link, agent)| {
+    let with_enough_free: Vec<_> = with_enough_free.collect();
+    let has_copy = |agent: &AgentState| agent.outbox.has_spec(context.spec);
+    let is_first_copy = !with_enough_free.iter().any(|(_, agent)| has_copy(agent));
+    let costs = with_enough_free.into_iter().map(|(link, agent)| {
         let cost = cost_ms(agent, context) * (1.0 + MAX_JITTER * jitter());
-        (cost + copy_cost_ms(agent, context), *link)
+        let copy_cost_ms = match is_first_copy {
+            true => context.spec_copy_ms / sharing_tasks(agent, context),
+            false if has_copy(agent) => 0.0,
+            false => context.spec_copy_ms,
+        };
+        (cost + copy_cost_ms, *link)
     });
     let cheapest = costs.min_by(|one, other| one.0.total_cmp(&other.0));
     cheapest.map(|(_, link)| link)
@@ -150,16 +158,11 @@
     label.is_none_or(|label| agent.has_label(label))
 }
 
-/// Returns the cost of the copy of the spec that the agent would get, in milliseconds. The
-/// tasks that fit there at the same time share it.
-fn copy_cost_ms(agent: &AgentState, context: &PlacementContext<'_>) -> f64 {
-    if agent.outbox.has_spec(context.spec) {
-        return 0.0;
-    }
+/// Returns how many tasks of the job can share a copy of the spec at the agent.
+fn sharing_tasks(agent: &AgentState, context: &PlacementContext<'_>) -> f64 {
     let cpu_milli = context.step.needs.cpu_milli.max(1);
     let fitting_tasks = agent.free().cpu_milli / cpu_milli;
-    let sharing_tasks = fitting_tasks.min(context.startable_tasks).max(1);
-    context.spec_copy_ms / f64::from(sharing_tasks)
+    f64::from(fitting_tasks.min(context.startable_tasks).max(1))
 }
 
 /// Returns the expected time until the task would end at the agent, in
