--- a/crates/dispatch/src/agent/mod.rs
+++ b/crates/dispatch/src/agent/mod.rs
@@ -321,8 +321,8 @@
             number = state.starts_received;
         }
         let order = start.id;
-        let spec = usize::try_from(start.spec).map(|index| specs.get(index));
-        let (Ok(Some(spec)), true, false) = (spec, self.admits(now_ms), is_retiring) else {
+        let spec = self.spec_of(specs, &start);
+        let Some(spec) = spec.filter(|_| self.admits(now_ms) && !is_retiring) else {
             self.log_evacuated_start(&start);
             self.report_end(
                 link,
@@ -332,7 +332,7 @@
             );
             return;
         };
-        let run = Run::new(now_ms, link, number, spec.clone(), start);
+        let run = Run::new(now_ms, link, number, spec, start);
         let has_resources = self.free_resources_for(link).can_fit(&run.needs);
         let is_isolated = !run.is_suspect || !self.runs.has_other_suspect(&run.key.task.job);
         let can_start = has_resources && is_isolated && !self.runs.is_task_active(&run.key);
@@ -348,6 +348,18 @@
         }
     }
 
+    /// Returns the spec of a start order from those of its frame. Only an entry of another
+    /// version sends a frame without it.
+    fn spec_of(&mut self, specs: &[Name], start: &StartOrder) -> Option<Name> {
+        let index = usize::try_from(start.spec).ok();
+        let spec = index.and_then(|index| specs.get(index)).cloned();
+        if spec.is_none() {
+            let detail = format!("spec={} specs={}", start.spec, specs.len());
+            self.event("spec-missing", Some(start.task.job.clone()), detail);
+        }
+        spec
+    }
+
     fn stop_ordered(&mut self, now_ms: u64, link: LinkId, order: OrderId) {
         if self.runs.get(link, order).is_some() {
             self.stop_run(now_ms, link, order);
--- a/crates/dispatch/tests/starts.rs
+++ b/crates/dispatch/tests/starts.rs
@@ -2,6 +2,7 @@
 
 mod driver;
 
+use gannetvane_dispatch::AgentAction;
 use gannetvane_dispatch::NotStartedReason;
 use gannetvane_dispatch::Order;
 use gannetvane_dispatch::OrderId;
@@ -23,6 +24,8 @@
     assert_eq!(driver.agent.active_runs(), 0);
     let refused = RunEnd::NotStarted(NotStartedReason::Closing);
     assert!(ends_in(&actions).contains(&(OrderId(1), refused)));
+    let is_logged = |action: &AgentAction| matches!(action, AgentAction::Event(event) if event.event == "spec-missing");
+    assert!(actions.iter().any(is_logged));
 }
 
 #[test]
