--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -14,6 +14,7 @@
 import signal
 import struct
 import subprocess
+import sys
 import time
 from urllib.parse import unquote
 
@@ -151,6 +152,7 @@
         await done
 
     signal.signal(signal.SIGINT, signal.SIG_IGN)
+    signal.signal(signal.SIGTERM, signal.SIG_DFL)
     asyncio.run(main())
 
 
@@ -654,9 +656,11 @@
 def run_case(main, folder):
     """Runs a case and returns its exit code; `main` gets the record and whether there is trouble."""
     record = Record(os.path.join(folder, "record.txt"))
+    # The processes of the case end as well when the case is told to end.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         return asyncio.run(main(record, os.environ.get("TROUBLE", "1") != "0"))
-    except (OSError, TimeoutError) as error:
+    except (EOFError, OSError, TimeoutError) as error:
         print(f"the case could not run: {error!r}")
         return 2
     finally:
