--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -22,6 +22,8 @@
 PROGRAM = os.path.join(ROOT, "target", "release", "gannetvaned")
 HOST = "nony24.example"
 SERVICE = "huvo11a"
+# Time after which a case gives up, in seconds.
+LIMIT_S = 110
 FORK = multiprocessing.get_context("fork")
 
 
@@ -659,7 +661,8 @@
     # The processes of the case end as well when the case is told to end.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
-        return asyncio.run(main(record, os.environ.get("TROUBLE", "1") != "0"))
+        has_trouble = os.environ.get("TROUBLE", "1") != "0"
+        return asyncio.run(asyncio.wait_for(main(record, has_trouble), LIMIT_S))
     except (EOFError, OSError, TimeoutError) as error:
         print(f"the case could not run: {error!r}")
         return 2
