A broken connection is evidence of a crash only once the minion is known to have ended

Cause: a broken connection counted as the crash whatever came after it. Five ways, each with its test in reset_connections.rs: - the minion is given up as silent, and nobody knows whether it has ended; - calls that are sent later break as well, so some process takes them; - the lease was over before the connection broke, as the agent knows only afterwards, or would know if it reckoned from answered calls, not from all; - a listing that breaks at once was not read, so it says nothing of the runs; - while each call breaks, a run may end and nobody can list it.

Change: the evidence of a silent minion waits (unconfirmed_crashes.rs). It counts when another incarnation answers, and is dropped when a report or listing shows that this one was alive after the break, or that it left. Simply to drop it would undo: a crash that shows as a silence must count. run-lost tells `loss`, and `may_have_ended` in place of `lapsed`; new events crash-unconfirmed, crash-confirmed, crashes-ruled-out.

Tests that changed: a_start_whose_connection_broke_before_a_silence_... asked for the evidence in the end of the run. At that moment a minion that resets one connection and then leaves calls unanswered looks the same (a_reset_before_a_silence_is_no_crash_if_the_minion_reports_later). The test now asks for the same evidence in the greeting of the next incarnation, and for none before. The driver breaks a listing 20 ms after its call in place of 0 ms, so that it is a waiting one, as the tests' names say.

--- a/crates/dispatch/src/agent/incarnations.rs
+++ b/crates/dispatch/src/agent/incarnations.rs
@@ -14,7 +14,6 @@
 use crate::Agent;
 use crate::AgentAction;
 use crate::Crash;
-use crate::CrashEvidence;
 use crate::Incarnation;
 use crate::LinkId;
 use crate::ListResult;
@@ -79,6 +78,7 @@
 impl Agent {
     /// Handles a report of a minion.
     pub fn minion_reported(&mut self, now_ms: u64, report: MinionReport) {
+        self.rule_out_crashes(&report.incarnation, report.clock_ms);
         if self.last_ended.as_ref() == Some(&report.incarnation) {
             self.log_delayed_report(&report.incarnation, "it has ended");
         } else if self.minion.is_none() {
@@ -94,6 +94,7 @@
     /// trusted if the minion drains. Otherwise an earlier incarnation may have sent it,
     /// and the agent calls the minion to find out.
     pub fn minion_left(&mut self, id: &str) {
+        self.rule_out_crashes_of(id);
         let Some(minion) = &mut self.minion else {
             return;
         };
@@ -350,11 +351,9 @@
             incarnation.is_some_and(|incarnation| incarnation.started_unix_ms().is_some());
         let crash = match loss {
             Loss::Crashed => run.crash_evidence(),
-            // Silence alone is no evidence, but a connection that broke before it is.
-            Loss::Silent => run
-                .crash_evidence()
-                .filter(|evidence| *evidence != CrashEvidence::Weak),
-            Loss::Gone => None,
+            // The minion may still be there. What a broken connection suggests waits until
+            // that is known.
+            Loss::Silent | Loss::Gone => None,
         };
         if may_keep_id && run.may_run_in_next_incarnation() {
             return RunEnd::Unsettled { crash };
@@ -376,9 +375,9 @@
     }
 
     /// Logs what is known of a run that ended with its minion.
-    fn log_lost_run(&mut self, now_ms: u64, run: &Run, end: RunEnd) {
+    fn log_lost_run(&mut self, now_ms: u64, run: &Run, loss: Loss, end: RunEnd) {
         let detail = format!(
-            "task={}.{} run={} end={end:?} phase={:?} seen={} listed={} cut_off={} lapsed={} pending={} refusal={:?} unanswered={} ran_ms={}",
+            "task={}.{} run={} loss={loss:?} end={end:?} phase={:?} seen={} listed={} cut_off={} may_have_ended={} pending={} refusal={:?} unanswered={} ran_ms={}",
             run.key.task.step,
             run.key.task.index,
             run.key.run,
@@ -386,7 +385,7 @@
             run.was_seen_running,
             run.was_listed,
             run.connection_broke_ms.is_some(),
-            run.has_lapsed(),
+            run.may_have_ended(),
             run.pending,
             run.refusal,
             run.unanswered,
@@ -407,8 +406,9 @@
         for (link, order) in active_runs {
             if let Some(run) = self.remove_run(now_ms, link, order) {
                 let end = self.end_of_lost_run(&run, loss);
+                self.keep_unconfirmed_crash(&run, loss);
                 self.record_crash(now_ms, &run, end);
-                self.log_lost_run(now_ms, &run, end);
+                self.log_lost_run(now_ms, &run, loss, end);
                 self.report_end(link, order, end, run.ran_ms(now_ms));
             }
         }
--- a/crates/dispatch/src/agent/listing_calls.rs
+++ b/crates/dispatch/src/agent/listing_calls.rs
@@ -5,6 +5,7 @@
 use crate::AgentAction;
 use crate::agent::minion::Minion;
 use crate::agent::run_table::Phase;
+use crate::agent::run_table::READ_AT_ONCE_MS;
 
 /// Time that a listing may wait for an end, in milliseconds. The lease is extended at
 /// least that often.
@@ -34,6 +35,18 @@
     pub(crate) waits_for_end: bool,
     /// Number of the last end that the call acknowledges; 0 for none.
     pub(crate) acknowledged_through: u64,
+    /// Earliest end of the lease that the call requests, on the agent's clock; 0 if it
+    /// does not extend the lease.
+    pub(crate) min_lease_until_ms: u64,
+}
+
+impl PendingListing {
+    /// Whether the minion waited for an end to list, and so had none, if the connection of
+    /// the call broke just now. A connection that breaks at once may break before the
+    /// minion reads the call.
+    pub(crate) fn was_waiting(&self, now_ms: u64) -> bool {
+        self.waits_for_end && now_ms > self.sent_ms + READ_AT_ONCE_MS
+    }
 }
 
 impl Agent {
@@ -114,6 +127,8 @@
             overdue_at_ms: now_ms + wait_ms + LIST_TIMEOUT_MS,
             waits_for_end: wait_ms > 0,
             acknowledged_through,
+            min_lease_until_ms: deadline_ms
+                .map_or(0, |deadline_ms| minion.earliest_ms(deadline_ms)),
         });
         self.actions.push(AgentAction::List {
             call,
--- a/crates/dispatch/src/agent/listings.rs
+++ b/crates/dispatch/src/agent/listings.rs
@@ -88,9 +88,16 @@
         else {
             return;
         };
-        if is_broken && pending.waits_for_end {
+        if is_broken {
+            self.runs.connection_broke(now_ms, pending.sent_ms);
+            self.note_lapsed_lease(now_ms);
+        }
+        if is_broken && pending.was_waiting(now_ms) {
             self.runs.listing_connection_broke(now_ms);
         }
+        let Some(minion) = &mut self.minion else {
+            return;
+        };
         let Some(listing) = listing else {
             let max_pause_ms = if self.runs.is_empty() {
                 MAX_RETRY_MS
@@ -116,18 +123,20 @@
         let listing_made_ms = now_ms.saturating_sub(minion.transit_ms(now_ms, listing.clock_ms));
         self.runs
             .minion_answered(listing_made_ms.max(pending.sent_ms));
+        minion.min_lease_until_ms = minion.min_lease_until_ms.max(pending.min_lease_until_ms);
         minion.next_listing_at_ms = now_ms + pause_ms;
         minion.may_have_left = false;
         minion
             .pending_listings
             .retain(|other| other.sent_ms > pending.sent_ms);
         let is_fresh = minion.transit_ms(now_ms, listing.clock_ms) <= MAX_FRESH_TRANSIT_MS;
-        minion.read_clock(now_ms, listing.clock_ms);
+        minion.read_clock(now_ms, pending.sent_ms, listing.clock_ms);
         if minion.epoch == 0 {
             let epoch = self
                 .epochs
                 .next(&minion.report.incarnation, listing.clock_ms);
             minion.epoch = epoch;
+            self.confirm_crashes(now_ms, listing.clock_ms);
             self.event("epoch-taken", None, format!("epoch={epoch}"));
             self.list_if_due(now_ms);
             return;
--- a/crates/dispatch/src/agent/minion.rs
+++ b/crates/dispatch/src/agent/minion.rs
@@ -46,7 +46,7 @@
 /// Consecutive refused connections that show that a minion has ended. A single one may
 /// have reached it just before it listened.
 const GONE_REFUSALS: u32 = 2;
-/// Fraction of the elapsed time by which a minion's clock may be slow, as a divisor: 2%.
+/// Fraction of the elapsed time by which a minion's clock may be off, as a divisor: 2%.
 const CLOCK_LAG_DIVISOR: u64 = 50;
 /// Error of the time between two readings that are rounded to milliseconds, in
 /// milliseconds.
@@ -61,14 +61,19 @@
     pub(crate) epoch: u64,
     /// Last reading of the minion's clock.
     pub(crate) clock_ms: u64,
-    /// When the minion's clock was read, on the agent's clock.
+    /// When the last reading of the minion's clock arrived, on the agent's clock.
     pub(crate) clock_read_ms: u64,
+    /// When the last reading of the minion's clock was requested, on the agent's clock.
+    clock_requested_ms: u64,
     /// When the last report arrived.
     pub(crate) reported_ms: u64,
     /// When the last call was answered.
     pub(crate) answered_ms: u64,
     /// Latest end of the lease that any call requested, on the agent's clock.
     pub(crate) lease_until_ms: u64,
+    /// Earliest end of the lease, as far as answered calls extended it, on the agent's
+    /// clock.
+    pub(crate) min_lease_until_ms: u64,
     /// Time until which runs may go on without the agent because a call that was meant for an
     /// earlier incarnation may have extended the lease; `None` until the minion has seen the
     /// agent's epoch, 0 if no call did.
@@ -106,9 +111,11 @@
             report,
             epoch: 0,
             clock_read_ms: now_ms,
+            clock_requested_ms: now_ms,
             reported_ms: now_ms,
             answered_ms: now_ms,
             lease_until_ms: now_ms,
+            min_lease_until_ms: now_ms,
             inherited_lease_until_ms: None,
             listed_through: 0,
             acknowledged_through: 0,
@@ -250,13 +257,28 @@
         self.clock_at(now_ms).saturating_sub(clock_ms)
     }
 
-    pub(crate) fn read_clock(&mut self, now_ms: u64, clock_ms: u64) {
+    /// Records a reading of the minion's clock that was requested at `requested_ms`.
+    pub(crate) fn read_clock(&mut self, now_ms: u64, requested_ms: u64, clock_ms: u64) {
         if clock_ms > 0 {
             self.clock_ms = clock_ms;
             self.clock_read_ms = now_ms;
+            self.clock_requested_ms = requested_ms;
         }
     }
 
+    /// Earliest time on the agent's clock at which the minion's clock can show `clock_ms`.
+    pub(crate) fn earliest_ms(&self, clock_ms: u64) -> u64 {
+        let remaining_ms = clock_ms.saturating_sub(self.clock_ms);
+        let error_ms = remaining_ms.div_ceil(CLOCK_LAG_DIVISOR) + ROUNDING_MS;
+        (self.clock_requested_ms + remaining_ms).saturating_sub(error_ms)
+    }
+
+    /// Highest possible reading of the minion's clock at `at_ms`.
+    pub(crate) fn max_clock_at(&self, at_ms: u64) -> u64 {
+        let elapsed_ms = at_ms.saturating_sub(self.clock_requested_ms);
+        self.clock_ms + elapsed_ms + elapsed_ms.div_ceil(CLOCK_LAG_DIVISOR) + ROUNDING_MS
+    }
+
     /// Records that the lease is extended. Returns its new end on the minion's clock.
     pub(crate) fn extend_lease(&mut self, now_ms: u64) -> u64 {
         let margin_ms = MINION_LEASE_MS / CLOCK_LAG_DIVISOR;
@@ -284,12 +306,12 @@
         })
     }
 
-    /// Records that the runs may have lapsed, if the lease is over. It must be called
-    /// before the lease is extended and before the minion is given up.
+    /// Records which runs may have lapsed. It must be called before the lease is extended,
+    /// before a broken connection is taken for evidence, and before the minion is given up.
     pub(crate) fn note_lapsed_lease(&mut self, now_ms: u64) {
-        let minion = self.minion.as_ref();
-        if minion.is_some_and(|minion| now_ms > minion.lease_until_ms) {
-            self.runs.lease_lapsed(now_ms);
+        if let Some(minion) = &self.minion {
+            self.runs
+                .note_lapsed_lease(now_ms, minion.min_lease_until_ms);
         }
     }
 
--- a/crates/dispatch/src/agent/mod.rs
+++ b/crates/dispatch/src/agent/mod.rs
@@ -21,6 +21,7 @@
 mod starts;
 mod suspect_starts;
 mod trial;
+mod unconfirmed_crashes;
 mod witness;
 
 use std::collections::BTreeMap;
@@ -59,6 +60,7 @@
 use crate::agent::run_table::RunTable;
 use crate::agent::speed::MinionSpeed;
 use crate::agent::trial::Trial;
+use crate::agent::unconfirmed_crashes::UnconfirmedCrashes;
 use crate::agent::witness::Witness;
 
 /// Identity of an agent, for as long as its process runs.
@@ -152,6 +154,8 @@
     pub(crate) witness: Witness,
     /// Crashes of the minion, for the entries that are greeted next.
     pub(crate) crashes: KnownCrashes,
+    /// Crashes that are not known to have happened.
+    pub(crate) unconfirmed_crashes: UnconfirmedCrashes,
     /// Longest lease that the minion grants, in milliseconds.
     pub(crate) max_lease_ms: u64,
     pub(crate) runs: RunTable,
@@ -181,6 +185,7 @@
             lease_calls: LeaseCalls::default(),
             witness: Witness::default(),
             crashes: KnownCrashes::default(),
+            unconfirmed_crashes: UnconfirmedCrashes::default(),
             max_lease_ms: MINION_LEASE_MS,
             runs: RunTable::default(),
             links: BTreeMap::new(),
@@ -274,6 +279,7 @@
         self.delayed_calls.expire(now_ms);
         self.witness.expire(now_ms);
         self.crashes.expire(now_ms);
+        self.unconfirmed_crashes.expire(now_ms);
         self.expire_links(now_ms);
         self.close_retired_links(now_ms);
         self.watch_minion(now_ms);
--- a/crates/dispatch/src/agent/run_table.rs
+++ b/crates/dispatch/src/agent/run_table.rs
@@ -13,9 +13,9 @@
 use crate::StartOrder;
 use crate::StartResult;
 
-/// Time after which the minion may not have read a start whose connection breaks, in
-/// milliseconds. A minion on the same host reads a call at once.
-const READ_AT_ONCE_MS: u64 = 5;
+/// Time within which a minion that answers calls has read a call, in milliseconds. A minion
+/// on the same host reads a call at once.
+pub(crate) const READ_AT_ONCE_MS: u64 = 5;
 
 /// Phase of a run on the minion.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -89,9 +89,11 @@
     /// Whether the connection of a start broke so long after the call was sent that the
     /// minion may not have read it.
     is_read_uncertain: bool,
-    /// When the agent found that the minion's lease was over, until the minion is known to
-    /// run it since.
-    lapsed_ms: Option<u64>,
+    /// Earliest end of the lease that the last start requests, on the agent's clock.
+    pub(crate) min_lease_until_ms: u64,
+    /// When the agent found that the run may have ended without a report, until the minion is
+    /// known to run it since: its lease may have lapsed, or the minion breaks all calls.
+    may_have_ended_ms: Option<u64>,
     /// When the connection of a start broke, until a listing shows that the incarnation that
     /// it was sent to is still there.
     pub(crate) awaits_listing_since_ms: Option<u64>,
@@ -140,7 +142,8 @@
             connection_broke_ms: None,
             has_broken_start: false,
             is_read_uncertain: false,
-            lapsed_ms: None,
+            min_lease_until_ms: 0,
+            may_have_ended_ms: None,
             awaits_listing_since_ms: None,
             unanswered: 0,
             retry_at_ms: None,
@@ -182,7 +185,7 @@
     /// Records that the connection of a start broke after the call was sent. If that
     /// took long, the minion may have been suspended for all that time and not have
     /// read the call.
-    pub(crate) fn start_connection_broke(&mut self, now_ms: u64) {
+    fn start_connection_broke(&mut self, now_ms: u64) {
         self.awaits_listing_since_ms = Some(now_ms);
         if now_ms <= self.sent_ms + READ_AT_ONCE_MS {
             self.connection_broke_ms = Some(now_ms);
@@ -213,17 +216,19 @@
     /// shows.
     pub(crate) fn seen_running(&mut self, sent_ms: u64) {
         self.was_seen_running = true;
-        self.lapsed_ms.take_if(|lapsed_ms| sent_ms >= *lapsed_ms);
+        self.may_have_ended_ms
+            .take_if(|since_ms| sent_ms >= *since_ms);
     }
 
-    /// Whether the minion may have ended it because its lease was over.
-    pub(crate) fn has_lapsed(&self) -> bool {
-        self.lapsed_ms.is_some()
+    /// Whether the run may have ended without a report.
+    pub(crate) fn may_have_ended(&self) -> bool {
+        self.may_have_ended_ms.is_some()
     }
 
     /// Evidence that a crash of the minion gives against the task: none if the run was
-    /// stopped before, if its lease may have lapsed before, or if the minion may have ended
-    /// before it got the start.
+    /// stopped before, if it may have ended before, or if the minion may have ended before
+    /// it got the start. A connection that broke is evidence only if the minion
+    /// ended then.
     pub(crate) fn crash_evidence(&self) -> Option<CrashEvidence> {
         let is_stopped = matches!(
             self.phase,
@@ -235,7 +240,7 @@
         match (
             is_stopped,
             self.connection_broke_ms,
-            (self.was_seen_running || self.is_read_uncertain) && !self.has_lapsed(),
+            (self.was_seen_running || self.is_read_uncertain) && !self.may_have_ended(),
         ) {
             (false, Some(_), _) => Some(self.broken_connection_evidence()),
             (false, None, true) => Some(CrashEvidence::Weak),
@@ -252,6 +257,14 @@
         }
     }
 
+    /// Forgets a connection that broke before `alive_ms`, when the minion was alive.
+    fn forget_broken_connection(&mut self, alive_ms: u64) {
+        let broke_before = |broke_ms: &mut u64| alive_ms > *broke_ms;
+        if self.connection_broke_ms.take_if(broke_before).is_some() {
+            self.has_broken_start = false;
+        }
+    }
+
     pub(crate) fn ran_ms(&self, now_ms: u64) -> u64 {
         now_ms.saturating_sub(self.started_ms)
     }
@@ -261,6 +274,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct RunTable {
     runs: BTreeMap<(LinkId, OrderId), Run>,
+    /// When the connection of a call broke first since the minion's last answer.
+    first_broke_ms: Option<u64>,
 }
 
 impl RunTable {
@@ -328,31 +343,59 @@
         runs.map(|run| run.order).collect()
     }
 
+    /// Records that the connection of a run's start broke after the call was sent.
+    pub(crate) fn start_connection_broke(&mut self, now_ms: u64, link: LinkId, order: OrderId) {
+        if let Some(run) = self.runs.get_mut(&(link, order)) {
+            let first_sent_ms = run.started_ms;
+            run.start_connection_broke(now_ms);
+            self.connection_broke(now_ms, first_sent_ms);
+        }
+    }
+
+    /// Records that the connection of a call that was sent at `sent_ms` broke. If another
+    /// one had broken before, the minion breaks its calls without a crash: some process has
+    /// taken the later call. Until it answers, runs may end without a report.
+    pub(crate) fn connection_broke(&mut self, now_ms: u64, sent_ms: u64) {
+        let first_broke_ms = *self.first_broke_ms.get_or_insert(now_ms);
+        if sent_ms <= first_broke_ms {
+            return;
+        }
+        for run in self.runs.values_mut() {
+            run.forget_broken_connection(sent_ms);
+            if run.has_sent_start() {
+                run.may_have_ended_ms.get_or_insert(now_ms);
+            }
+        }
+    }
+
     /// Records that the connection of a listing broke while the listing waited for an
-    /// end. The runs that the minion had taken were active then.
+    /// end. The runs that the minion had taken were active then if their lease is not over.
     pub(crate) fn listing_connection_broke(&mut self, now_ms: u64) {
-        let is_active = |run: &&mut Run| run.was_seen_running && !run.has_lapsed();
+        let is_active = |run: &&mut Run| run.was_seen_running && !run.may_have_ended();
         for run in self.runs.values_mut().filter(is_active) {
             run.connection_broke_ms = Some(now_ms);
         }
     }
 
-    /// Records that the lease of all runs was over at this time. The minion may have ended
-    /// them before, so that its crash is no evidence against their tasks.
-    pub(crate) fn lease_lapsed(&mut self, now_ms: u64) {
-        for run in self.runs.values_mut().filter(|run| run.has_sent_start()) {
-            run.lapsed_ms = Some(now_ms);
+    /// Records which runs the minion may have ended by now because its lease was over, so
+    /// that its crash is no evidence against their tasks. Answered calls have extended the
+    /// lease until `min_lease_until_ms`.
+    pub(crate) fn note_lapsed_lease(&mut self, now_ms: u64, min_lease_until_ms: u64) {
+        let may_have_lapsed = |run: &&mut Run| {
+            let until_ms = run.min_lease_until_ms.max(min_lease_until_ms);
+            run.has_sent_start() && now_ms > until_ms
+        };
+        for run in self.runs.values_mut().filter(may_have_lapsed) {
+            run.may_have_ended_ms.get_or_insert(now_ms);
         }
     }
 
     /// Records that the minion was alive at this time. Connections that broke before
     /// are no evidence of how it ended.
     pub(crate) fn minion_answered(&mut self, at_ms: u64) {
+        self.first_broke_ms.take_if(|broke_ms| at_ms > *broke_ms);
         for run in self.runs.values_mut() {
-            let broke_before = |broke_ms: &mut u64| at_ms > *broke_ms;
-            if run.connection_broke_ms.take_if(broke_before).is_some() {
-                run.has_broken_start = false;
-            }
+            run.forget_broken_connection(at_ms);
         }
     }
 
--- a/crates/dispatch/src/agent/starts.rs
+++ b/crates/dispatch/src/agent/starts.rs
@@ -55,6 +55,9 @@
         run.pending += 1;
         run.sent_ms = now_ms;
         let deadline_ms = minion.extend_lease(now_ms);
+        if run.hedged_calls == 1 {
+            run.min_lease_until_ms = minion.earliest_ms(deadline_ms);
+        }
         let incarnation = minion.report.incarnation.clone();
         self.delayed_calls.start_sent(&incarnation, &run.key);
         self.actions.push(AgentAction::Start {
@@ -92,6 +95,9 @@
         let Some((link, order)) = self.runs.find(key) else {
             return;
         };
+        if result == StartResult::Broken {
+            self.runs.start_connection_broke(now_ms, link, order);
+        }
         let Some(run) = self.runs.get_mut(link, order) else {
             return;
         };
@@ -101,15 +107,15 @@
                 run.seen_running(run.sent_ms);
                 run.start_accepted();
                 run.confirmed_ms = now_ms;
+                if let Some(minion) = &mut self.minion {
+                    minion.min_lease_until_ms =
+                        minion.min_lease_until_ms.max(run.min_lease_until_ms);
+                }
                 if run.phase == Phase::Starting {
                     run.phase = Phase::Running;
                 }
             }
-            StartResult::NoAnswer => run.is_outcome_unknown = true,
-            StartResult::Broken => {
-                run.is_outcome_unknown = true;
-                run.start_connection_broke(now_ms);
-            }
+            StartResult::NoAnswer | StartResult::Broken => run.is_outcome_unknown = true,
             refused => run.refusal = Some(refused),
         }
         if run.pending == 0 && run.phase != Phase::Running {
--- a/crates/dispatch/tests/session/crashes.rs
+++ b/crates/dispatch/tests/session/crashes.rs
@@ -79,6 +79,18 @@
         }
     }
 
+    /// Resets the connections of all calls to a minion for `for_ms`, also of those that are
+    /// pending. Its runs go on, and so do its reports.
+    pub fn reset_connections(&mut self, agent: usize, for_ms: u64) {
+        self.minions[agent].resets_until_ms = self.now_ms + for_ms;
+        let is_reset = |pending: &mut PendingListing| pending.agent == agent;
+        let reset: Vec<PendingListing> = self.pending_listings.extract_if(.., is_reset).collect();
+        for pending in reset {
+            let event = Event::Listed(pending.incarnation, pending.call, ListResult::Broken);
+            self.post(Side::Agent(agent), event);
+        }
+    }
+
     /// Lets a minion take no calls for `down_ms` and report to its agent after that.
     fn delay_restart(&mut self, agent: usize, down_ms: u64) {
         self.minions[agent].up_at_ms = self.now_ms + down_ms;
--- a/crates/dispatch/tests/session/minion.rs
+++ b/crates/dispatch/tests/session/minion.rs
@@ -87,6 +87,9 @@
     /// Whether calls before `up_at_ms` time out; otherwise their connections are
     /// refused.
     pub is_host_down: bool,
+    /// Time until which the connections of all calls to it are reset, in milliseconds. It
+    /// does not carry these calls out.
+    pub resets_until_ms: u64,
     /// Capacity before the last change, and the time until which starts may still
     /// use it.
     former_capacity: Option<(Resources, u64)>,
@@ -126,6 +129,7 @@
             reports_start_time: false,
             reported_start_unix_ms: None,
             is_host_down: false,
+            resets_until_ms: 0,
             former_capacity: None,
             up_at_ms: now_ms,
             max_lease_ms: MAX_LEASE_MS,
--- a/crates/dispatch/tests/session/mod.rs
+++ b/crates/dispatch/tests/session/mod.rs
@@ -1166,6 +1166,23 @@
         self.post(Side::Agent(agent), answer);
     }
 
+    /// Answers a call of an agent with a connection that broke after the call was sent.
+    fn break_connection(&mut self, agent: usize, action: &AgentAction) {
+        let answer = match action {
+            AgentAction::Start {
+                incarnation, key, ..
+            } => Event::Started(incarnation.clone(), key.clone(), StartResult::Broken),
+            AgentAction::Stop {
+                incarnation, key, ..
+            } => Event::Stopped(incarnation.clone(), key.clone(), StopResult::Unacknowledged),
+            AgentAction::List {
+                incarnation, call, ..
+            } => Event::Listed(incarnation.clone(), *call, ListResult::Broken),
+            _ => return,
+        };
+        self.post(Side::Agent(agent), answer);
+    }
+
     fn carry_out_delayed_calls(&mut self) {
         let delayed_calls = std::mem::take(&mut self.delayed_calls);
         let (due, rest): (Vec<_>, Vec<_>) = delayed_calls
@@ -1201,6 +1218,12 @@
             }
             return;
         }
+        if now_ms < minion.resets_until_ms {
+            if is_answered {
+                self.break_connection(agent, action);
+            }
+            return;
+        }
         if is_answered && self.queue_if_unresponsive(agent, action) {
             return;
         }
