A lease is requested for the lowest reading of a slow clock and waited for to the highest

Hypotheses: 1. the end of the lease that the agent requests is too late by what a slow clock loses since its last reading; 2. the agent gives up too early, by the length of the lease on a slow clock; 3. the minion keeps runs past their lease; 4. an order that a call carried out late. The agent alone, played against a clock of 0.98, is given up when that clock shows 2,715 of 2,726 ms: 11 ms early at a reading of 560 ms age; with a fresh reading it is not early (not 2, but for 0.2 ms: 450 ms take 459.2).

Cause: clock_at(now) takes the clock to have gone at full speed since the last reading, and the lease is extended from that. The worse path is an idle minion: it is not listed, so its reading is as old as its idleness. After a minute the lease of its first start is 1.2 s too long, up to the longest that the minion grants (15 s on the fleet), and neither its agent, when calls fail, nor the entry, when the agent is lost, waits for it.

Change: minion_clock.rs keeps what is known of the clock as a range. A lease is requested for the lowest possible reading and is over at the latest time at which the clock can show its end. Readings of reports raise the lowest reading, so that an idle minion's start is not refused as late (a_task_after_an_idle_time_starts_at_once). Leases of 2% more are reckoned by one function, longest_ms: 450 ms last 460, not 459, and 15 s last 15,307, not 15,300 (entry: RUNS_GONE_AFTER_MS; agent: ends that wait for a lapse; late calls).

--- a/crates/dispatch/src/agent/incarnations.rs
+++ b/crates/dispatch/src/agent/incarnations.rs
@@ -129,6 +129,7 @@
             return;
         }
         minion.reported_ms = now_ms;
+        minion.clock.reported(now_ms, report.clock_ms);
         let former = std::mem::replace(&mut minion.report, report);
         let (is_draining, capacity) = (minion.report.is_draining, minion.report.capacity);
         if is_draining && !former.is_draining {
@@ -270,7 +271,10 @@
             (Some(expected_ms), Some(listed_ms)) => expected_ms == listed_ms,
             // Without start times, the clock shows whether the served incarnation has
             // answered: its clock never goes backwards.
-            _ => !is_same_id || served.is_some_and(|minion| listing.clock_ms < minion.clock_ms),
+            _ => {
+                !is_same_id
+                    || served.is_some_and(|minion| listing.clock_ms < minion.clock.reading_ms())
+            }
         }
     }
 
--- a/crates/dispatch/src/agent/inherited_lease.rs
+++ b/crates/dispatch/src/agent/inherited_lease.rs
@@ -9,14 +9,13 @@
 
 use crate::Agent;
 use crate::StartResult;
+use crate::lease::DRIFT_DIVISOR;
 use crate::lease::MAX_CALL_DELAY_MS;
 use crate::lease::max_uncontrolled_ms;
 
 /// Longest time for which an agent goes on extending the lease of an incarnation that has
 /// ended, in milliseconds. It stops soon after the last answer.
 const MAX_MISDIRECTED_MS: u64 = 1_000;
-/// Fraction of the elapsed time by which a minion's clock may be off, as a divisor: 2%.
-const CLOCK_DRIFT_DIVISOR: u64 = 50;
 /// Error of a reading that is rounded to milliseconds, in milliseconds.
 const ROUNDING_MS: u64 = 2;
 
@@ -88,7 +87,7 @@
         has_pending_starts: bool,
         max_lease_ms: u64,
     ) -> Option<u64> {
-        let drift_ms = clock_ms.div_ceil(CLOCK_DRIFT_DIVISOR - 1) + ROUNDING_MS;
+        let drift_ms = clock_ms.div_ceil(DRIFT_DIVISOR - 1) + ROUNDING_MS;
         let earliest_start_ms = now_ms.saturating_sub(clock_ms + drift_ms);
         let latest_start_ms = (now_ms + drift_ms).saturating_sub(clock_ms);
         let former_ms = latest_start_ms + MAX_MISDIRECTED_MS + MAX_CALL_DELAY_MS;
--- a/crates/dispatch/src/agent/listing_calls.rs
+++ b/crates/dispatch/src/agent/listing_calls.rs
@@ -128,7 +128,7 @@
             waits_for_end: wait_ms > 0,
             acknowledged_through,
             min_lease_until_ms: deadline_ms
-                .map_or(0, |deadline_ms| minion.earliest_ms(deadline_ms)),
+                .map_or(0, |deadline_ms| minion.clock.earliest_ms(deadline_ms)),
         });
         self.actions.push(AgentAction::List {
             call,
--- a/crates/dispatch/src/agent/listings.rs
+++ b/crates/dispatch/src/agent/listings.rs
@@ -120,7 +120,8 @@
             self.minion_restarted(now_ms, listing.started_unix_ms);
             return;
         }
-        let listing_made_ms = now_ms.saturating_sub(minion.transit_ms(now_ms, listing.clock_ms));
+        let listing_made_ms =
+            now_ms.saturating_sub(minion.clock.transit_ms(now_ms, listing.clock_ms));
         self.runs
             .minion_answered(listing_made_ms.max(pending.sent_ms));
         minion.min_lease_until_ms = minion.min_lease_until_ms.max(pending.min_lease_until_ms);
@@ -129,8 +130,10 @@
         minion
             .pending_listings
             .retain(|other| other.sent_ms > pending.sent_ms);
-        let is_fresh = minion.transit_ms(now_ms, listing.clock_ms) <= MAX_FRESH_TRANSIT_MS;
-        minion.read_clock(now_ms, pending.sent_ms, listing.clock_ms);
+        let is_fresh = minion.clock.transit_ms(now_ms, listing.clock_ms) <= MAX_FRESH_TRANSIT_MS;
+        minion
+            .clock
+            .listed(now_ms, pending.sent_ms, listing.clock_ms);
         if minion.epoch == 0 {
             let epoch = self
                 .epochs
--- a/crates/dispatch/src/agent/minion.rs
+++ b/crates/dispatch/src/agent/minion.rs
@@ -20,6 +20,7 @@
 use crate::agent::incarnations::Loss;
 use crate::agent::listing_calls::LIST_TIMEOUT_MS;
 use crate::agent::listing_calls::PendingListing;
+use crate::agent::minion_clock::MinionClock;
 use crate::agent::retained_ends::RetainedEnds;
 use crate::agent::run_table::Phase;
 use crate::lease::STOP_TIMEOUT_MS;
@@ -46,12 +47,6 @@
 /// Consecutive refused connections that show that a minion has ended. A single one may
 /// have reached it just before it listened.
 const GONE_REFUSALS: u32 = 2;
-/// Fraction of the elapsed time by which a minion's clock may be off, as a divisor: 2%.
-const CLOCK_LAG_DIVISOR: u64 = 50;
-/// Error of the time between two readings that are rounded to milliseconds, in
-/// milliseconds.
-const ROUNDING_MS: u64 = 2;
-
 /// One incarnation of the minion beside an agent.
 #[derive(Debug)]
 pub(crate) struct Minion {
@@ -59,12 +54,7 @@
     pub(crate) report: MinionReport,
     /// The agent's epoch for this incarnation; 0 until one is taken.
     pub(crate) epoch: u64,
-    /// Last reading of the minion's clock.
-    pub(crate) clock_ms: u64,
-    /// When the last reading of the minion's clock arrived, on the agent's clock.
-    pub(crate) clock_read_ms: u64,
-    /// When the last reading of the minion's clock was requested, on the agent's clock.
-    clock_requested_ms: u64,
+    pub(crate) clock: MinionClock,
     /// When the last report arrived.
     pub(crate) reported_ms: u64,
     /// When the last call was answered.
@@ -107,11 +97,9 @@
 impl Minion {
     pub(crate) fn new(now_ms: u64, report: MinionReport) -> Self {
         Self {
-            clock_ms: report.clock_ms,
+            clock: MinionClock::new(now_ms, report.clock_ms),
             report,
             epoch: 0,
-            clock_read_ms: now_ms,
-            clock_requested_ms: now_ms,
             reported_ms: now_ms,
             answered_ms: now_ms,
             lease_until_ms: now_ms,
@@ -149,8 +137,8 @@
     /// Whether a listing that was requested at `sent_ms` is of another incarnation with
     /// the same id: it has another start time, or its clock has gone backwards.
     pub(crate) fn is_of_other_incarnation(&self, sent_ms: u64, listing: &Listing) -> bool {
-        let is_later = listing.clock_ms > 0 && sent_ms > self.clock_read_ms;
-        let has_gone_backwards = is_later && listing.clock_ms < self.clock_ms;
+        let is_later = listing.clock_ms > 0 && sent_ms > self.clock.arrived_ms();
+        let has_gone_backwards = is_later && listing.clock_ms < self.clock.reading_ms();
         let incarnation = &self.report.incarnation;
         has_gone_backwards || !incarnation.can_be_from(listing.started_unix_ms)
     }
@@ -238,53 +226,11 @@
         (through > self.acknowledged_through).then_some(through)
     }
 
-    /// The minion's clock at `now_ms`, extrapolated from its last reading.
-    fn clock_at(&self, now_ms: u64) -> u64 {
-        self.clock_ms + now_ms.saturating_sub(self.clock_read_ms)
-    }
-
-    /// Lowest possible reading of the minion's clock at `now_ms`. After a suspension of
-    /// the host, it is too high until the next listing.
-    fn min_clock_at(&self, now_ms: u64) -> u64 {
-        let elapsed_ms = now_ms.saturating_sub(self.clock_read_ms);
-        let lag_ms = elapsed_ms.div_ceil(CLOCK_LAG_DIVISOR) + ROUNDING_MS;
-        self.clock_ms + elapsed_ms.saturating_sub(lag_ms)
-    }
-
-    /// Transit time of an answer with this reading of the minion's clock, estimated
-    /// from the previous reading, in milliseconds.
-    pub(crate) fn transit_ms(&self, now_ms: u64, clock_ms: u64) -> u64 {
-        self.clock_at(now_ms).saturating_sub(clock_ms)
-    }
-
-    /// Records a reading of the minion's clock that was requested at `requested_ms`.
-    pub(crate) fn read_clock(&mut self, now_ms: u64, requested_ms: u64, clock_ms: u64) {
-        if clock_ms > 0 {
-            self.clock_ms = clock_ms;
-            self.clock_read_ms = now_ms;
-            self.clock_requested_ms = requested_ms;
-        }
-    }
-
-    /// Earliest time on the agent's clock at which the minion's clock can show `clock_ms`.
-    pub(crate) fn earliest_ms(&self, clock_ms: u64) -> u64 {
-        let remaining_ms = clock_ms.saturating_sub(self.clock_ms);
-        let error_ms = remaining_ms.div_ceil(CLOCK_LAG_DIVISOR) + ROUNDING_MS;
-        (self.clock_requested_ms + remaining_ms).saturating_sub(error_ms)
-    }
-
-    /// Highest possible reading of the minion's clock at `at_ms`.
-    pub(crate) fn max_clock_at(&self, at_ms: u64) -> u64 {
-        let elapsed_ms = at_ms.saturating_sub(self.clock_requested_ms);
-        self.clock_ms + elapsed_ms + elapsed_ms.div_ceil(CLOCK_LAG_DIVISOR) + ROUNDING_MS
-    }
-
     /// Records that the lease is extended. Returns its new end on the minion's clock.
     pub(crate) fn extend_lease(&mut self, now_ms: u64) -> u64 {
-        let margin_ms = MINION_LEASE_MS / CLOCK_LAG_DIVISOR;
-        let until_ms = now_ms + MINION_LEASE_MS + margin_ms;
-        self.lease_until_ms = self.lease_until_ms.max(until_ms);
-        self.clock_at(now_ms) + MINION_LEASE_MS
+        let deadline_ms = self.clock.min_at(now_ms) + MINION_LEASE_MS;
+        self.lease_until_ms = self.lease_until_ms.max(self.clock.latest_ms(deadline_ms));
+        deadline_ms
     }
 }
 
@@ -336,7 +282,7 @@
     /// Lowest possible reading of the served minion's clock at `now_ms`.
     fn min_minion_clock_at(&self, now_ms: u64) -> u64 {
         let minion = self.minion.as_ref();
-        minion.map_or(0, |minion| minion.min_clock_at(now_ms))
+        minion.map_or(0, |minion| minion.clock.min_at(now_ms))
     }
 
     pub(crate) fn send_stop(&mut self, key: RunKey) {
--- a/crates/dispatch/src/agent/mod.rs
+++ b/crates/dispatch/src/agent/mod.rs
@@ -13,6 +13,7 @@
 mod listing_calls;
 mod listings;
 mod minion;
+mod minion_clock;
 pub(crate) mod offers;
 mod retained_ends;
 mod run_table;
--- a/crates/dispatch/src/agent/retained_ends.rs
+++ b/crates/dispatch/src/agent/retained_ends.rs
@@ -18,6 +18,7 @@
 use crate::Report;
 use crate::RetainedEnd;
 use crate::RunEnd;
+use crate::lease::longest_ms;
 use crate::stored::RUNS_PER_EPOCH;
 
 /// Time for which an end waits for an owner, in milliseconds: the store gives a lost
@@ -47,7 +48,7 @@
             reported: BTreeMap::new(),
             unowned: BTreeMap::new(),
             discarded: BTreeSet::new(),
-            inherited_lease_until_ms: now_ms + MINION_LEASE_MS + MINION_LEASE_MS / 50,
+            inherited_lease_until_ms: now_ms + longest_ms(MINION_LEASE_MS),
         }
     }
 
@@ -55,7 +56,7 @@
     /// the lease until now. The call gives the end of the lease on the earlier
     /// incarnation's clock, so the lease may be as long as the minion ever grants.
     pub(crate) fn inherit_lease(&mut self, now_ms: u64, max_lease_ms: u64) {
-        self.inherited_lease_until_ms = now_ms + max_lease_ms + max_lease_ms / 50;
+        self.inherited_lease_until_ms = now_ms + longest_ms(max_lease_ms);
     }
 
     /// Records that the report of an end was sent to the entry of a link.
--- a/crates/dispatch/src/agent/starts.rs
+++ b/crates/dispatch/src/agent/starts.rs
@@ -56,7 +56,7 @@
         run.sent_ms = now_ms;
         let deadline_ms = minion.extend_lease(now_ms);
         if run.hedged_calls == 1 {
-            run.min_lease_until_ms = minion.earliest_ms(deadline_ms);
+            run.min_lease_until_ms = minion.clock.earliest_ms(deadline_ms);
         }
         let incarnation = minion.report.incarnation.clone();
         self.delayed_calls.start_sent(&incarnation, &run.key);
--- a/crates/dispatch/src/agent/unconfirmed_crashes.rs
+++ b/crates/dispatch/src/agent/unconfirmed_crashes.rs
@@ -95,7 +95,7 @@
             incarnation: minion.incarnation().clone(),
             crash,
             broke_ms,
-            last_clock_ms: minion.max_clock_at(broke_ms),
+            last_clock_ms: minion.clock.max_at(broke_ms),
         });
         self.event("crash-unconfirmed", Some(job), detail);
     }
--- a/crates/dispatch/src/lease.rs
+++ b/crates/dispatch/src/lease.rs
@@ -27,16 +27,25 @@
 /// Time after an entry's last frame to an agent at which no run that the entry ordered there
 /// is left, whatever happened to the agent, in milliseconds.
 pub const RUNS_GONE_AFTER_MS: u64 =
-    GRANT_MS + STOP_TIMEOUT_MS + MINION_LEASE_MS + MINION_LEASE_MS / 50 + STOP_GRACE_MS;
+    GRANT_MS + STOP_TIMEOUT_MS + longest_ms(MINION_LEASE_MS) + STOP_GRACE_MS;
 
 /// Longest time after which a minion may still carry out an unanswered call, in
 /// milliseconds. The platform can deliver calls seconds after they were sent.
 pub(crate) const MAX_CALL_DELAY_MS: u64 = 12_000;
 
+/// Fraction of the time by which the clock of a minion may be off, as a divisor: 2%.
+pub(crate) const DRIFT_DIVISOR: u64 = 50;
+
+/// Returns the longest time that passes while the slow clock of a minion advances by
+/// `clock_ms`, in milliseconds.
+pub(crate) const fn longest_ms(clock_ms: u64) -> u64 {
+    clock_ms + clock_ms.div_ceil(DRIFT_DIVISOR - 1)
+}
+
 /// Returns the longest time for which a run may go on although no process controls its
 /// minion, in milliseconds, if the minion grants leases of `max_lease_ms`.
 pub(crate) fn max_uncontrolled_ms(max_lease_ms: u64) -> u64 {
-    max_lease_ms + max_lease_ms / 50 + STOP_GRACE_MS
+    longest_ms(max_lease_ms) + STOP_GRACE_MS
 }
 
 const _: () = assert!(
