A report whose clock is ahead of what the minion's can show raises no lease

A report of an earlier incarnation that keeps its id and tells no start time would raise the lowest reading of the clock, and with it the lease. No deployment has such minions (by reading; not seen). Test: a_report_with_a_clock_that_is_ahead_requests_no_longer_lease.

--- a/crates/dispatch/src/agent/minion.rs
+++ b/crates/dispatch/src/agent/minion.rs
@@ -47,6 +47,7 @@
 /// Consecutive refused connections that show that a minion has ended. A single one may
 /// have reached it just before it listened.
 const GONE_REFUSALS: u32 = 2;
+
 /// One incarnation of the minion beside an agent.
 #[derive(Debug)]
 pub(crate) struct Minion {
@@ -54,6 +55,7 @@
     pub(crate) report: MinionReport,
     /// The agent's epoch for this incarnation; 0 until one is taken.
     pub(crate) epoch: u64,
+    /// What is known of the minion's clock.
     pub(crate) clock: MinionClock,
     /// When the last report arrived.
     pub(crate) reported_ms: u64,
--- a/crates/dispatch/src/agent/minion_clock.rs
+++ b/crates/dispatch/src/agent/minion_clock.rs
@@ -50,9 +50,10 @@
         }
     }
 
-    /// Records the reading of a report, which may have been delayed.
+    /// Records the reading of a report, which may have been delayed. One that the clock
+    /// cannot show yet is of an earlier incarnation.
     pub(crate) fn reported(&mut self, now_ms: u64, reading_ms: u64) {
-        if reading_ms > self.min_at(now_ms) {
+        if (self.min_at(now_ms)..=self.max_at(now_ms)).contains(&reading_ms) {
             self.floor_reading_ms = reading_ms;
             self.floor_arrived_ms = now_ms;
         }
--- a/crates/dispatch/tests/slow_clocks.rs
+++ b/crates/dispatch/tests/slow_clocks.rs
@@ -155,6 +155,24 @@
     assert_clean(&session);
 }
 
+/// Guards against a second run: a report of an earlier incarnation arrives, whose clock was
+/// further ahead.
+#[test]
+fn a_report_with_a_clock_that_is_ahead_requests_no_longer_lease() {
+    let mut driver = Driver::new();
+    driver.report_clock(60_000);
+    let actions = driver.order_start(1, "a", false);
+    let deadlines = actions.iter().filter_map(|action| match action {
+        AgentAction::Start { deadline_ms, .. } => Some(*deadline_ms),
+        _ => None,
+    });
+    let latest_ms = deadlines.max().expect("the agent should send a start");
+    assert!(
+        latest_ms <= driver.now_ms() + MINION_LEASE_MS,
+        "{latest_ms}"
+    );
+}
+
 /// Guards against starts that an idle minion refuses because their deadline has passed.
 #[parameterized(
     slow = { SLOW_RATE },
