--- a/crates/dispatch/tests/reset_connections.rs
+++ b/crates/dispatch/tests/reset_connections.rs
@@ -130,6 +130,29 @@
     assert_eq!(only_evidence(&ends), None);
 }
 
+/// The connection of the listing broke at once, so that the minion may have ended before it
+/// read the call, and the run before that.
+#[test]
+fn a_listing_that_breaks_before_it_is_read_is_weak_evidence() {
+    let mut driver = driver_with_run();
+    driver.ends_of_resetting_minion(40);
+    let ends = driver.ends_of_refused_minion();
+    assert_eq!(only_evidence(&ends), Some(CrashEvidence::Weak));
+}
+
+/// Calls that get no answer may not have extended the lease, so that the run may have ended
+/// before the connection broke.
+#[test]
+fn a_connection_that_broke_after_unanswered_calls_is_no_crash_of_the_task() {
+    let mut driver = driver_with_run();
+    for _ in 0..MINION_LEASE_MS / 50 + 1 {
+        driver.answer_listings(&ListResult::NoAnswer);
+    }
+    driver.answer_with(&ListResult::Broken);
+    let ends = driver.ends_of_refused_minion();
+    assert_eq!(only_evidence(&ends), None);
+}
+
 /// The agent was suspended for longer than the lease. The connection of its listing broke
 /// meanwhile, and the minion is gone.
 #[test]
