--- /dev/null
+++ b/review/lib-2/soak.rs
@@ -0,0 +1,153 @@
+//! Faults at random for stored jobs, with a check that nothing runs twice and that every
+//! accepted job ends as it should. The variable `SEED` chooses the faults.
+
+use std::collections::BTreeMap;
+use std::thread;
+use std::time::Duration;
+
+use crate::Deployment;
+use crate::Record;
+use crate::cases::Verdict;
+use crate::cases::pause_ms;
+use crate::cases::specs;
+use crate::job_ids;
+use crate::store::Fault;
+use crate::stored_job;
+
+/// Plays faults at random, and looks for tasks that run twice.
+pub fn run(repository: &str, record: &Record) -> Result<Verdict, String> {
+    const MINIONS: usize = 7;
+    let seed = std::env::var("SEED").ok().and_then(|s| s.parse().ok()).unwrap_or(1_u64);
+    let mut random = Random(seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1);
+    let mut deployment = Deployment::start(repository, record.clone(), 3, specs(MINIONS))?;
+    deployment.warm_up()?;
+    let mut ids = Vec::new();
+    let start_ms = record.ms();
+    let mut next = 0;
+    let mut pending: Vec<(u64, Box<dyn Fn(&mut Deployment)>)> = Vec::new();
+    let mut fault_ms = start_ms + 1_000;
+    while record.ms() < start_ms + 85_000 {
+        let now_ms = record.ms();
+        while let Some(at) = pending.iter().position(|(due_ms, _)| now_ms >= *due_ms) {
+            let (_, action) = pending.remove(at);
+            action(&mut deployment);
+        }
+        if now_ms < start_ms + 70_000 && ids.len() < 1_200 {
+            let id = job_ids(100 + seed, 1_300)[next].clone();
+            next += 1;
+            let fails = random.below(10) == 0;
+            let work_ms = [100, 400, 1_500, 4_000][random.below(4) as usize];
+            let mut body = stored_job(1 + random.below(3) as u32, 1_000, work_ms, work_ms, None);
+            if fails {
+                body = body.replace("ms=", "fail=");
+            }
+            let front = deployment.front(random.below(3) as usize);
+            let sent = id.clone();
+            thread::spawn(move || {
+                let headers = [("Host", "desk.example".to_owned()), ("Gannetvane-Timeout-Ms", "1500".to_owned())];
+                crate::call(front, "POST", &format!("/slots/{sent}"), &headers, &body, Duration::from_millis(1_500))
+            });
+            ids.push((id, fails));
+        }
+        if now_ms >= fault_ms && now_ms < start_ms + 70_000 {
+            fault_ms = now_ms + 800 + random.below(2_500);
+            let (entry, side) = (random.below(3) as usize, random.below(MINIONS as u64) as usize);
+            let for_ms = 200 + random.below(3_800);
+            match random.below(11) {
+                0 | 1 => {
+                    let name = format!("front-{entry}");
+                    deployment.signal(&name, "STOP");
+                    pending.push((now_ms + for_ms, Box::new(move |d| d.signal(&name, "CONT"))));
+                }
+                2 => {
+                    let name = format!("front-{entry}");
+                    deployment.signal(&name, "KILL");
+                    pending.push((now_ms + 300 + for_ms / 4, Box::new(move |d| { let _ = d.start_entry(entry); })));
+                }
+                3 => {
+                    let name = format!("side-{side}");
+                    deployment.signal(&name, "STOP");
+                    pending.push((now_ms + for_ms, Box::new(move |d| d.signal(&name, "CONT"))));
+                }
+                4 => {
+                    let name = format!("side-{side}");
+                    deployment.signal(&name, "KILL");
+                    pending.push((now_ms + 300, Box::new(move |d| { let _ = d.start_agent(side); })));
+                }
+                7 => deployment.store.rebalance(),
+                8 | 9 | 10 => {
+                    let share = 20 + random.below(20);
+                    let fault = [Fault::Busy, Fault::Lost(share), Fault::Late(share)][random.below(3) as usize];
+                    record.line(&format!("store {fault:?} for {for_ms}"));
+                    deployment.store.set_fault(fault);
+                    pending.push((now_ms + for_ms + 800, Box::new(|d| d.store.set_fault(Fault::None))));
+                }
+                5 => {
+                    deployment.tell_minion(side, "mute");
+                    pending.push((now_ms + for_ms, Box::new(move |d| d.tell_minion(side, "speak"))));
+                }
+                _ => {
+                    let name = format!("front-{entry}");
+                    deployment.signal(&name, "TERM");
+                    pending.push((now_ms + 6_500, Box::new(move |d| { d.signal(&name, "KILL"); let _ = d.start_entry(entry); })));
+                }
+            }
+        }
+        pause_ms(40);
+    }
+    for (_, action) in pending {
+        action(&mut deployment);
+    }
+    pause_ms(12_000);
+    let events = deployment.events.lock().unwrap().clone();
+    let mut is_broken = false;
+    let mut running: BTreeMap<String, Vec<(usize, u64)>> = Default::default();
+    let mut noted: BTreeMap<String, (u64, u32)> = Default::default();
+    for event in &events {
+        let runs = running.entry(event.task.clone()).or_default();
+        match event.what.as_str() {
+            "start" => {
+                if let Some((minion, at)) = runs.iter().find(|(m, _)| *m != event.minion) {
+                    record.line(&format!("TWICE {} on {minion} since {at} and {} at {}", event.task, event.minion, event.at_ms));
+                    is_broken = true;
+                }
+                if let Some((at, failures)) = noted.get(&event.task) {
+                    let is_over = *failures == 0 || *failures >= 2;
+                    if is_over {
+                        record.line(&format!("AGAIN {} noted at {at} failures={failures} started at {}", event.task, event.at_ms));
+                        is_broken = true;
+                    }
+                }
+                runs.push((event.minion, event.at_ms));
+            }
+            "done" | "failed" | "stopped" | "lapsed" => runs.retain(|(m, _)| *m != event.minion),
+            "noted-done" => { noted.insert(event.task.clone(), (event.at_ms, 0)); }
+            "noted-failed" => { noted.entry(event.task.clone()).or_insert((event.at_ms, 0)).1 += 1; }
+            _ => {}
+        }
+    }
+    let mut open = 0;
+    for (id, fails) in &ids {
+        let state = deployment.state(id);
+        let expected = if *fails { "failed" } else { "completed" };
+        if state != expected && state != "410" {
+            record.line(&format!("STATE {id} {state} expected={expected}"));
+            deployment.note_logs(id);
+            open += 1;
+        }
+    }
+    record.line(&format!("jobs={} unexpected states={open}", ids.len()));
+    println!("soak seed={seed} jobs={} odd={open} broken={is_broken}", ids.len());
+    Ok(if is_broken || open > 0 { Verdict::Broken } else { Verdict::Held })
+}
+
+struct Random(u64);
+
+impl Random {
+    fn below(&mut self, limit: u64) -> u64 {
+        self.0 ^= self.0 << 13;
+        self.0 ^= self.0 >> 7;
+        self.0 ^= self.0 << 17;
+        self.0 % limit
+    }
+}
