--- a/review/lib-2/cases.rs
+++ b/review/lib-2/cases.rs
@@ -38,6 +38,7 @@
         "crashed" => crashed(repository, &record, is_disturbed),
         "avoided" => avoided(repository, &record, is_disturbed),
         "soak" => crate::soak::run(repository, &record),
+        "many" => crate::soak::many(repository, &record),
         _ => Err(format!("unknown case {name}")),
     };
     let (text, code) = match outcome {
--- a/review/lib-2/minion.rs
+++ b/review/lib-2/minion.rs
@@ -46,6 +46,11 @@
     /// Highest run of each task that was stopped or ended here.
     closed: BTreeMap<String, u64>,
     is_mute: bool,
+    /// Whether half of the starts and stops are carried out late, and not answered.
+    is_late: bool,
+    /// Largest number of tasks of one core that fit.
+    slots: usize,
+    random: u64,
 }
 
 type Shared = Arc<Mutex<State>>;
@@ -64,6 +69,9 @@
         last_end: 0,
         closed: BTreeMap::new(),
         is_mute: false,
+        is_late: false,
+        slots: args[5].parse::<usize>().expect("the capacity") / 1_000,
+        random: u64::from(std::process::id()),
     };
     let state: Shared = Arc::new(Mutex::new(state));
     let serving = Arc::clone(&state);
@@ -86,7 +94,9 @@
     let reporting = Arc::clone(&state);
     thread::spawn(move || report.send_for_ever(&reporting));
     for line in std::io::stdin().lock().lines().map_while(Result::ok) {
-        state.lock().unwrap().is_mute = line == "mute";
+        let mut state = state.lock().unwrap();
+        state.is_mute = line == "mute";
+        state.is_late = line == "late";
     }
     // The driver is gone.
     std::process::exit(0);
@@ -134,6 +144,19 @@
             return Some((421, b"{}".to_vec()));
         }
     }
+    let is_order = request.path != "/api/hold";
+    if is_order && let Some(delay) = state.lock().unwrap().delay() {
+        let (state, path) = (Arc::clone(state), request.path.clone());
+        thread::spawn(move || {
+            thread::sleep(delay);
+            let mut state = state.lock().unwrap();
+            match path.as_str() {
+                "/api/run-start" => state.start(&body),
+                _ => state.stop(&body),
+            }
+        });
+        return None;
+    }
     match request.path.as_str() {
         "/api/run-start" => Some(state.lock().unwrap().start(&body)),
         "/api/run-stop" => Some(state.lock().unwrap().stop(&body)),
@@ -172,6 +195,14 @@
         100_000 + self.born.elapsed().as_millis() as u64
     }
 
+    /// How late the next order is carried out, if it is.
+    fn delay(&mut self) -> Option<Duration> {
+        self.random = self.random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        let random = self.random >> 33;
+        let is_delayed = self.is_late && random % 2 == 0;
+        is_delayed.then(|| Duration::from_millis(2_000 + random / 2 % 10_000))
+    }
+
     fn refusal(&self, reason: &str) -> (u16, Vec<u8>) {
         let clock_ms = self.clock_ms();
         let body = format!("{{\"clock_ms\":{clock_ms},\"reason\":\"{reason}\"}}");
@@ -231,6 +262,9 @@
         let spec = body.text("spec").unwrap_or_default();
         let (kind, work_ms) = spec.split_once('=').unwrap_or(("ms", "20"));
         println!("start {task} run={run}");
+        if self.runs.len() >= self.slots {
+            println!("over {task} run={run}");
+        }
         self.runs.push(Run {
             task,
             run,
--- a/review/lib-2/soak.rs
+++ b/review/lib-2/soak.rs
@@ -19,7 +19,9 @@
     const MINIONS: usize = 7;
     let seed = std::env::var("SEED").ok().and_then(|s| s.parse().ok()).unwrap_or(1_u64);
     let mut random = Random(seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1);
-    let mut deployment = Deployment::start(repository, record.clone(), 3, specs(MINIONS))?;
+    let mut small = specs(MINIONS);
+    small.iter_mut().for_each(|spec| spec.cpu = 4_000);
+    let mut deployment = Deployment::start(repository, record.clone(), 3, small)?;
     deployment.warm_up()?;
     let mut ids = Vec::new();
     let start_ms = record.ms();
@@ -53,7 +55,7 @@
             fault_ms = now_ms + 800 + random.below(2_500);
             let (entry, side) = (random.below(3) as usize, random.below(MINIONS as u64) as usize);
             let for_ms = 200 + random.below(3_800);
-            match random.below(11) {
+            match random.below(14) {
                 0 | 1 => {
                     let name = format!("front-{entry}");
                     deployment.signal(&name, "STOP");
@@ -82,6 +84,14 @@
                     deployment.store.set_fault(fault);
                     pending.push((now_ms + for_ms + 800, Box::new(|d| d.store.set_fault(Fault::None))));
                 }
+                11 | 12 => {
+                    deployment.tell_minion(side, "late");
+                    pending.push((now_ms + 4_000, Box::new(move |d| d.tell_minion(side, "speak"))));
+                }
+                13 => {
+                    deployment.crash_minion(side);
+                    pending.push((now_ms + for_ms, Box::new(move |d| { let _ = d.start_minion(side); })));
+                }
                 5 => {
                     deployment.tell_minion(side, "mute");
                     pending.push((now_ms + for_ms, Box::new(move |d| d.tell_minion(side, "speak"))));
@@ -107,7 +117,7 @@
         let runs = running.entry(event.task.clone()).or_default();
         match event.what.as_str() {
             "start" => {
-                if let Some((minion, at)) = runs.iter().find(|(m, _)| *m != event.minion) {
+                if let Some((minion, at)) = runs.first() {
                     record.line(&format!("TWICE {} on {minion} since {at} and {} at {}", event.task, event.minion, event.at_ms));
                     is_broken = true;
                 }
@@ -121,6 +131,10 @@
                 runs.push((event.minion, event.at_ms));
             }
             "done" | "failed" | "stopped" | "lapsed" => runs.retain(|(m, _)| *m != event.minion),
+            "over" => {
+                record.line(&format!("OVER {} on {} at {}", event.task, event.minion, event.at_ms));
+                is_broken = true;
+            }
             "noted-done" => { noted.insert(event.task.clone(), (event.at_ms, 0)); }
             "noted-failed" => { noted.entry(event.task.clone()).or_insert((event.at_ms, 0)).1 += 1; }
             _ => {}
@@ -141,6 +155,53 @@
     Ok(if is_broken || open > 0 { Verdict::Broken } else { Verdict::Held })
 }
 
+/// Stores many jobs, more than a page of each partition holds, and then kills entries: all
+/// jobs must still be known as completed.
+pub fn many(repository: &str, record: &Record) -> Result<Verdict, String> {
+    const JOBS: usize = 7_200;
+    const SENDERS: usize = 12;
+    let mut deployment = Deployment::start(repository, record.clone(), 3, specs(8))?;
+    deployment.warm_up()?;
+    let ids = job_ids(900, JOBS as u64);
+    let fronts: Vec<_> = (0..3).map(|entry| deployment.front(entry)).collect();
+    let senders = (0..SENDERS).map(|sender| {
+        let of_sender: Vec<String> = ids.iter().skip(sender).step_by(SENDERS).cloned().collect();
+        let front = fronts[sender % 3];
+        thread::spawn(move || {
+            let body = stored_job(1, 500, 20, 20, None);
+            let headers = [
+                ("Host", "desk.example".to_owned()),
+                ("Gannetvane-Timeout-Ms", "4000".to_owned()),
+            ];
+            let send = |id: &String| {
+                let path = format!("/slots/{id}");
+                crate::call(front, "POST", &path, &headers, &body, crate::SECOND * 4).0 == 200
+            };
+            of_sender.into_iter().filter(send).collect::<Vec<String>>()
+        })
+    });
+    let senders: Vec<_> = senders.collect();
+    let accepted: Vec<String> = senders.into_iter().flat_map(|s| s.join().unwrap()).collect();
+    record.line(&format!("accepted={}", accepted.len()));
+    pause_ms(3_000);
+    for entry in 0..3 {
+        deployment.signal(&format!("front-{entry}"), "KILL");
+        let _ = deployment.start_entry(entry);
+        pause_ms(if entry == 0 { 6_000 } else { 200 });
+    }
+    pause_ms(7_000);
+    let mut odd = 0;
+    for id in accepted.iter().step_by(7) {
+        let state = deployment.state(id);
+        if state != "completed" {
+            record.line(&format!("STATE {id} {state}"));
+            odd += 1;
+        }
+    }
+    println!("accepted={} odd={odd}", accepted.len());
+    Ok(if odd > 0 { Verdict::Broken } else { Verdict::Held })
+}
+
 struct Random(u64);
 
 impl Random {
--- a/review/lib-2/store.rs
+++ b/review/lib-2/store.rs
@@ -16,6 +16,8 @@
 
 /// Time of an answer.
 const ANSWER: Duration = Duration::from_millis(4);
+/// Largest number of records in an answer to a read of the newest ones.
+const PAGE: usize = 500;
 /// Number of answers that a producer's repeats may get again.
 const REMEMBERED: usize = 5;
 
@@ -135,7 +137,7 @@
         let topic = text("topic").unwrap_or_default();
         let part = number("part").unwrap_or(0) as u32;
         match (request.method.as_str(), request.path.as_str()) {
-            ("GET", "/api/log-newest") => self.newest(&topic, part),
+            ("GET", "/api/log-newest") => self.newest(&topic, part, &text("after").unwrap_or_default()),
             ("GET", "/api/log-read") => {
                 let wait_ms = number("wait_ms").unwrap_or(0);
                 self.read(&topic, part, number("from").unwrap_or(0), wait_ms)
@@ -148,7 +150,7 @@
         }
     }
 
-    fn newest(&self, topic: &str, part: u32) -> (u16, Vec<u8>) {
+    fn newest(&self, topic: &str, part: u32, after: &str) -> (u16, Vec<u8>) {
         let mut state = self.state.lock().unwrap();
         let records = &state.parts.entry((topic.to_owned(), part)).or_default().records;
         let mut newest = BTreeMap::new();
@@ -157,15 +159,22 @@
             let key = String::from_utf8_lossy(&record[1..=length]).into_owned();
             newest.insert(key, (offset, &record[length + 1..]));
         }
-        let items = newest.iter().filter(|(_, (_, value))| !value.is_empty());
-        let items: Vec<String> = items
+        let is_wanted = |(key, (_, value)): &(&String, &(usize, &[u8]))| {
+            key.as_str() > after && !value.is_empty()
+        };
+        let wanted: Vec<_> = newest.iter().filter(is_wanted).collect();
+        let is_truncated = wanted.len() > PAGE;
+        let items: Vec<String> = wanted
+            .into_iter()
+            .take(PAGE)
             .map(|(key, (offset, value))| {
                 let value = base64(value);
                 format!("{{\"key\":\"{key}\",\"value\":\"{value}\",\"offset\":{offset}}}")
             })
             .collect();
         let (items, end) = (items.join(","), records.len());
-        let body = format!("{{\"items\":[{items}],\"truncated\":false,\"end\":{end}}}");
+        let body =
+            format!("{{\"items\":[{items}],\"truncated\":{is_truncated},\"end\":{end}}}");
         (200, body.into_bytes())
     }
 
