review: case 5, cancelled jobs run after an entry wakes

Cause of the new one: a woken entry hands in stored jobs whose callers have left, and a cancel of an unknown job leaves no note.

--- a/review/lib-2/cases.rs
+++ b/review/lib-2/cases.rs
@@ -13,8 +13,8 @@
 use crate::json::Json;
 use crate::stored_job;
 
-/// Failed runs of a task after which its job may fail, as the queue is configured.
-const MAX_ATTEMPTS: usize = 2;
+/// Time after the ack of a cancel from which no task of the job may start.
+const CANCEL_MS: u64 = 3_000;
 
 /// The rule held, was broken, or the case couldn't run.
 pub enum Verdict {
@@ -33,7 +33,7 @@
     record.line(&format!("case {name} disrupted={is_disturbed}"));
     let outcome = match name.as_str() {
         "starved" => starved(repository, &record, is_disturbed),
-        "failed" => failed(repository, &record, is_disturbed),
+        "cancelled" => cancelled(repository, &record, is_disturbed),
         "pending" => pending(repository, &record, is_disturbed),
         "crashed" => crashed(repository, &record, is_disturbed),
         "avoided" => avoided(repository, &record, is_disturbed),
@@ -108,36 +108,75 @@
     Ok(if idle > 0 { Verdict::Broken } else { Verdict::Held })
 }
 
-/// LOST: a stored job is shown as `failed` after crashes of a minion, although no run of
-/// its task has ended `failed`.
-fn failed(repository: &str, record: &Record, is_disturbed: bool) -> Result<Verdict, String> {
-    const MINIONS: usize = 8;
-    const CRASHES: usize = 3;
-    const DOWN_MS: u64 = 4_500;
-    const UP_MS: u64 = 5_000;
-    let mut deployment = Deployment::start(repository, record.clone(), 3, specs(MINIONS))?;
+/// UNASKED: a client gives up on an entry that stands still and cancels its jobs at another
+/// one; the entry wakes and hands the jobs in, and they run.
+fn cancelled(repository: &str, record: &Record, is_disturbed: bool) -> Result<Verdict, String> {
+    const STOPPED_MS: u64 = 4_000;
+    const PATIENCE_MS: u64 = 400;
+    let mut deployment = Deployment::start(repository, record.clone(), 3, specs(8))?;
     deployment.warm_up()?;
-    let id = job_ids(3, 1).remove(0);
-    let body = stored_job(1, 1_000, 20_000, 20_000, Some("b"));
-    if deployment.submit(0, &id, &body) != 200 {
-        return Err("the job was not accepted".to_owned());
+    let earlier = job_ids(8, 24);
+    let body = stored_job(1, 500, 50, 50, None);
+    for id in &earlier {
+        deployment.submit(2, id, &body);
+    }
+    pause_ms(1_000);
+    let ids = job_ids(9, 12);
+    let body = r#"{"spec":"ms=600","steps":[{"count":1,"cpu":500,"mem_mb":16,"est_runtime_ms":600},{"count":1,"cpu":500,"mem_mb":16,"est_runtime_ms":600,"after":[0]}]}"#;
+    if is_disturbed {
+        deployment.signal("front-2", "STOP");
     }
-    for _ in 0..CRASHES {
-        if is_disturbed {
-            pause_ms(UP_MS);
-            deployment.crash_minion(MINIONS - 1);
-            pause_ms(DOWN_MS);
-            deployment.start_minion(MINIONS - 1)?;
+    let stopped_ms = record.ms();
+    let clients = ids.iter().map(|id| {
+        let (id, record) = (id.clone(), record.clone());
+        let (first, other) = (deployment.front(2), deployment.front(0));
+        thread::spawn(move || {
+            let send = |front, method: &str, body: &str, timeout_ms: u64| {
+                let headers = [
+                    ("Host", "desk.example".to_owned()),
+                    ("Gannetvane-Timeout-Ms", timeout_ms.to_string()),
+                ];
+                let path = format!("/slots/{id}");
+                let timeout = Duration::from_millis(timeout_ms);
+                let (status, _) = crate::call(front, method, &path, &headers, body, timeout);
+                record.line(&format!("client {method} {id}: {status}"));
+                status
+            };
+            send(first, "POST", body, PATIENCE_MS);
+            let status = send(other, "DELETE", "", 2_500);
+            let is_acked = (200..300).contains(&status) || status == 410;
+            (id, is_acked.then(|| record.ms()))
+        })
+    });
+    let clients: Vec<_> = clients.collect();
+    let cancels: Vec<_> = clients.into_iter().map(|client| client.join().unwrap()).collect();
+    pause_ms(STOPPED_MS.saturating_sub(record.ms() - stopped_ms));
+    if is_disturbed {
+        deployment.signal("front-2", "CONT");
+    }
+    pause_ms(8_000);
+    let mut unasked = 0;
+    for (id, acked_ms) in &cancels {
+        let Some(acked_ms) = acked_ms else { continue };
+        let events = deployment.events_of(id);
+        let starts = events.iter().filter(|event| event.what == "start");
+        let late: Vec<u64> = starts
+            .filter(|event| event.at_ms > acked_ms + CANCEL_MS)
+            .map(|event| event.at_ms - acked_ms)
+            .collect();
+        let state = deployment.state(id);
+        record.line(&format!("job {id} state={state} starts_ms_after_cancel={late:?}"));
+        if !late.is_empty() {
+            unasked += 1;
+            deployment.note_logs(id);
         }
     }
-    let state = deployment.wait_end(&id, 50);
-    let events = deployment.events_of(&id);
-    let failures = events.iter().filter(|event| event.what == "failed").count();
-    let starts = events.iter().filter(|event| event.what == "start").count();
-    record.line(&format!("job {id} state={state} starts={starts} failed_runs={failures}"));
-    deployment.note_logs(&id);
-    let is_lost = state != "completed" && failures < MAX_ATTEMPTS;
-    Ok(if is_lost { Verdict::Broken } else { Verdict::Held })
+    let acked = cancels.iter().filter(|(_, acked_ms)| acked_ms.is_some()).count();
+    record.line(&format!("cancels acked={acked} started afterwards={unasked}"));
+    if acked < 4 {
+        return Err("too few cancels were answered".to_owned());
+    }
+    Ok(if unasked > 0 { Verdict::Broken } else { Verdict::Held })
 }
 
 /// MIXED: jobs of which no task has started are missing in `pending`.
--- a/review/lib-2/minion.rs
+++ b/review/lib-2/minion.rs
@@ -9,6 +9,7 @@
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
+use std::time::UNIX_EPOCH;
 
 use crate::HEARTBEAT_MS;
 use crate::MAX_HOLD_MS;
@@ -38,6 +39,7 @@
 struct State {
     id: String,
     born: Instant,
+    born_unix_ms: u128,
     epoch: u64,
     lease_until_ms: u64,
     runs: Vec<Run>,
@@ -62,6 +64,7 @@
     let state = State {
         id: args[2].clone(),
         born: Instant::now(),
+        born_unix_ms: UNIX_EPOCH.elapsed().map_or(0, |since| since.as_millis()),
         epoch: 0,
         lease_until_ms: 0,
         runs: Vec::new(),
@@ -117,11 +120,12 @@
         for seq in 1_u64.. {
             let clock_ms = state.lock().unwrap().clock_ms();
             let body = format!(
-                r#"{{"service":"desk","address":"{}","zone":"{}","version":"v1","slots":8,"state":"ready","cold_remaining_ms":0,"capacity":{{"cpu":{},"mem_mb":65536,"gpu":0}},"labels":[{}],"clock_ms":{clock_ms},"seq":{seq}}}"#,
+                r#"{{"service":"desk","address":"{}","zone":"{}","version":"v1","slots":8,"state":"ready","cold_remaining_ms":0,"capacity":{{"cpu":{},"mem_mb":65536,"gpu":0}},"labels":[{}],"born":{},"clock_ms":{clock_ms},"seq":{seq}}}"#,
                 self.addr,
                 self.zone,
                 self.cpu,
                 labels.join(","),
+                state.lock().unwrap().born_unix_ms,
             );
             let path = format!("/api/instances/{}", self.id);
             let (status, _) = call(self.control, "PUT", &path, &[], &body, SECOND);
@@ -327,7 +331,8 @@
         });
         let (running, ends): (Vec<_>, Vec<_>) = (running.collect(), ends.collect());
         format!(
-            "{{\"clock_ms\":{},\"running\":[{}],\"finished\":[{}]}}",
+            "{{\"born\":{},\"clock_ms\":{},\"running\":[{}],\"finished\":[{}]}}",
+            self.born_unix_ms,
             self.clock_ms(),
             running.join(","),
             ends.join(",")
