--- a/review/lib-2/cases.rs
+++ b/review/lib-2/cases.rs
@@ -38,6 +38,7 @@
         "crashed" => crashed(repository, &record, is_disturbed),
         "avoided" => avoided(repository, &record, is_disturbed),
         "soak" => crate::soak::run(repository, &record),
+        "cancels" => crate::soak::cancels(repository, &record),
         "many" => crate::soak::many(repository, &record),
         _ => Err(format!("unknown case {name}")),
     };
@@ -54,7 +55,11 @@
 /// Minions of 16 cores, of which the last alone is of kind `b`.
 pub fn specs(count: usize) -> Vec<MinionSpec> {
     let spec = |index: usize| MinionSpec {
-        labels: format!("{},r1-{}", if index + 1 == count { "b" } else { "a" }, index / 3 + 1),
+        labels: format!(
+            "{},r1-{}",
+            if index + 1 == count { "b" } else { "a" },
+            index / 3 + 1
+        ),
         cpu: 16_000,
     };
     (0..count).map(spec).collect()
@@ -76,13 +81,21 @@
     for (index, id) in bound.iter().enumerate() {
         accepted_bound += u32::from(deployment.submit(index % 3, id, &body) == 200);
     }
-    let started = || bound.iter().filter(|id| !deployment.events_of(id).is_empty()).count();
+    let started = || {
+        bound
+            .iter()
+            .filter(|id| !deployment.events_of(id).is_empty())
+            .count()
+    };
     let mut waits = 0;
     while started() < accepted_bound as usize && waits < 40 {
         pause_ms(100);
         waits += 1;
     }
-    record.line(&format!("bound jobs accepted={accepted_bound} started={}", started()));
+    record.line(&format!(
+        "bound jobs accepted={accepted_bound} started={}",
+        started()
+    ));
     if accepted_bound < 50 {
         return Err("too few jobs were accepted".to_owned());
     }
@@ -103,9 +116,16 @@
     }
     pause_ms(FINISH_S * 1_000);
     let idle = count_idle(&deployment, &accepted);
-    record.line(&format!("free jobs accepted={} idle={idle}", accepted.len()));
+    record.line(&format!(
+        "free jobs accepted={} idle={idle}",
+        accepted.len()
+    ));
     deployment.note_logs(&accepted[0]);
-    Ok(if idle > 0 { Verdict::Broken } else { Verdict::Held })
+    Ok(if idle > 0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    })
 }
 
 /// UNASKED: a client gives up on an entry that stands still and cancels its jobs at another
@@ -149,7 +169,10 @@
         })
     });
     let clients: Vec<_> = clients.collect();
-    let cancels: Vec<_> = clients.into_iter().map(|client| client.join().unwrap()).collect();
+    let cancels: Vec<_> = clients
+        .into_iter()
+        .map(|client| client.join().unwrap())
+        .collect();
     pause_ms(STOPPED_MS.saturating_sub(record.ms() - stopped_ms));
     if is_disturbed {
         deployment.signal("front-2", "CONT");
@@ -165,18 +188,29 @@
             .map(|event| event.at_ms - acked_ms)
             .collect();
         let state = deployment.state(id);
-        record.line(&format!("job {id} state={state} starts_ms_after_cancel={late:?}"));
+        record.line(&format!(
+            "job {id} state={state} starts_ms_after_cancel={late:?}"
+        ));
         if !late.is_empty() {
             unasked += 1;
             deployment.note_logs(id);
         }
     }
-    let acked = cancels.iter().filter(|(_, acked_ms)| acked_ms.is_some()).count();
-    record.line(&format!("cancels acked={acked} started afterwards={unasked}"));
+    let acked = cancels
+        .iter()
+        .filter(|(_, acked_ms)| acked_ms.is_some())
+        .count();
+    record.line(&format!(
+        "cancels acked={acked} started afterwards={unasked}"
+    ));
     if acked < 4 {
         return Err("too few cancels were answered".to_owned());
     }
-    Ok(if unasked > 0 { Verdict::Broken } else { Verdict::Held })
+    Ok(if unasked > 0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    })
 }
 
 /// MIXED: jobs of which no task has started are missing in `pending`.
@@ -207,7 +241,10 @@
     let mut is_broken = false;
     for entry in 0..3 {
         let (status, answer) = deployment.request(entry, "GET", "", "");
-        let begun = ids.iter().filter(|id| !deployment.events_of(id).is_empty()).count();
+        let begun = ids
+            .iter()
+            .filter(|id| !deployment.events_of(id).is_empty())
+            .count();
         record.line(&format!(
             "pending at front-{entry}: {status} {answer}; accepted={JOBS} begun={begun}"
         ));
@@ -224,7 +261,11 @@
         record.line(&format!("job {id} state={state}"));
     }
     deployment.note_logs(&ids[0]);
-    Ok(if is_broken { Verdict::Broken } else { Verdict::Held })
+    Ok(if is_broken {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    })
 }
 
 /// Waits, and then looks at each job for over 3 s: returns for how many of them nothing ran
@@ -251,7 +292,9 @@
     for (index, id) in ids.iter().enumerate() {
         if idle_samples[index] == SAMPLES {
             let state = deployment.state(id);
-            record.line(&format!("job {id} had nothing running for 3.2 s; state={state}"));
+            record.line(&format!(
+                "job {id} had nothing running for 3.2 s; state={state}"
+            ));
             idle += usize::from(matches!(state.as_str(), "queued" | "running"));
         }
     }
@@ -284,7 +327,11 @@
     }
     let idle = count_idle(&deployment, &accepted);
     record.line(&format!("accepted={} idle={idle}", accepted.len()));
-    Ok(if idle > 0 { Verdict::Broken } else { Verdict::Held })
+    Ok(if idle > 0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    })
 }
 
 /// LOST: a job whose minion crashed isn't started there again, although that minion is back
@@ -318,5 +365,9 @@
     pause_ms(FINISH_S * 1_000);
     let idle = count_idle(&deployment, &[id.clone()]);
     deployment.note_logs(&id);
-    Ok(if idle > 0 { Verdict::Broken } else { Verdict::Held })
+    Ok(if idle > 0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    })
 }
--- a/review/lib-2/harness.rs
+++ b/review/lib-2/harness.rs
@@ -53,7 +53,10 @@
     let args: Vec<String> = std::env::args().collect();
     match args.get(1).map(String::as_str) {
         Some("minion") => minion::run(&args[2..]),
-        Some("case") => std::process::exit(cases::run(&args[2..])),
+        Some("case") => {
+            end_in_time();
+            std::process::exit(cases::run(&args[2..]))
+        }
         _ => {
             eprintln!("usage: harness case NAME REPOSITORY RECORD");
             std::process::exit(2);
@@ -61,6 +64,16 @@
     }
 }
 
+/// Ends the driver when a case takes too long; `run.sh` then ends the other processes.
+fn end_in_time() {
+    if std::env::var("REVIEW_PIDS").is_ok() {
+        thread::spawn(|| {
+            thread::sleep(Duration::from_secs(115));
+            std::process::exit(3);
+        });
+    }
+}
+
 /// An HTTP request that a stand-in received.
 pub struct Request {
     pub method: String,
@@ -168,7 +181,9 @@
     let _ = stream.read_to_end(&mut answer);
     let answer = String::from_utf8_lossy(&answer).into_owned();
     let status = answer.split(' ').nth(1).and_then(|s| s.parse().ok());
-    let body = answer.split_once("\r\n\r\n").map(|(_, body)| body.to_owned());
+    let body = answer
+        .split_once("\r\n\r\n")
+        .map(|(_, body)| body.to_owned());
     (status.unwrap_or(0), body.unwrap_or_default())
 }
 
@@ -305,7 +320,8 @@
     }
 
     fn shared_settings(&self, name: &str, zone: usize, host: u8) -> String {
-        let seeds = (0..self.entries.min(3)).map(|entry| self.addr(entry_host(entry), CONTROL_PORT));
+        let seeds =
+            (0..self.entries.min(3)).map(|entry| self.addr(entry_host(entry), CONTROL_PORT));
         let seeds: Vec<String> = seeds.map(|seed| format!("\"{seed}\"")).collect();
         format!(
             "[host]\nname = \"{name}\"\nzone = \"{}\"\nlink_address = \"{}\"\n\
@@ -362,6 +378,7 @@
             .stderr(errors)
             .spawn()
             .map_err(|e| format!("{name}: {e}"))?;
+        note_pid(child.id());
         self.record.line(&format!("process {name} started"));
         let name = name.to_owned();
         self.processes.push(Process { name, child });
@@ -387,7 +404,9 @@
             .stdout(Stdio::piped())
             .spawn()
             .map_err(|e| e.to_string())?;
-        self.record.line(&format!("minion {index} up as {id} labels={}", spec.labels));
+        self.record
+            .line(&format!("minion {index} up as {id} labels={}", spec.labels));
+        note_pid(child.id());
         let output = child.stdout.take().ok_or("no output")?;
         let (record, events) = (self.record.clone(), Arc::clone(&self.events));
         thread::spawn(move || {
@@ -397,7 +416,12 @@
                 let what = words.next().unwrap_or_default().to_owned();
                 let task = words.next().unwrap_or_default().to_owned();
                 let at_ms = record.ms();
-                let event = RunEvent { at_ms, minion: index, what, task };
+                let event = RunEvent {
+                    at_ms,
+                    minion: index,
+                    what,
+                    task,
+                };
                 events.lock().unwrap().push(event);
             }
         });
@@ -423,7 +447,12 @@
             }
             let at_ms = self.record.ms();
             let what = "stopped".to_owned();
-            let end = |task| RunEvent { at_ms, minion: index, what: what.clone(), task };
+            let end = |task| RunEvent {
+                at_ms,
+                minion: index,
+                what: what.clone(),
+                task,
+            };
             events.extend(running.into_iter().map(end));
         }
     }
@@ -441,7 +470,8 @@
     pub fn signal(&mut self, name: &str, signal: &str) {
         let process = self.processes.iter_mut().rev().find(|p| p.name == name);
         let Some(process) = process else { return };
-        self.record.line(&format!("process {name} gets SIG{signal}"));
+        self.record
+            .line(&format!("process {name} gets SIG{signal}"));
         let command = format!("kill -{signal} {}", process.child.id());
         let _ = Command::new("sh").arg("-c").arg(command).status();
         if signal == "KILL" {
@@ -452,7 +482,9 @@
     /// Submits a stored job and records the answer.
     pub fn submit(&self, entry: usize, id: &str, body: &str) -> u16 {
         let (status, answer) = self.request(entry, "POST", id, body);
-        self.record.line(&format!("client POST {id} at front-{entry}: {status} {answer}"));
+        self.record.line(&format!(
+            "client POST {id} at front-{entry}: {status} {answer}"
+        ));
         status
     }
 
@@ -463,7 +495,14 @@
             ("Gannetvane-Timeout-Ms", "4000".to_owned()),
         ];
         let path = format!("/slots/{id}");
-        call(self.front(entry), method, &path, &headers, body, Duration::from_secs(5))
+        call(
+            self.front(entry),
+            method,
+            &path,
+            &headers,
+            body,
+            Duration::from_secs(5),
+        )
     }
 
     /// Returns the state of a stored job, from the first entry that tells it.
@@ -554,7 +593,9 @@
     /// The minion with most running tasks.
     pub fn busiest(&self) -> usize {
         let running = self.running_by_minion();
-        (0..running.len()).max_by_key(|minion| running[*minion]).unwrap_or(0)
+        (0..running.len())
+            .max_by_key(|minion| running[*minion])
+            .unwrap_or(0)
     }
 
     /// Copies the programs' log lines that name a job into the record.
@@ -585,6 +626,17 @@
     }
 }
 
+/// Adds a started process to the file of which `run.sh` ends all processes when it is ended
+/// itself.
+fn note_pid(pid: u32) {
+    let Ok(path) = std::env::var("REVIEW_PIDS") else {
+        return;
+    };
+    if let Ok(mut file) = File::options().create(true).append(true).open(path) {
+        let _ = writeln!(file, "{pid}");
+    }
+}
+
 /// Waits until the last output of an ended process was read.
 fn pause_for_output() {
     thread::sleep(Duration::from_millis(30));
@@ -611,7 +663,13 @@
     for step in 0..50 {
         let net = (60 + (pid % 120) as u8, (pid / 120 + step) as u8);
         let entries = (0..entries).flat_map(|entry| {
-            let ports = [LINK_PORT, METRICS_PORT, FRONT_PORT, READY_PORT, CONTROL_PORT];
+            let ports = [
+                LINK_PORT,
+                METRICS_PORT,
+                FRONT_PORT,
+                READY_PORT,
+                CONTROL_PORT,
+            ];
             ports.map(|port| addr(net, entry_host(entry), port))
         });
         let sides = (0..minions).flat_map(|minion| {
@@ -634,7 +692,9 @@
     declared_ms: u64,
     label: Option<&str>,
 ) -> String {
-    let label = label.map_or(String::new(), |label| format!(",\"constraints\":\"{label}\""));
+    let label = label.map_or(String::new(), |label| {
+        format!(",\"constraints\":\"{label}\"")
+    });
     format!(
         r#"{{"spec":"ms={work_ms}","steps":[{{"count":{count},"cpu":{cpu},"mem_mb":16,"est_runtime_ms":{declared_ms}{label}}}]}}"#
     )
@@ -647,5 +707,7 @@
         x ^= x >> 31;
         x.wrapping_mul(0xBF58_476D_1CE4_E5B9)
     };
-    (0..count).map(|n| format!("{:016x}", mix(series * 1_000 + n + 1))).collect()
+    (0..count)
+        .map(|n| format!("{:016x}", mix(series * 1_000 + n + 1)))
+        .collect()
 }
--- a/review/lib-2/json.rs
+++ b/review/lib-2/json.rs
@@ -14,7 +14,10 @@
 impl Json {
     /// Parses a text; `None` if it is not JSON.
     pub fn parse(text: &str) -> Option<Self> {
-        let mut reader = Reader { bytes: text.as_bytes(), at: 0 };
+        let mut reader = Reader {
+            bytes: text.as_bytes(),
+            at: 0,
+        };
         let value = reader.value()?;
         reader.space();
         (reader.at == reader.bytes.len()).then_some(value)
@@ -113,7 +116,8 @@
                         b'n' => text.push(b'\n'),
                         b't' => text.push(b'\t'),
                         b'u' => {
-                            let hex = std::str::from_utf8(self.bytes.get(self.at + 1..self.at + 5)?);
+                            let hex =
+                                std::str::from_utf8(self.bytes.get(self.at + 1..self.at + 5)?);
                             let code = u32::from_str_radix(hex.ok()?, 16).ok()?;
                             let mut buffer = [0; 4];
                             let char = char::from_u32(code)?;
--- a/review/lib-2/minion.rs
+++ b/review/lib-2/minion.rs
@@ -201,7 +201,10 @@
 
     /// How late the next order is carried out, if it is.
     fn delay(&mut self) -> Option<Duration> {
-        self.random = self.random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        self.random = self
+            .random
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
         let random = self.random >> 33;
         let is_delayed = self.is_late && random % 2 == 0;
         is_delayed.then(|| Duration::from_millis(2_000 + random / 2 % 10_000))
@@ -214,7 +217,10 @@
     }
 
     fn ok(&self) -> (u16, Vec<u8>) {
-        (200, format!("{{\"clock_ms\":{}}}", self.clock_ms()).into_bytes())
+        (
+            200,
+            format!("{{\"clock_ms\":{}}}", self.clock_ms()).into_bytes(),
+        )
     }
 
     fn fence(&mut self, body: &Json) -> Option<(u16, Vec<u8>)> {
@@ -259,7 +265,10 @@
             self.extend(body);
             return self.ok();
         }
-        if body.number("deadline_ms").is_none_or(|deadline_ms| deadline_ms <= self.clock_ms()) {
+        if body
+            .number("deadline_ms")
+            .is_none_or(|deadline_ms| deadline_ms <= self.clock_ms())
+        {
             return self.refusal("late");
         }
         self.extend(body);
@@ -288,7 +297,11 @@
         };
         let closed = self.closed.entry(task.clone()).or_insert(0);
         *closed = (*closed).max(run);
-        if let Some(index) = self.runs.iter().position(|r| r.task == task && r.run == run) {
+        if let Some(index) = self
+            .runs
+            .iter()
+            .position(|r| r.task == task && r.run == run)
+        {
             self.end(index, "stopped");
         }
         self.ok()
@@ -301,7 +314,13 @@
         let closed = self.closed.entry(run.task.clone()).or_insert(0);
         *closed = (*closed).max(run.run);
         let (number, task, run) = (self.last_end, run.task, run.run);
-        self.ends.push(End { number, task, run, how, has_lapsed: false });
+        self.ends.push(End {
+            number,
+            task,
+            run,
+            how,
+            has_lapsed: false,
+        });
     }
 
     /// Ends what is done, and all runs when the lease is over.
@@ -315,7 +334,11 @@
         }
         let is_done = |run: &Run| run.started.elapsed().as_millis() as u64 >= run.work_ms;
         while let Some(index) = self.runs.iter().position(is_done) {
-            let how = if self.runs[index].fails { "failed" } else { "done" };
+            let how = if self.runs[index].fails {
+                "failed"
+            } else {
+                "done"
+            };
             self.end(index, how);
         }
     }
@@ -327,7 +350,10 @@
             format!("[\"{}\",{},\"\",{percent},0]", run.task, run.run)
         });
         let ends = self.ends.iter().take(500).map(|end| {
-            format!("[{},\"{}\",{},\"{}\",\"\"]", end.number, end.task, end.run, end.how)
+            format!(
+                "[{},\"{}\",{},\"{}\",\"\"]",
+                end.number, end.task, end.run, end.how
+            )
         });
         let (running, ends): (Vec<_>, Vec<_>) = (running.collect(), ends.collect());
         format!(
--- a/review/lib-2/store.rs
+++ b/review/lib-2/store.rs
@@ -98,7 +98,10 @@
     fn answer_or_fail(&self, request: Request) -> Option<(u16, Vec<u8>)> {
         let (fault, random) = {
             let mut fault = self.fault.lock().unwrap();
-            fault.1 = fault.1.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+            fault.1 = fault
+                .1
+                .wrapping_mul(6_364_136_223_846_793_005)
+                .wrapping_add(1_442_695_040_888_963_407);
             (fault.0, fault.1 >> 33)
         };
         let is_write = request.method == "POST";
@@ -137,7 +140,9 @@
         let topic = text("topic").unwrap_or_default();
         let part = number("part").unwrap_or(0) as u32;
         match (request.method.as_str(), request.path.as_str()) {
-            ("GET", "/api/log-newest") => self.newest(&topic, part, &text("after").unwrap_or_default()),
+            ("GET", "/api/log-newest") => {
+                self.newest(&topic, part, &text("after").unwrap_or_default())
+            }
             ("GET", "/api/log-read") => {
                 let wait_ms = number("wait_ms").unwrap_or(0);
                 self.read(&topic, part, number("from").unwrap_or(0), wait_ms)
@@ -152,7 +157,11 @@
 
     fn newest(&self, topic: &str, part: u32, after: &str) -> (u16, Vec<u8>) {
         let mut state = self.state.lock().unwrap();
-        let records = &state.parts.entry((topic.to_owned(), part)).or_default().records;
+        let records = &state
+            .parts
+            .entry((topic.to_owned(), part))
+            .or_default()
+            .records;
         let mut newest = BTreeMap::new();
         for (offset, record) in records.iter().enumerate() {
             let length = usize::from(record[0]);
@@ -173,8 +182,7 @@
             })
             .collect();
         let (items, end) = (items.join(","), records.len());
-        let body =
-            format!("{{\"items\":[{items}],\"truncated\":{is_truncated},\"end\":{end}}}");
+        let body = format!("{{\"items\":[{items}],\"truncated\":{is_truncated},\"end\":{end}}}");
         (200, body.into_bytes())
     }
 
@@ -183,7 +191,11 @@
         loop {
             {
                 let mut state = self.state.lock().unwrap();
-                let records = &state.parts.entry((topic.to_owned(), part)).or_default().records;
+                let records = &state
+                    .parts
+                    .entry((topic.to_owned(), part))
+                    .or_default()
+                    .records;
                 if (from as usize) < records.len() || Instant::now() >= until {
                     let mut body = (records.len() as u64).to_be_bytes().to_vec();
                     body.extend_from_slice(&0_u64.to_be_bytes());
@@ -202,14 +214,21 @@
         let number = |key: &str| request.query.get(key).and_then(|n| n.parse::<u64>().ok());
         let mut state = self.state.lock().unwrap();
         let partition = state.parts.entry((topic.to_owned(), part)).or_default();
-        let named = request.query.get("producer").zip(number("epoch")).zip(number("seq"));
+        let named = request
+            .query
+            .get("producer")
+            .zip(number("epoch"))
+            .zip(number("seq"));
         if let Some(((name, epoch), seq)) = named {
             let producer = partition.producers.entry(name.clone()).or_default();
             if epoch < producer.epoch {
                 return (409, b"{\"reason\":\"fenced\"}".to_vec());
             }
             if epoch > producer.epoch {
-                *producer = Producer { epoch, ..Producer::default() };
+                *producer = Producer {
+                    epoch,
+                    ..Producer::default()
+                };
             }
             if let Some((_, first)) = producer.last.iter().find(|(last, _)| *last == seq) {
                 return (200, first.clone().into_bytes());
@@ -229,7 +248,10 @@
             partition.records.push(rest[4..4 + length].to_vec());
             rest = &rest[4 + length..];
         }
-        let body = format!("{{\"offset\":{offset},\"end\":{}}}", partition.records.len());
+        let body = format!(
+            "{{\"offset\":{offset},\"end\":{}}}",
+            partition.records.len()
+        );
         if let Some(((name, _), seq)) = named {
             let producer = partition.producers.entry(name.clone()).or_default();
             producer.next = Some(seq + 1);
@@ -251,7 +273,10 @@
         let mut state = self.state.lock().unwrap();
         let group = state.groups.entry(group).or_default();
         let held = group.join(&member, ttl, known);
-        let rows: Vec<String> = held.iter().map(|p| format!("[\"{topic}\",{p},0]")).collect();
+        let rows: Vec<String> = held
+            .iter()
+            .map(|p| format!("[\"{topic}\",{p},0]"))
+            .collect();
         let (generation, rows) = (group.generation, rows.join(","));
         let body = format!("{{\"generation\":{generation},\"parts\":[{rows}]}}");
         (200, body.into_bytes())
@@ -260,8 +285,15 @@
     fn leave(&self, body: &[u8]) -> (u16, Vec<u8>) {
         let body = Json::parse(&String::from_utf8_lossy(body)).unwrap_or(Json::Null);
         let mut state = self.state.lock().unwrap();
-        let group = state.groups.entry(body.text("group").unwrap_or_default()).or_default();
-        if group.members.remove(&body.text("member").unwrap_or_default()).is_some() {
+        let group = state
+            .groups
+            .entry(body.text("group").unwrap_or_default())
+            .or_default();
+        if group
+            .members
+            .remove(&body.text("member").unwrap_or_default())
+            .is_some()
+        {
             group.assign();
         }
         (200, b"{}".to_vec())
@@ -276,7 +308,10 @@
             m.held.iter().map(row)
         });
         let rows: Vec<String> = rows.collect();
-        (200, format!("{{\"owners\":[{}]}}", rows.join(",")).into_bytes())
+        (
+            200,
+            format!("{{\"owners\":[{}]}}", rows.join(",")).into_bytes(),
+        )
     }
 }
 
@@ -288,7 +323,14 @@
             member.expires = expires;
         } else {
             let (held, target) = (BTreeSet::new(), BTreeSet::new());
-            self.members.insert(name.to_owned(), Member { expires, held, target });
+            self.members.insert(
+                name.to_owned(),
+                Member {
+                    expires,
+                    held,
+                    target,
+                },
+            );
             self.assign();
         }
         if known >= self.generation
@@ -305,7 +347,8 @@
 
     fn expire(&mut self) {
         let before = self.members.len();
-        self.members.retain(|_, member| member.expires > Instant::now());
+        self.members
+            .retain(|_, member| member.expires > Instant::now());
         if self.members.len() != before {
             self.assign();
         }
