Placement: jobs that fit nowhere hold up no other jobs

Cause: a round of placement ended after 12 jobs without an agent, and started jobs rank first. Twelve started jobs at one entry that fit nowhere used up every round. The same inference, that what fails for one task fails for those behind it, stood in three more places: a job's later steps were not looked at after its first task found no agent, agents were filtered by the needs of each job's first waiting step alone, and probes were sent for the first waiting task alone.

Ruled out: ownership and the log (the partitions are served and the jobs are with the dispatcher), agents that refuse (no start is ordered), the shed (stored jobs are not shed).

Change: a round looks at every waiting job for whose waiting steps some agent with the required label may have the resources free. Jobs for which none has cost one comparison with the largest free amounts of their group and are not ranked at all. What is left to bound are agents with room that do not suit a task (slow, ejected, avoided). After 1,000 of these in order, as many again are examined for the jobs behind, which take turns over the rounds.

--- a/crates/dispatch/src/dispatcher/jobs.rs
+++ b/crates/dispatch/src/dispatcher/jobs.rs
@@ -322,6 +322,18 @@
         !self.is_paused && tasks.any(|task| task.phase == TaskPhase::Waiting)
     }
 
+    /// Returns the indexes of the steps that have tasks waiting to be ordered.
+    pub(crate) fn waiting_steps(&self) -> impl Iterator<Item = usize> {
+        let waiting = self
+            .tasks
+            .iter()
+            .filter(|task| task.phase == TaskPhase::Waiting);
+        let mut last = None;
+        waiting
+            .map(|task| task.step)
+            .filter(move |step| last.replace(*step) != Some(*step))
+    }
+
     /// Returns the number of tasks that wait to be ordered.
     pub(crate) fn waiting_tasks(&self) -> u32 {
         let tasks = self.tasks.iter();
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -4,6 +4,7 @@
 //! A job is kept for as long as its caller waits. Stored jobs have no waiting
 //! caller; the dispatcher runs them for the ledger.
 
+mod candidates;
 mod crashes;
 mod delayed_starts;
 mod ends;
@@ -59,6 +60,7 @@
 use crate::dispatcher::witnesses::Witnesses;
 use crate::policy::BoxedPolicy;
 use crate::policy::FairShare;
+use crate::policy::Rank;
 use crate::policy::Uplink;
 use crate::policy::WorkRate;
 use crate::stored::StoredEvent;
@@ -153,6 +155,9 @@
     pub(crate) uplink: Uplink,
     /// Rate of the work that this entry recently started, by service.
     pub(crate) started_work: BTreeMap<Name, WorkRate>,
+    /// First of the waiting jobs that the last round of placement did not
+    /// reach, with its rank.
+    pub(crate) next_turn: Option<(Rank, Name)>,
     pub(crate) last_shed_ms: u64,
     /// Services whose failing hosts are not ejected, because too many of them
     /// fail.
@@ -204,6 +209,7 @@
             starts_resume_at_ms: now_ms,
             policy,
             started_work: BTreeMap::new(),
+            next_turn: None,
             last_shed_ms: now_ms,
             services_without_ejection: Vec::new(),
             usual_speed: 1.0,
--- a/crates/dispatch/src/dispatcher/overload.rs
+++ b/crates/dispatch/src/dispatcher/overload.rs
@@ -73,7 +73,7 @@
         let rates = self.drain_rates();
         let mut ahead: BTreeMap<Name, f64> = BTreeMap::new();
         let mut shed_jobs = Vec::new();
-        for id in self.waiting_by_urgency(now_ms) {
+        for (_, id) in self.waiting_by_urgency(now_ms) {
             let Some(job) = self.jobs.get(&id) else {
                 continue;
             };
--- a/crates/dispatch/src/dispatcher/probes.rs
+++ b/crates/dispatch/src/dispatcher/probes.rs
@@ -1,6 +1,7 @@
 //! Late binding at an entry: it sends probes for waiting tasks to a few agents,
 //! which offer resources as soon as some are free.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use gannetvane_wire::Name;
@@ -47,10 +48,22 @@
             return;
         };
         state.probed_until_ms = now_ms + PROBE_TTL_MS;
-        let job = Arc::clone(&state.job);
-        let Some(first) = waiting.first().copied() else {
+        let mut by_step: BTreeMap<usize, Vec<usize>> = BTreeMap::new();
+        for position in waiting {
+            let of_step = by_step.entry(state.tasks[position].step).or_default();
+            of_step.push(position);
+        }
+        for of_step in by_step.into_values() {
+            self.probe_for_step(now_ms, id, &of_step);
+        }
+    }
+
+    /// Sends probes for the waiting tasks of one step.
+    fn probe_for_step(&mut self, now_ms: u64, id: &Name, waiting: &[usize]) {
+        let (Some(state), Some(first)) = (self.jobs.get(id), waiting.first().copied()) else {
             return;
         };
+        let job = Arc::clone(&state.job);
         let step = state.tasks[first].step;
         let latest_ms = state.latest_start_ms(step, &self.estimates);
         let slack_ms = (latest_ms - now_ms.cast_signed()).max(0);
--- a/crates/dispatch/src/dispatcher/rounds.rs
+++ b/crates/dispatch/src/dispatcher/rounds.rs
@@ -15,6 +15,8 @@
 use crate::dispatcher::Dispatcher;
 use crate::dispatcher::OrderState;
 use crate::dispatcher::SUSPENSION_MS;
+use crate::dispatcher::candidates::Candidates;
+use crate::dispatcher::candidates::TaskDemand;
 use crate::dispatcher::fleet::AgentState;
 use crate::dispatcher::jobs::JobState;
 use crate::dispatcher::jobs::TaskPhase;
@@ -27,9 +29,10 @@
 /// No host of a service is left out if more than one in this many of its hosts
 /// are ejected.
 const MAX_EJECTED_DIVISOR: usize = 2;
-/// Number of jobs without a suitable agent after which a round of placement
-/// ends.
-const MAX_MISSES_PER_ROUND: usize = 12;
+/// Number of agents with enough free resources for some task, but not suitable
+/// for it, that a round of placement examines before it passes on to the jobs
+/// whose turn it is.
+const MAX_VAIN_CHECKS: usize = 1_000;
 
 impl Dispatcher {
     /// Returns the services of which so many hosts failed that the cause is not
@@ -59,20 +62,43 @@
         if now_ms < self.starts_resume_at_ms || now_ms > self.last_tick_ms + SUSPENSION_MS {
             return;
         }
-        let candidates = self.candidate_agents(now_ms);
+        let mut candidates = self.candidates(now_ms);
         if candidates.is_empty() {
             return;
         }
         self.services_without_ejection = self.find_services_without_ejection(now_ms);
-        let mut misses = 0;
-        for id in self.waiting_by_urgency(now_ms) {
-            if !self.place_job(now_ms, &id, &candidates) {
-                misses += 1;
-            }
-            if misses >= MAX_MISSES_PER_ROUND {
-                return;
+        let waiting = self.placeable_by_urgency(now_ms, &mut candidates);
+        let reached = self.place_jobs(now_ms, &waiting, &mut candidates);
+        self.place_rest(now_ms, &waiting[reached..], &mut candidates);
+    }
+
+    /// Orders the tasks of these jobs, the first job first, until too many
+    /// agents were examined in vain. Returns the number of jobs that were
+    /// reached.
+    fn place_jobs(
+        &mut self,
+        now_ms: u64,
+        waiting: &[(Rank, Name)],
+        candidates: &mut Candidates,
+    ) -> usize {
+        candidates.allow_checks(MAX_VAIN_CHECKS);
+        for (number, (_, id)) in waiting.iter().enumerate() {
+            if candidates.is_exhausted() {
+                return number;
             }
+            self.place_job(now_ms, id, candidates);
         }
+        waiting.len()
+    }
+
+    /// Orders the tasks of jobs that the round did not reach in their order.
+    /// They take turns: the next round goes on where this one ends.
+    fn place_rest(&mut self, now_ms: u64, rest: &[(Rank, Name)], candidates: &mut Candidates) {
+        let turn = self.next_turn.take();
+        let first = turn.map_or(0, |turn| rest.partition_point(|waiting| *waiting < turn));
+        let first = if first < rest.len() { first } else { 0 };
+        let reached = first + self.place_jobs(now_ms, &rest[first..], candidates);
+        self.next_turn = rest.get(reached).cloned();
     }
 
     /// Sets the usual speed to the median speed of the minions that run tasks,
@@ -87,21 +113,24 @@
 
     /// Returns the agents that may take a waiting task. In a full fleet they
     /// are few, which keeps a round cheap.
-    pub(crate) fn candidate_agents(&self, now_ms: u64) -> Vec<LinkId> {
+    fn candidates(&self, now_ms: u64) -> Candidates {
         let waiting = self
             .jobs
             .values()
-            .filter(|job| job.is_open() && job.has_waiting());
-        let needs = waiting.map(|job| job.job.steps[job.next_step()].needs.cpu_milli);
+            .filter(|job| job.is_open() && !job.is_paused);
+        let needs = waiting.flat_map(|job| {
+            let steps = job.waiting_steps();
+            steps.map(|step| job.job.steps[step].needs.cpu_milli)
+        });
         let Some(min_milli) = needs.min() else {
-            return Vec::new();
+            return Candidates::default();
         };
         let can_take = |agent: &AgentState| {
             let has_enough_cpu = agent.free().cpu_milli >= min_milli;
             agent.accepts_starts(now_ms) && has_enough_cpu
         };
-        let candidates = self.agents.iter().filter(|(_, agent)| can_take(agent));
-        candidates.map(|(link, _)| *link).collect()
+        let agents = self.agents.iter().filter(|(_, agent)| can_take(agent));
+        Candidates::new(agents.map(|(link, agent)| (*link, agent)))
     }
 
     /// Returns the free processor capacity of a service outside evacuated
@@ -116,49 +145,115 @@
     }
 
     /// Returns the ids of the jobs with waiting tasks, the most urgent first.
-    pub(crate) fn waiting_by_urgency(&self, now_ms: u64) -> Vec<Name> {
+    pub(crate) fn waiting_by_urgency(&self, now_ms: u64) -> Vec<(Rank, Name)> {
+        self.by_urgency(now_ms, |_| true)
+    }
+
+    /// Returns the ids of the jobs with a waiting task for which some candidate
+    /// may have enough free resources, the most urgent first.
+    fn placeable_by_urgency(&self, now_ms: u64, candidates: &mut Candidates) -> Vec<(Rank, Name)> {
+        self.by_urgency(now_ms, |job| {
+            let service = &job.job.queue.service;
+            let mut steps = job.waiting_steps();
+            steps.any(|step| candidates.may_fit(&self.agents, service, &job.job.steps[step]))
+        })
+    }
+
+    /// Returns the ids and ranks of the waiting jobs that `is_wanted` selects,
+    /// the most urgent first.
+    fn by_urgency(
+        &self,
+        now_ms: u64,
+        mut is_wanted: impl FnMut(&JobState) -> bool,
+    ) -> Vec<(Rank, Name)> {
         let waiting = self
             .jobs
             .iter()
-            .filter(|(_, job)| job.is_open() && job.has_waiting());
+            .filter(|(_, job)| job.is_open() && job.has_waiting() && is_wanted(job));
         let rank = |job: &JobState| self.policy.rank(now_ms, &job.waiting(&self.estimates));
-        let mut waiting: Vec<(Rank, &Name)> = waiting.map(|(id, job)| (rank(job), id)).collect();
+        let mut waiting: Vec<(Rank, Name)> =
+            waiting.map(|(id, job)| (rank(job), id.clone())).collect();
         waiting.sort_unstable();
-        waiting.into_iter().map(|(_, id)| id.clone()).collect()
+        waiting
     }
 
-    /// Orders the waiting tasks of a job; returns `false` if no agent could
-    /// take one of them.
-    pub(crate) fn place_job(&mut self, now_ms: u64, id: &Name, candidates: &[LinkId]) -> bool {
+    /// Orders the waiting tasks of a job for which there are agents. A task
+    /// without one holds up no task of another step, nor one that avoids other
+    /// hosts.
+    fn place_job(&mut self, now_ms: u64, id: &Name, candidates: &mut Candidates) {
         let Some(state) = self.jobs.get(id) else {
-            return true;
+            return;
         };
         let job = Arc::clone(&state.job);
+        let mut without_agent: Vec<(usize, Vec<Name>)> = Vec::new();
         for position in self.startable_tasks(now_ms, id) {
-            let Some(link) = self.choose_agent(now_ms, &job, position, candidates) else {
-                return false;
+            let Some(task) = self.jobs.get(id).map(|state| &state.tasks[position]) else {
+                return;
+            };
+            let is_like = |(step, avoided): &(usize, Vec<Name>)| {
+                *step == task.step && *avoided == task.avoided_hosts
             };
-            self.order_start(now_ms, id, position, link);
+            if without_agent.iter().any(is_like) {
+                continue;
+            }
+            let demand = (task.step, task.avoided_hosts.clone());
+            match self.choose_agent(now_ms, &job, position, candidates) {
+                Some(link) => {
+                    candidates.add_order(link, &job.steps[demand.0].needs);
+                    self.order_start(now_ms, id, position, link);
+                }
+                None => without_agent.push(demand),
+            }
+            if candidates.is_exhausted() {
+                return;
+            }
         }
-        true
     }
 
     /// Returns the best of the candidates for a task, if any has enough free
     /// resources.
-    pub(crate) fn choose_agent(
+    fn choose_agent(
         &mut self,
         now_ms: u64,
         job: &Job,
         position: usize,
-        candidates: &[LinkId],
+        candidates: &mut Candidates,
     ) -> Option<LinkId> {
+        let state = self.jobs.get(&job.id)?;
+        let task = &state.tasks[position];
+        let step = &job.steps[task.step];
+        let has_own_requirements = step.max_per_minion > 0 || !task.avoided_hosts.is_empty();
+        let time_left_ms = state.objective_ms as f64 - now_ms as f64;
+        let expected_ms = self
+            .estimates
+            .expected_ms(&job.queue.name, step.declared_ms);
+        let demand = TaskDemand {
+            service: &job.queue.service,
+            step,
+            slack: time_left_ms / expected_ms.max(1.0),
+        };
+        if !has_own_requirements && candidates.is_unsuited(&demand) {
+            candidates.checked_in_vain(0);
+            return None;
+        }
+        let fitting = candidates.fitting(&self.agents, &job.queue.service, step);
+        if fitting.is_empty() {
+            return None;
+        }
         let context = self.placement_context(now_ms, job, position)?;
-        let agents: Vec<(LinkId, &AgentState)> = candidates
+        let agents: Vec<(LinkId, &AgentState)> = fitting
             .iter()
             .filter_map(|link| Some((*link, self.agents.get(link)?)))
             .collect();
         let mut jitter = || self.rng.random::<f64>();
-        placement::choose(&agents, &self.hosts, &context, &mut jitter)
+        let chosen = placement::choose(&agents, &self.hosts, &context, &mut jitter);
+        if chosen.is_none() {
+            candidates.checked_in_vain(fitting.len());
+            if !has_own_requirements {
+                candidates.add_unsuited(&demand);
+            }
+        }
+        chosen
     }
 
     /// Returns what the choice of an agent for a task depends on.
@@ -201,6 +296,9 @@
     /// Returns the hosts that a task avoids. If no other host could take it,
     /// none is avoided, since a bad host is better than no host.
     fn hosts_to_avoid(&self, avoided: &[Name], service: &Name, step: &Step) -> Vec<Name> {
+        if avoided.is_empty() {
+            return Vec::new();
+        }
         let is_other =
             |agent: &&AgentState| !agent.is_evacuated && !avoided.contains(&agent.hello.host);
         let others = self.agents.values().filter(is_other);
--- a/crates/dispatch/tests/session/mod.rs
+++ b/crates/dispatch/tests/session/mod.rs
@@ -357,6 +357,11 @@
     policy: fn() -> BoxedPolicy,
     /// Shapes of the jobs that `submit_shape` submitted, by job id.
     shapes: BTreeMap<String, JobShape>,
+    /// Steps of the jobs that were submitted with steps of their own, by job id. Their
+    /// tasks run as long as declared.
+    steps: BTreeMap<String, Vec<Step>>,
+    /// Labels of the minions that have others than the usual one.
+    labels: BTreeMap<usize, Vec<String>>,
     /// Indexes of the tasks that minions started, by job id.
     started_tasks: BTreeMap<String, BTreeSet<u32>>,
     /// Whether minions answer as promptly as real ones: a listing call waits for
@@ -463,6 +468,8 @@
             queues,
             policy,
             shapes: BTreeMap::new(),
+            steps: BTreeMap::new(),
+            labels: BTreeMap::new(),
             started_tasks: BTreeMap::new(),
             has_prompt_minions: false,
             pending_listings: Vec::new(),
@@ -585,6 +592,21 @@
         position
     }
 
+    /// Submits a job with these steps; returns its position in `callers`.
+    pub fn submit_steps(&mut self, entry: usize, id: &str, steps: Vec<Step>) -> usize {
+        let tasks = steps.iter().map(|step| step.count).sum();
+        let declared_ms = steps.iter().map(|step| step.declared_ms).max().unwrap_or(0);
+        self.steps.insert(id.to_owned(), steps);
+        self.submit_declared(entry, id, tasks, declared_ms, declared_ms)
+    }
+
+    /// Gives a minion these labels, with which its next incarnation starts at once.
+    pub fn set_labels(&mut self, agent: usize, labels: &[&str]) {
+        let labels = labels.iter().map(|label| (*label).to_owned());
+        self.labels.insert(agent, labels.collect());
+        self.crash_minion(agent);
+    }
+
     /// Submits a job of the given shape; returns its position in `callers`.
     pub fn submit_shape(&mut self, entry: usize, id: &str, shape: JobShape) -> usize {
         let tasks = u32::try_from(shape.work_ms.len()).unwrap_or(u32::MAX);
@@ -610,15 +632,18 @@
         state.caller = Some(caller);
         let shape = self.shapes.get(&state.id);
         let queue = shape.map_or(&self.queues[0], |shape| &shape.queue);
-        let job = Job {
-            id: state.id.as_str().into(),
-            spec: spec(state, shape).into(),
-            steps: vec![Step {
+        let single = || {
+            vec![Step {
                 count: state.tasks,
                 needs: shape.map_or(TASK_RESOURCES, |shape| shape.needs),
                 declared_ms: state.declared_ms,
                 ..Step::default()
-            }],
+            }]
+        };
+        let job = Job {
+            id: state.id.as_str().into(),
+            spec: spec(state, shape).into(),
+            steps: self.steps.get(&state.id).cloned().unwrap_or_else(single),
             queue: Arc::clone(queue),
             wait_ms: state.wait_ms,
         };
@@ -924,7 +949,10 @@
             incarnation: minion.incarnation(),
             service: SERVICE.into(),
             zone: zone(agent).into(),
-            labels: vec!["a".into()],
+            labels: match self.labels.get(&agent) {
+                Some(labels) => labels.iter().map(|label| label.as_str().into()).collect(),
+                None => vec!["a".into()],
+            },
             capacity: minion.capacity,
             is_draining: self.draining.contains(&agent),
             clock_ms: minion.clock_ms(self.now_ms),
@@ -1248,6 +1276,10 @@
                     let needs = shape.map_or(TASK_RESOURCES, |shape| shape.needs);
                     let index = key.task.index as usize;
                     let work_ms = shape.map_or(work_ms, |shape| shape.work_ms[index]);
+                    let steps = self.steps.get(&*key.task.job);
+                    let step = steps.map(|steps| &steps[key.task.step as usize]);
+                    let needs = step.map_or(needs, |step| step.needs);
+                    let work_ms = step.map_or(work_ms, |step| step.declared_ms as f64);
                     was_started = minion.running().any(|running| running == key);
                     minion.start(now_ms, key, needs, work_ms, *deadline_ms, *epoch)
                 } else {
--- a/crates/dispatch/tests/session/stored.rs
+++ b/crates/dispatch/tests/session/stored.rs
@@ -90,6 +90,13 @@
         self.stored.len() - 1
     }
 
+    /// Submits a stored job with these steps; returns its position in `stored`.
+    pub fn store_steps(&mut self, id: &str, steps: Vec<Step>) -> usize {
+        let tasks = steps.iter().map(|step| step.count).sum();
+        self.steps.insert(id.to_owned(), steps);
+        self.store(id, tasks, 0)
+    }
+
     /// Makes the caller cancel a job, and repeat that until it is answered.
     pub fn cancel_stored(&mut self, position: usize) {
         self.stored[position].wants_cancel = true;
@@ -131,16 +138,19 @@
             return;
         }
         let id: Arc<str> = state.id.as_str().into();
+        let single = || {
+            vec![Step {
+                count: state.tasks,
+                needs: TASK_RESOURCES,
+                declared_ms: state.work_ms,
+                ..Step::default()
+            }]
+        };
         let call = if !state.is_accepted || state.sends_again {
             StoredCall::Submit(StoredJob {
                 id: Arc::clone(&id),
                 spec: format!("work_ms={}", state.work_ms).into(),
-                steps: vec![Step {
-                    count: state.tasks,
-                    needs: TASK_RESOURCES,
-                    declared_ms: state.work_ms,
-                    ..Step::default()
-                }],
+                steps: self.steps.get(&state.id).cloned().unwrap_or_else(single),
                 queue: Arc::clone(&table(1).queues[0]),
             })
         } else if state.wants_cancel && !state.is_cancelled {
