Overload: work that waits for few minions refuses no other work

What callers saw: 60 jobs of 16 cores wait for a kind's one minion, and small jobs get 429 beside seven idle minions (5 to 12 of 12 measured by the users).

Cause: three sums are taken over a whole service, whoever could do the work: what waits before a stored job (check_stored), what waits before a job that may be shed (shed), and the waiting work that entries tell each other through agents and from which the admitted share follows. Work that only one minion can do is in all three, so it counts as ahead of jobs that never wait for that minion.

Ruled out: placement alone.

Change: a task waits for the whole service if at least half of the service's capacity outside evacuated zones can run it, by label and size, and otherwise for a part of it (Pool). Sums are taken by pool. Work for a part is left out of what entries tell each other; it is admitted, and shed or refused by what waits at this entry for the same part and by what that part does. Retry-After of such a job follows from the part as well. On a deployment whose jobs all minions can run, every sum is what it was.

--- a/crates/dispatch/src/dispatcher/jobs.rs
+++ b/crates/dispatch/src/dispatcher/jobs.rs
@@ -12,6 +12,7 @@
 use crate::JobOutcome;
 use crate::OrderId;
 use crate::RunKey;
+use crate::Step;
 use crate::TaskId;
 use crate::dispatcher::estimate::Estimates;
 use crate::ledger::partition::OwnedJob;
@@ -394,13 +395,24 @@
     /// Returns the work of the waiting tasks: expected run time in milliseconds
     /// times thousandths of a core.
     pub(crate) fn waiting_work(&self, estimates: &Estimates) -> f64 {
+        self.waiting_work_of(estimates, |_| true)
+    }
+
+    /// Returns the work of the waiting tasks in the steps that `is_counted`
+    /// selects.
+    pub(crate) fn waiting_work_of(
+        &self,
+        estimates: &Estimates,
+        mut is_counted: impl FnMut(&Step) -> bool,
+    ) -> f64 {
         let mut counts = vec![0_u32; self.job.steps.len()];
         let waiting = |task: &&TaskState| task.phase == TaskPhase::Waiting;
         for task in self.tasks.iter().filter(waiting) {
             counts[task.step] += 1;
         }
         let steps = self.job.steps.iter().zip(counts);
-        let work = steps.filter(|(_, count)| *count > 0).map(|(step, count)| {
+        let steps = steps.filter(|(step, count)| *count > 0 && is_counted(step));
+        let work = steps.map(|(step, count)| {
             let expected_ms = estimates.expected_ms(&self.job.queue.name, step.declared_ms);
             expected_ms * f64::from(step.needs.cpu_milli) * f64::from(count)
         });
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -15,6 +15,7 @@
 mod jobs;
 mod outbox;
 mod overload;
+mod pools;
 mod probes;
 mod resizes;
 mod rounds;
--- a/crates/dispatch/src/dispatcher/overload.rs
+++ b/crates/dispatch/src/dispatcher/overload.rs
@@ -11,6 +11,7 @@
 use crate::Refusal;
 use crate::dispatcher::Dispatcher;
 use crate::dispatcher::jobs::JobState;
+use crate::dispatcher::pools::Pool;
 use crate::policy::MIN_RATE_MILLI;
 
 /// A job waits for the first minion of its service for its objective divided by
@@ -42,7 +43,7 @@
             let outcome = if !job.has_never_run() {
                 JobOutcome::TooLate
             } else {
-                let view = self.service_view(now_ms, &job.job.queue.service);
+                let view = self.view_for(now_ms, job);
                 let jitter = self.rng.random::<f64>();
                 JobOutcome::Refused {
                     reason,
@@ -71,20 +72,25 @@
             started.decay(now_ms);
         }
         let rates = self.drain_rates();
-        let mut ahead: BTreeMap<Name, f64> = BTreeMap::new();
+        let mut pools = self.pools();
+        let mut ahead: BTreeMap<(Name, Pool), f64> = BTreeMap::new();
         let mut shed_jobs = Vec::new();
         for (_, id) in self.waiting_by_urgency(now_ms) {
             let Some(job) = self.jobs.get(&id) else {
                 continue;
             };
             let service = &job.job.queue.service;
-            let work =
-                ahead.get(service).copied().unwrap_or(0.0) + job.waiting_work(&self.estimates);
-            let rate_milli = rates.get(service).copied().unwrap_or(MIN_RATE_MILLI);
+            let pool = pools.of_job(job);
+            let rate_milli = match pool {
+                Pool::Whole => rates.get(service).copied().unwrap_or(MIN_RATE_MILLI),
+                Pool::Part { .. } => self.drain_rate_for(service, &job.job.steps[job.next_step()]),
+            };
+            let pool = (service.clone(), pool);
+            let work = ahead.get(&pool).copied().unwrap_or(0.0) + job.waiting_work(&self.estimates);
             if !job.is_stored && self.cannot_meet_objective(now_ms, job, work / rate_milli) {
                 shed_jobs.push((id, service.clone(), job.received_ms));
             } else {
-                ahead.insert(service.clone(), work);
+                ahead.insert(pool, work);
             }
         }
         for (id, service, received_ms) in shed_jobs {
@@ -99,7 +105,7 @@
         let Some(job) = self.jobs.get(id) else {
             return;
         };
-        let view = self.service_view(now_ms, &job.job.queue.service);
+        let view = self.view_for(now_ms, job);
         let jitter = self.rng.random::<f64>();
         let outcome = JobOutcome::Refused {
             reason: Refusal::Overloaded,
--- a/crates/dispatch/src/dispatcher/stored_runs.rs
+++ b/crates/dispatch/src/dispatcher/stored_runs.rs
@@ -15,6 +15,7 @@
 use crate::StoredJob;
 use crate::dispatcher::jobs::JobState;
 use crate::dispatcher::jobs::TaskPhase;
+use crate::dispatcher::pools::Pool;
 use crate::ledger::partition::OwnedJob;
 use crate::stored::RUNS_PER_EPOCH;
 use crate::stored::StoredEvent;
@@ -41,19 +42,28 @@
         if !self.has_minions(service) {
             return Err(Refusal::NoMinion);
         }
-        let of_service = self.jobs.values().filter(|job| {
-            let is_waiting = job.is_open() && job.has_waiting();
-            is_waiting && job.job.queue.service == *service
-        });
+        let Some(first) = job.steps.first() else {
+            return Ok(());
+        };
+        let mut pools = self.pools();
+        let pool = pools.of_step(service, first);
         let (mut ahead, mut needed_milli) = (0.0, initial_needs_milli(&job));
-        for waiting in of_service {
+        let waiting = self.waiting_jobs_of(service);
+        for waiting in waiting.filter(|waiting| pools.of_job(waiting) == pool) {
             ahead += waiting.waiting_work(&self.estimates);
             needed_milli += waiting.waiting_milli();
         }
-        if needed_milli <= self.free_milli(service) {
+        let free_milli = match pool {
+            Pool::Whole => self.free_milli(service),
+            Pool::Part { .. } => self.free_milli_for(service, first),
+        };
+        if needed_milli <= free_milli {
             return Ok(());
         }
-        let rate = self.drain_rates().get(service).copied();
+        let rate = match pool {
+            Pool::Whole => self.drain_rates().get(service).copied(),
+            Pool::Part { .. } => Some(self.drain_rate_for(service, first)),
+        };
         let wait_ms = rate.map_or(0.0, |rate| ahead / rate);
         let objectives_ms = stored.objective_ms() as f64 * MAX_BACKLOG_OBJECTIVES;
         if wait_ms > objectives_ms.max(MAX_STORED_BACKLOG_MS) {
--- a/crates/dispatch/src/dispatcher/views.rs
+++ b/crates/dispatch/src/dispatcher/views.rs
@@ -5,22 +5,29 @@
 use gannetvane_wire::Name;
 
 use crate::Demand;
+use crate::Step;
 use crate::dispatcher::Dispatcher;
 use crate::dispatcher::fleet::AgentState;
 use crate::dispatcher::jobs::JobState;
+use crate::dispatcher::pools::Pool;
 use crate::policy::Arrival;
 use crate::policy::MIN_RATE_MILLI;
 use crate::policy::ServiceView;
 
 /// Smallest share of a busy service that an entry assumes for itself: as if
 /// eight entries had equal shares.
-const MIN_SHARE: f64 = 0.125;
+pub(crate) const MIN_SHARE: f64 = 0.125;
 /// Thousandths of a core in one core.
-const MILLI_PER_CORE: f64 = 1_000.0;
+pub(crate) const MILLI_PER_CORE: f64 = 1_000.0;
 
 impl Dispatcher {
-    /// Returns whether the policy admits a job that has just arrived.
+    /// Returns whether the policy admits a job that has just arrived. A job that
+    /// waits for a part of its service does not count against the share of the
+    /// service's load that is admitted; it is shed if it has no prospect there.
     pub(crate) fn policy_admits(&mut self, now_ms: u64, job: &JobState) -> bool {
+        if self.pools().of_job(job) != Pool::Whole {
+            return true;
+        }
         let queue = &job.job.queue;
         let waiting = job.waiting(&self.estimates);
         let arrival = Arrival {
@@ -74,13 +81,25 @@
         demands.collect()
     }
 
-    /// Returns the demand of this entry alone on a service.
+    /// Returns the open jobs of a service that have waiting tasks.
+    pub(crate) fn waiting_jobs_of<'a>(
+        &'a self,
+        service: &'a Name,
+    ) -> impl Iterator<Item = &'a JobState> {
+        let is_waiting = |job: &&JobState| job.is_open() && job.has_waiting();
+        let waiting = self.jobs.values().filter(is_waiting);
+        waiting.filter(|job| job.job.queue.service == *service)
+    }
+
+    /// Returns the demand of this entry alone on a service, without the work
+    /// that waits for a part of it.
     fn own_demand(&self, now_ms: u64, service: &Name) -> Demand {
-        let is_own = |job: &&JobState| {
-            job.is_open() && job.has_waiting() && job.job.queue.service == *service
-        };
-        let waiting = self.jobs.values().filter(is_own);
-        let waiting: f64 = waiting.map(|job| job.waiting_work(&self.estimates)).sum();
+        let mut pools = self.pools();
+        let waiting = self.waiting_jobs_of(service).map(|job| {
+            let is_for_whole = |step: &Step| pools.of_step(service, step) == Pool::Whole;
+            job.waiting_work_of(&self.estimates, is_for_whole)
+        });
+        let waiting: f64 = waiting.sum();
         Demand {
             offered_milli: self.policy.offered_milli(now_ms, service) as u32,
             waiting_core_ms: (waiting / MILLI_PER_CORE) as u32,
--- a/crates/dispatch/src/policy/placement.rs
+++ b/crates/dispatch/src/policy/placement.rs
@@ -120,7 +120,7 @@
 
 /// Returns whether an agent of the service could run the step with this
 /// capacity.
-fn fits(agent: &AgentState, capacity: &Resources, service: &Name, step: &Step) -> bool {
+pub(crate) fn fits(agent: &AgentState, capacity: &Resources, service: &Name, step: &Step) -> bool {
     let is_of_service = agent.hello.service == *service;
     is_of_service && capacity.can_fit(&step.needs) && has_required_label(agent, step)
 }
--- a/crates/dispatch/src/resources.rs
+++ b/crates/dispatch/src/resources.rs
@@ -56,6 +56,16 @@
         }
     }
 
+    /// Returns the smaller amount of each resource.
+    #[must_use]
+    pub fn min(&self, other: &Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.min(other.cpu_milli),
+            memory_mb: self.memory_mb.min(other.memory_mb),
+            accelerators: self.accelerators.min(other.accelerators),
+        }
+    }
+
     /// Returns the sum of each resource.
     #[must_use]
     pub fn plus(&self, other: &Self) -> Self {
--- a/crates/dispatch/tests/scarce_capacity.rs
+++ b/crates/dispatch/tests/scarce_capacity.rs
@@ -3,6 +3,7 @@
 
 mod session;
 
+use gannetvane_dispatch::JobOutcome;
 use gannetvane_dispatch::Resources;
 use gannetvane_dispatch::Step;
 use gannetvane_dispatch::StoredEnd;
@@ -118,6 +119,62 @@
     assert!(session.violations.is_empty(), "{:?}", session.violations);
 }
 
+/// Guards against refusals of stored jobs for work that waits for other minions.
+#[test]
+fn stored_jobs_are_not_refused_for_work_that_waits_for_another_minion() {
+    let mut session = session();
+    let large = step(MINION_CAPACITY, Some(SCARCE_LABEL), 8_000);
+    for id in 0..SCARCE_JOBS {
+        store_jobs(&mut session, 0x100 + id, 1, &large);
+        session.run(20);
+    }
+    session.run(500);
+    let others = store_jobs(&mut session, 0x900, 12, &step(SMALL, None, 300));
+    session.run(PROMPT_MS);
+    let refused = others
+        .iter()
+        .filter(|job| session.stored[**job].refusals > 0);
+    assert_eq!(refused.count(), 0);
+    assert_completed(&session, &others);
+    assert!(session.violations.is_empty(), "{:?}", session.violations);
+}
+
+/// Returns the outcomes of small jobs that arrive while jobs wait for the scarce minion and
+/// others keep the rest busy for a moment.
+fn outcomes_beside_scarce_work(entry: usize) -> Vec<Option<JobOutcome>> {
+    let mut session = session();
+    for id in 0..SCARCE_JOBS {
+        let large = step(MINION_CAPACITY, Some(SCARCE_LABEL), 2_000);
+        session.submit_steps(id % ENTRIES, &format!("large-{id}"), vec![large]);
+    }
+    for minion in 0..SCARCE {
+        let brief = step(MINION_CAPACITY, Some("a"), 40);
+        session.submit_steps(0, &format!("brief-{minion}"), vec![brief]);
+    }
+    session.run(10);
+    let small = step(SMALL, None, 100);
+    let jobs: Vec<usize> = (0..12)
+        .map(|id| session.submit_steps(entry, &format!("small-{id}"), vec![small.clone()]))
+        .collect();
+    session.run(500);
+    assert!(session.violations.is_empty(), "{:?}", session.violations);
+    jobs.into_iter().map(|job| session.outcome(job)).collect()
+}
+
+/// Guards against refusals of jobs whose callers wait, at their arrival or while they wait,
+/// for work that waits for other minions.
+#[parameterized(
+    at_the_entry_of_the_large_jobs = { 0 },
+    at_another_entry = { 2 },
+)]
+fn waited_jobs_are_not_refused_for_work_that_waits_for_another_minion(entry: usize) {
+    let outcomes = outcomes_beside_scarce_work(entry);
+    let completed = outcomes
+        .iter()
+        .filter(|outcome| **outcome == Some(JobOutcome::Completed));
+    assert_eq!(completed.count(), outcomes.len(), "{outcomes:?}");
+}
+
 /// Guards against a step that is never looked at because a step before it fits nowhere.
 #[test]
 fn a_step_that_fits_nowhere_holds_up_no_other_step_of_its_job() {
