Suspects: tasks of a crashed minion start again beside each other

Cause: a task under which a minion crashed was refused beside such a task of another job for as long as either ran, whatever the length of the runs. What was refused for that avoided the host for good, so that the crash also used up the hosts that the task avoids.

Ruled out: lost room (the agents report it free), the log of crashes (recorded within 10 ms), the wait for leases (the tasks are waiting), ejected hosts (the idle ones have no failure).

Change: - A suspect is kept apart only from its start until its minion has run it for 100 ms (probation). - A task that one more crash would not fail (stored, after one crash) may start beside others like it at once. Two crashes then still leave a third, which decides. - One that a crash may fail is alone on its minion in its probation. A crash in it speaks against that task; those that have passed theirs are cleared (evidence without weight, the first time), or share weak evidence if none was on probation. - For a task that crashes minions late: the probation is 100, 400, then 1,600 ms, and two crashes of a waited task count as two strong ones only if its runs were about as old at both. - An entry keeps account of its own probations, and lets an agent that refused a suspect alone for 30 ms in place of avoiding its host.

--- a/crates/dispatch/src/agent/incarnations.rs
+++ b/crates/dispatch/src/agent/incarnations.rs
@@ -24,6 +24,7 @@
 use crate::agent::breaker::Breaker;
 use crate::agent::minion::Minion;
 use crate::agent::run_table::Run;
+use crate::agent::run_table::SuspectJobs;
 use crate::agent::speed::MinionSpeed;
 use crate::minion_calls::CallOutcome;
 
@@ -349,12 +350,12 @@
     }
 
     /// The end that is reported for a run whose minion ended.
-    fn end_of_lost_run(&self, run: &Run, loss: Loss) -> RunEnd {
+    fn end_of_lost_run(&self, run: &Run, suspects: &SuspectJobs, loss: Loss) -> RunEnd {
         let incarnation = self.incarnation();
         let may_keep_id =
             incarnation.is_some_and(|incarnation| incarnation.started_unix_ms().is_some());
         let crash = match loss {
-            Loss::Crashed => run.crash_evidence(),
+            Loss::Crashed => suspects.evidence_against(run),
             // The minion may still be there. What a broken connection suggests waits until
             // that is known.
             Loss::Silent | Loss::Gone => None,
@@ -405,12 +406,13 @@
         }
         self.give_up_checks();
         self.note_lapsed_lease(now_ms);
+        let suspects = self.runs.suspect_jobs();
         let active_runs: Vec<(LinkId, OrderId)> =
             self.runs.iter().map(|run| (run.link, run.order)).collect();
         for (link, order) in active_runs {
             if let Some(run) = self.remove_run(now_ms, link, order) {
-                let end = self.end_of_lost_run(&run, loss);
-                self.keep_unconfirmed_crash(&run, loss);
+                let end = self.end_of_lost_run(&run, &suspects, loss);
+                self.keep_unconfirmed_crash(&run, &suspects, loss);
                 self.record_crash(now_ms, &run, end);
                 self.log_lost_run(now_ms, &run, loss, end);
                 self.report_end(link, order, end, run.ran_ms(now_ms));
--- a/crates/dispatch/src/agent/listings.rs
+++ b/crates/dispatch/src/agent/listings.rs
@@ -233,7 +233,7 @@
                 .find(|row| row.key.as_ref() == Some(&run.key));
             if let Some(row) = listed {
                 run.seen_running(sent_ms);
-                run.was_listed = true;
+                run.listed(sent_ms);
                 let (done_ms, spent_ms) = run.advance(now_ms, row.percent);
                 self.speed.add(now_ms, done_ms, spent_ms);
                 if run.phase == Phase::Starting {
--- a/crates/dispatch/src/agent/mod.rs
+++ b/crates/dispatch/src/agent/mod.rs
@@ -341,8 +341,8 @@
         };
         let run = Run::new(now_ms, link, number, spec, start);
         let has_resources = self.free_resources_for(link).can_fit(&run.needs);
-        let is_isolated = !run.is_suspect || !self.runs.has_other_suspect(&run.key.task.job);
-        let can_start = has_resources && is_isolated && !self.runs.is_task_active(&run.key);
+        let is_admitted = self.runs.admits_suspect(&run, Some(now_ms));
+        let can_start = has_resources && is_admitted && !self.runs.is_task_active(&run.key);
         if !can_start {
             self.report_end(link, order, RunEnd::NotStarted(NotStartedReason::Full), 0);
             return;
--- a/crates/dispatch/src/agent/run_table.rs
+++ b/crates/dispatch/src/agent/run_table.rs
@@ -1,6 +1,7 @@
 //! Table of the runs that an agent has admitted and that have not ended.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use gannetvane_wire::Name;
 
@@ -12,6 +13,7 @@
 use crate::RunKey;
 use crate::StartOrder;
 use crate::StartResult;
+use crate::Suspicion;
 
 /// Time within which a minion that answers calls has read a call, in milliseconds. A minion
 /// on the same host reads a call at once.
@@ -50,8 +52,10 @@
     pub(crate) number: u64,
     pub(crate) key: RunKey,
     pub(crate) spec: Name,
-    /// Whether minions crashed under its task before.
-    pub(crate) is_suspect: bool,
+    /// How strongly its task is suspected to crash its minions.
+    pub(crate) suspicion: Suspicion,
+    /// Whether the minion has run it for as long as its probation since its last start.
+    has_passed_probation: bool,
     pub(crate) needs: Resources,
     pub(crate) phase: Phase,
     /// When the order arrived, or when the last start was begun.
@@ -120,9 +124,10 @@
                 run: start.run,
             },
             spec,
-            is_suspect: start.is_suspect,
+            suspicion: start.suspicion,
+            has_passed_probation: false,
             needs: start.needs,
-            phase: match start.is_suspect {
+            phase: match start.suspicion.is_suspect() {
                 true => Phase::Checking,
                 false => Phase::Starting,
             },
@@ -150,6 +155,32 @@
         }
     }
 
+    /// Begins the probation of the run with a new start.
+    pub(crate) fn begin_probation(&mut self) {
+        self.has_passed_probation = false;
+    }
+
+    /// Records that a listing which was requested at `sent_ms` shows the run.
+    pub(crate) fn listed(&mut self, sent_ms: u64) {
+        self.was_listed = true;
+        self.has_passed_probation |= sent_ms >= self.probation_until_ms();
+    }
+
+    fn probation_until_ms(&self) -> u64 {
+        self.started_ms + self.suspicion.probation_ms()
+    }
+
+    /// Whether the run is a suspect that has not passed its probation.
+    pub(crate) fn is_on_probation(&self) -> bool {
+        self.suspicion.is_suspect() && !self.has_passed_probation
+    }
+
+    /// Whether a listing that is requested now ends the probation of the run, if it shows
+    /// the run.
+    fn ends_probation_at(&self, now_ms: u64) -> bool {
+        self.phase == Phase::Running && now_ms >= self.probation_until_ms()
+    }
+
     /// Records the progress of the run. Returns the expected work done and the time
     /// spent since the last reading, both in milliseconds.
     pub(crate) fn advance(&mut self, now_ms: u64, percent: u8) -> (f64, u64) {
@@ -270,6 +301,35 @@
     }
 }
 
+/// The jobs whose isolated suspects a minion had.
+#[derive(Debug, Default)]
+pub(crate) struct SuspectJobs {
+    /// Jobs of the tasks on probation.
+    on_probation: BTreeSet<Name>,
+    /// Jobs of those that have passed their probation.
+    others: BTreeSet<Name>,
+}
+
+impl SuspectJobs {
+    /// Evidence that the crash of the minion gives against the run's task, in view of the
+    /// other suspects. A suspect that has passed its probation is cleared by one that has
+    /// not, and is one of several possible causes beside others like itself.
+    pub(crate) fn evidence_against(&self, run: &Run) -> Option<CrashEvidence> {
+        let evidence = run.crash_evidence()?;
+        let job = &run.key.task.job;
+        let has_other = |jobs: &BTreeSet<Name>| jobs.iter().any(|other| other != job);
+        if !run.suspicion.is_isolated() || run.is_on_probation() {
+            Some(evidence)
+        } else if has_other(&self.on_probation) {
+            Some(CrashEvidence::Cleared)
+        } else if has_other(&self.others) {
+            Some(CrashEvidence::Weak)
+        } else {
+            Some(evidence)
+        }
+    }
+}
+
 /// All runs of an agent.
 #[derive(Debug, Default)]
 pub(crate) struct RunTable {
@@ -323,10 +383,29 @@
         self.runs.values().any(|run| run.key.task == key.task)
     }
 
-    /// Whether a suspect task of another job runs here.
-    pub(crate) fn has_other_suspect(&self, job: &Name) -> bool {
-        let mut suspects = self.runs.values().filter(|run| run.is_suspect);
-        suspects.any(|run| run.key.task.job != *job)
+    /// Whether the run may be started beside those on probation. With `now_ms`, those count
+    /// as having passed it which pass it with the next listing.
+    pub(crate) fn admits_suspect(&self, run: &Run, now_ms: Option<u64>) -> bool {
+        let is_on_probation = |other: &&Run| {
+            let is_over = now_ms.is_some_and(|now_ms| other.ends_probation_at(now_ms));
+            other.is_on_probation() && !is_over && other.key.task.job != run.key.task.job
+        };
+        let mut on_probation = self.runs.values().filter(is_on_probation);
+        on_probation.all(|other| run.suspicion.may_start_beside(other.suspicion))
+    }
+
+    /// The jobs of the isolated suspects that were sent to the minion.
+    pub(crate) fn suspect_jobs(&self) -> SuspectJobs {
+        let mut jobs = SuspectJobs::default();
+        let suspects = self.runs.values().filter(|run| run.suspicion.is_isolated());
+        for run in suspects.filter(|run| run.phase != Phase::Checking) {
+            let jobs = match run.is_on_probation() {
+                true => &mut jobs.on_probation,
+                false => &mut jobs.others,
+            };
+            jobs.insert(run.key.task.job.clone());
+        }
+        jobs
     }
 
     /// Number of the first run of a link whose start is not settled, if there is one.
--- a/crates/dispatch/src/agent/starts.rs
+++ b/crates/dispatch/src/agent/starts.rs
@@ -35,6 +35,7 @@
         run.phase = Phase::Starting;
         run.retry_at_ms = None;
         run.started_ms = now_ms;
+        run.begin_probation();
         run.read_ms = now_ms;
         run.changed_ms = now_ms;
         run.refusal = None;
--- a/crates/dispatch/src/agent/suspect_starts.rs
+++ b/crates/dispatch/src/agent/suspect_starts.rs
@@ -51,8 +51,14 @@
             .filter(|run| is_due(run.phase, run.started_ms));
         let due: Vec<(LinkId, OrderId)> = due.map(|run| (run.link, run.order)).collect();
         for (link, order) in due {
-            if self.is_accepting_starts() && self.can_extend_lease(now_ms) && self.runs_fit() {
+            let can_start =
+                self.is_accepting_starts() && self.can_extend_lease(now_ms) && self.runs_fit();
+            let run = self.runs.get(link, order);
+            let is_admitted = run.is_some_and(|run| self.runs.admits_suspect(run, None));
+            if can_start && is_admitted {
                 self.start_run(now_ms, link, order);
+            } else if can_start {
+                self.give_up_check(link, order, NotStartedReason::Full);
             } else {
                 self.give_up_check(link, order, NotStartedReason::Closing);
             }
--- a/crates/dispatch/src/agent/unconfirmed_crashes.rs
+++ b/crates/dispatch/src/agent/unconfirmed_crashes.rs
@@ -13,6 +13,7 @@
 use crate::agent::incarnations::Loss;
 use crate::agent::minion::Minion;
 use crate::agent::run_table::Run;
+use crate::agent::run_table::SuspectJobs;
 use crate::crashes::CRASH_TTL_MS;
 
 /// Largest number of unconfirmed crashes; the oldest are forgotten first.
@@ -77,11 +78,12 @@
 impl Agent {
     /// Keeps the evidence of a run whose minion is given up, if only silence followed the
     /// break of its connection.
-    pub(crate) fn keep_unconfirmed_crash(&mut self, run: &Run, loss: Loss) {
+    pub(crate) fn keep_unconfirmed_crash(&mut self, run: &Run, suspects: &SuspectJobs, loss: Loss) {
         let (Loss::Silent, Some(minion)) = (loss, &self.minion) else {
             return;
         };
-        let (Some(broke_ms), Some(evidence)) = (run.connection_broke_ms, run.crash_evidence())
+        let (Some(broke_ms), Some(evidence)) =
+            (run.connection_broke_ms, suspects.evidence_against(run))
         else {
             return;
         };
--- a/crates/dispatch/src/dispatcher/crashes.rs
+++ b/crates/dispatch/src/dispatcher/crashes.rs
@@ -100,11 +100,13 @@
         order: OrderId,
         state: &OrderState,
         evidence: CrashEvidence,
+        ran_ms: u32,
     ) {
-        let (Some(agent), Some(job)) = (self.agents.get(&state.link), self.jobs.get(&state.job))
-        else {
+        let agent = self.agents.get(&state.link);
+        let (Some(agent), Some(job)) = (agent, self.jobs.get_mut(&state.job)) else {
             return;
         };
+        let evidence = job.compare_ages(state.position, evidence, ran_ms);
         let run = job.run_key(state.position);
         let crash = Crash::observed(&run, order, agent.hello.node, evidence);
         self.add_crash(now_ms, crash, CrashSource::RunEnd);
--- a/crates/dispatch/src/dispatcher/ends.rs
+++ b/crates/dispatch/src/dispatcher/ends.rs
@@ -72,7 +72,7 @@
         let Some(agent) = self.agents.get_mut(&state.link) else {
             return;
         };
-        agent.outstanding.remove(&order);
+        agent.remove_order(order);
         if let Some(witness) = state.witness {
             self.release_witness(order, &state, witness);
         }
@@ -131,14 +131,14 @@
                 task.avoid(&host);
                 self.hosts.record(&host).record_failure(now_ms);
                 if let Some(evidence) = crash {
-                    self.run_crashed(now_ms, order, &state, evidence);
+                    self.run_crashed(now_ms, order, &state, evidence, ran_ms);
                 }
                 self.task_event("task-unsettled", &state, &host, end, ran_ms);
             }
             RunEnd::Crashed(evidence) => {
                 task.avoid(&host);
                 self.hosts.record(&host).record_failure(now_ms);
-                self.run_crashed(now_ms, order, &state, evidence);
+                self.run_crashed(now_ms, order, &state, evidence, ran_ms);
                 self.task_event("task-crashed", &state, &host, end, ran_ms);
             }
             RunEnd::Lost
@@ -151,9 +151,11 @@
                 // An earlier submission of the job had runs there.
                 task.run += 3;
             }
-            // The minion may be running another suspect task.
+            // Another entry may have a suspect on probation there.
             RunEnd::NotStarted(NotStartedReason::Full) if task.crash_weight() > 0 => {
-                task.avoid(&host);
+                if let Some(agent) = self.agents.get_mut(&state.link) {
+                    agent.probations.refused(now_ms);
+                }
             }
             RunEnd::NotStarted(NotStartedReason::Full | NotStartedReason::Closing) => {}
         }
--- a/crates/dispatch/src/dispatcher/fleet.rs
+++ b/crates/dispatch/src/dispatcher/fleet.rs
@@ -17,6 +17,7 @@
 use crate::OrderId;
 use crate::Resources;
 use crate::dispatcher::outbox::Outbox;
+use crate::dispatcher::suspects::Probations;
 use crate::rendezvous::RendezvousHash;
 
 /// Time for which a host is ejected after its first failure, in milliseconds.
@@ -120,6 +121,8 @@
     /// Orders without an end, each with the number of its start on this
     /// connection and the resources that its task needs.
     pub(crate) outstanding: BTreeMap<OrderId, (u64, Resources)>,
+    /// Suspect tasks of this entry that may be on probation there.
+    pub(crate) probations: Probations,
     /// Entries to connect to that were last sent to the agent.
     chosen_entries: BTreeSet<SocketAddr>,
     /// Whether `chosen_entries` was chosen from the list that was last sent to
@@ -155,6 +158,7 @@
             starts_settled: 0,
             starts_sent: 0,
             outstanding: BTreeMap::new(),
+            probations: Probations::default(),
             chosen_entries: BTreeSet::new(),
             is_chosen_from_sent: false,
         }
@@ -194,6 +198,12 @@
         self.outstanding.insert(order, (self.starts_sent, needs));
     }
 
+    /// Removes an order that has ended.
+    pub(crate) fn remove_order(&mut self, order: OrderId) {
+        self.outstanding.remove(&order);
+        self.probations.remove(order);
+    }
+
     /// Returns the free resources less what the orders need that the agent had
     /// not received at its last frame.
     pub(crate) fn free(&self) -> Resources {
--- a/crates/dispatch/src/dispatcher/jobs.rs
+++ b/crates/dispatch/src/dispatcher/jobs.rs
@@ -34,11 +34,11 @@
 /// strong evidence, or by four crashes at most. Weak evidence beside one strong
 /// crash is not enough: a minion may crash for another cause under a healthy
 /// task.
-const MAX_CRASH_WEIGHT: u32 = 4;
+pub(crate) const MAX_CRASH_WEIGHT: u32 = 4;
 /// Crash weight at which a stored task is given up. It may exist for longer, so
 /// that more minions may crash for other causes under it. It is reached by three
 /// crashes, or by five at most.
-const MAX_STORED_CRASH_WEIGHT: u32 = 5;
+pub(crate) const MAX_STORED_CRASH_WEIGHT: u32 = 5;
 
 /// Phase of a task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -82,6 +82,8 @@
     /// Evidence of the minion crashes under the task, by the number of the
     /// crash.
     pub(crate) crashes: BTreeMap<u64, CrashEvidence>,
+    /// Age of its run at the last crash that was reported here, in milliseconds.
+    pub(crate) crashed_after_ms: Option<u32>,
     /// Number of crashes that the log does not contain yet.
     unrecorded_crashes: u32,
     /// Number of times that the task was moved because its host was slow.
@@ -220,6 +222,7 @@
                 run: 0,
                 failures: 0,
                 crashes: BTreeMap::new(),
+                crashed_after_ms: None,
                 unrecorded_crashes: 0,
                 moves: 0,
                 avoided_hosts: Vec::new(),
@@ -290,10 +293,7 @@
     /// Returns whether so many minions crashed under a task that it is given
     /// up.
     pub(crate) fn crashes_minions(&self) -> bool {
-        let limit = match self.is_stored {
-            true => MAX_STORED_CRASH_WEIGHT,
-            false => MAX_CRASH_WEIGHT,
-        };
+        let limit = self.max_crash_weight();
         self.tasks.iter().any(|task| task.crash_weight() >= limit)
     }
 
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -20,6 +20,7 @@
 mod resizes;
 mod rounds;
 mod stored_runs;
+mod suspects;
 mod views;
 mod witnessed_starts;
 mod witnesses;
@@ -452,6 +453,9 @@
             .agents
             .values()
             .map(|agent| agent.last_sent_ms + KEEPALIVE_MS);
+        let agents = self.agents.values();
+        let probations = agents.filter_map(|agent| agent.probations.due_ms(now_ms));
+        let frames = frames.chain(probations);
         let open = self.jobs.values().filter(|job| job.is_open());
         let jobs = open.map(|job| {
             let minion_wait_ms = (job.objective_ms - job.received_ms) / MINION_WAIT_DIVISOR + 1;
--- a/crates/dispatch/src/dispatcher/rounds.rs
+++ b/crates/dispatch/src/dispatcher/rounds.rs
@@ -12,6 +12,7 @@
 use crate::OrderId;
 use crate::StartOrder;
 use crate::Step;
+use crate::Suspicion;
 use crate::dispatcher::Dispatcher;
 use crate::dispatcher::OrderState;
 use crate::dispatcher::SUSPENSION_MS;
@@ -185,18 +186,20 @@
             return;
         };
         let job = Arc::clone(&state.job);
-        let mut without_agent: Vec<(usize, Vec<Name>)> = Vec::new();
+        let mut without_agent: Vec<(usize, Suspicion, Vec<Name>)> = Vec::new();
         for position in self.startable_tasks(now_ms, id) {
-            let Some(task) = self.jobs.get(id).map(|state| &state.tasks[position]) else {
+            let Some(state) = self.jobs.get(id) else {
                 return;
             };
-            let is_like = |(step, avoided): &(usize, Vec<Name>)| {
-                *step == task.step && *avoided == task.avoided_hosts
+            let task = &state.tasks[position];
+            let suspicion = state.suspicion(position);
+            let is_like = |(step, other, avoided): &(usize, Suspicion, Vec<Name>)| {
+                *step == task.step && *other == suspicion && *avoided == task.avoided_hosts
             };
             if without_agent.iter().any(is_like) {
                 continue;
             }
-            let demand = (task.step, task.avoided_hosts.clone());
+            let demand = (task.step, suspicion, task.avoided_hosts.clone());
             match self.choose_agent(now_ms, &job, position, candidates) {
                 Some(link) => {
                     candidates.add_order(link, &job.steps[demand.0].needs);
@@ -222,7 +225,9 @@
         let state = self.jobs.get(&job.id)?;
         let task = &state.tasks[position];
         let step = &job.steps[task.step];
-        let has_own_requirements = step.max_per_minion > 0 || !task.avoided_hosts.is_empty();
+        let has_own_requirements = step.max_per_minion > 0
+            || !task.avoided_hosts.is_empty()
+            || state.suspicion(position).is_suspect();
         let time_left_ms = state.objective_ms as f64 - now_ms as f64;
         let expected_ms = self
             .estimates
@@ -276,6 +281,8 @@
         }
         Some(PlacementContext {
             step,
+            job: &job.id,
+            suspicion: state.suspicion(position),
             service: &job.queue.service,
             zone: self.settings.zone.clone(),
             expected_ms: self
@@ -321,14 +328,15 @@
             .estimates
             .expected_ms(&job.queue.name, step.declared_ms);
         let task_id = state.task_id(position);
+        let suspicion = state.suspicion(position);
         let task = &mut state.tasks[position];
         task.run += 1;
         task.phase = TaskPhase::Ordered(order);
         task.host = Some(agent.hello.host.clone());
         let run = task.run;
-        let is_suspect = task.crash_weight() > 0;
         state.first_start_ms.get_or_insert(now_ms);
         agent.add_order(order, step.needs);
+        agent.probations.add(now_ms, order, id, suspicion);
         // The next owner of a stored job waits for the starts of a lost agent anyway.
         let may_be_delayed = agent.hello.max_start_delay_ms > 0 && !state.is_stored;
         let work = expected_ms * f64::from(step.needs.cpu_milli);
@@ -339,7 +347,7 @@
             task: task_id,
             run,
             spec: 0,
-            is_suspect,
+            suspicion,
             needs: step.needs,
             expected_ms: expected_ms as u32,
             is_stored: state.is_stored,
--- a/crates/dispatch/src/lease.rs
+++ b/crates/dispatch/src/lease.rs
@@ -29,6 +29,11 @@
 pub const RUNS_GONE_AFTER_MS: u64 =
     GRANT_MS + STOP_TIMEOUT_MS + longest_ms(MINION_LEASE_MS) + STOP_GRACE_MS;
 
+/// Time that a minion must have run a suspect task before an isolated suspect starts beside
+/// it, in milliseconds. Most tasks that crash their minions do so as they start, and a crash
+/// is seen within a few milliseconds.
+pub const PROBATION_MS: u64 = 100;
+
 /// Longest time after which a minion may still carry out an unanswered call, in
 /// milliseconds. The platform can deliver calls seconds after they were sent.
 pub(crate) const MAX_CALL_DELAY_MS: u64 = 12_000;
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -15,6 +15,7 @@
 use crate::Crash;
 use crate::DelayedStart;
 use crate::Evacuations;
+use crate::PROBATION_MS;
 use crate::Resources;
 use crate::RoutingTable;
 use crate::StoredAnswer;
@@ -206,9 +207,8 @@
     pub run: u32,
     /// Index of the text that is passed to the task, in [`EntryFrame::specs`].
     pub spec: u32,
-    /// Whether minions crashed under the task. The agent runs it beside no suspect task of
-    /// another job, so that a crash shows which job caused it.
-    pub is_suspect: bool,
+    /// How strongly the task is suspected to crash its minions.
+    pub suspicion: Suspicion,
     /// Resources that the task needs.
     pub needs: Resources,
     /// Expected run time on a minion of ordinary speed, in milliseconds.
@@ -218,6 +218,59 @@
     pub is_stored: bool,
 }
 
+/// How strongly a task is suspected to crash its minions, which decides what it may be
+/// started beside.
+///
+/// A suspect is on probation from its start until its minion has run it for some time. A
+/// crash that ends the probation of an isolated suspect speaks against that one, and hardly
+/// against those that have passed theirs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Suspicion {
+    /// No minion crashed under it.
+    #[default]
+    None,
+    /// Minions crashed under it, and one more crash would not fail its job. It starts beside
+    /// no isolated suspect of another job that is on probation.
+    Shared,
+    /// One more crash may fail its job. It starts beside no suspect of another job that is
+    /// on probation, so that a crash shows which job caused it.
+    Isolated {
+        /// Length of its probation, in milliseconds.
+        probation_ms: u32,
+    },
+}
+
+impl Suspicion {
+    /// Returns whether minions crashed under the task.
+    #[must_use]
+    pub fn is_suspect(self) -> bool {
+        self != Self::None
+    }
+
+    /// Returns whether the task may start beside one of another job that is on probation.
+    pub(crate) fn may_start_beside(self, other: Self) -> bool {
+        match (self, other) {
+            (Self::None, _) | (_, Self::None) => true,
+            (Self::Shared, Self::Shared) => true,
+            (Self::Isolated { .. }, _) | (_, Self::Isolated { .. }) => false,
+        }
+    }
+
+    /// Returns whether one more crash may fail the task's job.
+    pub(crate) fn is_isolated(self) -> bool {
+        matches!(self, Self::Isolated { .. })
+    }
+
+    /// Returns how long the task is on probation, in milliseconds.
+    pub(crate) fn probation_ms(self) -> u64 {
+        match self {
+            Self::None => 0,
+            Self::Shared => PROBATION_MS,
+            Self::Isolated { probation_ms } => u64::from(probation_ms),
+        }
+    }
+}
+
 /// Tasks that wait for resources at an entry and could start at the agent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Probe {
@@ -317,6 +370,8 @@
     NotStarted(NotStartedReason),
 }
 
+/// Largest weight of the evidence of one crash.
+pub(crate) const MAX_EVIDENCE_WEIGHT: u32 = 2;
 /// Number of crashes with evidence of the same kind that prove that a task crashes its
 /// minions.
 const PROOF_CRASHES: usize = 2;
@@ -336,6 +391,8 @@
     StartBroken,
     /// The connection of the start broke, and the minion is known to have had the run.
     StartCrashed,
+    /// The task had passed its probation, and another suspect was on probation.
+    Cleared,
 }
 
 impl CrashEvidence {
@@ -353,13 +410,17 @@
         let start_crashes = count(Self::StartCrashed);
         let has_broken_starts = count(Self::StartBroken) + start_crashes >= PROOF_CRASHES;
         let is_proven = has_broken_starts || count(Self::Strong) + start_crashes >= PROOF_CRASHES;
+        // A task that was cleared once too often may crash its minions later than in its
+        // probation.
+        let cleared = count(Self::Cleared).saturating_sub(1);
         let weights = all_evidence.map(|evidence| match evidence {
-            Self::Strong | Self::StartCrashed => 2,
+            Self::Strong | Self::StartCrashed => MAX_EVIDENCE_WEIGHT,
             Self::StartBroken => 1 + u32::from(has_broken_starts),
             Self::Weak => 1,
             Self::Unseen => u32::from(is_proven),
+            Self::Cleared => 0,
         });
-        weights.sum()
+        weights.sum::<u32>() + u32::try_from(cleared).unwrap_or(u32::MAX)
     }
 }
 
@@ -367,7 +428,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum NotStartedReason {
     /// The agent or its minion has too few free resources, or the agent already runs the task,
-    /// can't extend the minion's lease, or runs a suspect task of another job.
+    /// can't extend the minion's lease, or has a suspect task of another job on probation.
     Full,
     /// The agent accepts no starts on this link at present, for example because the minion or
     /// the agent is leaving, or the minion has seen a higher epoch than the agent's.
--- a/crates/dispatch/src/policy/placement.rs
+++ b/crates/dispatch/src/policy/placement.rs
@@ -7,6 +7,7 @@
 use crate::LinkId;
 use crate::Resources;
 use crate::Step;
+use crate::Suspicion;
 use crate::dispatcher::fleet::AgentState;
 use crate::dispatcher::fleet::Hosts;
 
@@ -28,6 +29,9 @@
 /// What the choice of an agent for a task depends on.
 pub(crate) struct PlacementContext<'a> {
     pub(crate) step: &'a Step,
+    pub(crate) job: &'a Name,
+    /// How strongly the task is suspected to crash its minions.
+    pub(crate) suspicion: Suspicion,
     pub(crate) service: &'a Name,
     pub(crate) zone: Name,
     pub(crate) expected_ms: f64,
@@ -140,6 +144,9 @@
         && agent.accepts_starts(context.now_ms)
         && has_required_label(agent, context.step)
         && !context.avoided_hosts.contains(host)
+        && agent
+            .probations
+            .admit(context.now_ms, context.job, context.suspicion)
         && !is_limited
         && is_admissible
 }
--- a/crates/dispatch/tests/driver/mod.rs
+++ b/crates/dispatch/tests/driver/mod.rs
@@ -27,6 +27,7 @@
 use gannetvane_dispatch::StartOrder;
 use gannetvane_dispatch::StartResult;
 use gannetvane_dispatch::StopResult;
+use gannetvane_dispatch::Suspicion;
 use gannetvane_dispatch::TaskId;
 use gannetvane_wire::NodeId;
 
@@ -197,7 +198,10 @@
     /// agent's actions.
     pub fn order_start(&mut self, order: u64, job: &str, is_suspect: bool) -> Vec<AgentAction> {
         self.order(Order::Start(StartOrder {
-            is_suspect,
+            suspicion: match is_suspect {
+                true => Suspicion::Isolated { probation_ms: 100 },
+                false => Suspicion::None,
+            },
             ..start_order(order, job)
         }))
     }
@@ -529,7 +533,7 @@
         task: key(job).task,
         run: 1,
         spec: 0,
-        is_suspect: false,
+        suspicion: Suspicion::None,
         needs: TASK_RESOURCES,
         expected_ms: 100,
         is_stored: false,
--- a/crates/node/tests/suspension.rs
+++ b/crates/node/tests/suspension.rs
@@ -37,6 +37,7 @@
 use gannetvane_dispatch::StartOrder;
 use gannetvane_dispatch::StartResult;
 use gannetvane_dispatch::StopResult;
+use gannetvane_dispatch::Suspicion;
 use gannetvane_dispatch::TaskId;
 use gannetvane_dispatch::decode;
 use gannetvane_node::AgentHandle;
@@ -257,7 +258,7 @@
         task: key(job).task,
         run: 1,
         spec: 0,
-        is_suspect: false,
+        suspicion: Suspicion::None,
         needs: Resources {
             cpu_milli: 1_000,
             memory_mb: 16,
