Placement: a long task on a host that is tried again holds up no others

Cause: a trial counted as running while any order of the entry at that agent had no end, also orders of before the failure. The same inference as with suspects: one open question keeps all others waiting for as long as its task runs.

Change: the entry tries again 300 ms after its last start there. A start that fails within that time ejects the host again; a run that stands still is found by its progress.

--- a/crates/dispatch/src/agent/breaker.rs
+++ b/crates/dispatch/src/agent/breaker.rs
@@ -18,6 +18,10 @@
 /// again within that time.
 const MAX_PAUSE_MS: u64 = 2_400;
 
+/// Time that a half-open trial has to fail or stall before the next start, in milliseconds.
+/// A run may take many times as long, and would hold up all others.
+pub(crate) const TRIAL_MS: u64 = 300;
+
 /// Circuit breaker that counts the successful and failed runs of a minion.
 #[derive(Debug, Default)]
 pub(crate) struct Breaker {
--- a/crates/dispatch/src/agent/mod.rs
+++ b/crates/dispatch/src/agent/mod.rs
@@ -1,7 +1,7 @@
 //! The agent beside a minion. It alone admits tasks to the minion and reports their
 //! ends to the entries.
 
-mod breaker;
+pub(crate) mod breaker;
 mod call_loss;
 mod capacity;
 mod delayed_calls;
--- a/crates/dispatch/src/dispatcher/fleet.rs
+++ b/crates/dispatch/src/dispatcher/fleet.rs
@@ -16,6 +16,7 @@
 use crate::Order;
 use crate::OrderId;
 use crate::Resources;
+use crate::agent::breaker::TRIAL_MS;
 use crate::dispatcher::outbox::Outbox;
 use crate::dispatcher::suspects::Probations;
 use crate::rendezvous::RendezvousHash;
@@ -123,6 +124,8 @@
     pub(crate) outstanding: BTreeMap<OrderId, (u64, Resources)>,
     /// Suspect tasks of this entry that may be on probation there.
     pub(crate) probations: Probations,
+    /// Time of the last start order, in milliseconds; 0 before the first.
+    last_ordered_ms: u64,
     /// Entries to connect to that were last sent to the agent.
     chosen_entries: BTreeSet<SocketAddr>,
     /// Whether `chosen_entries` was chosen from the list that was last sent to
@@ -159,6 +162,7 @@
             starts_sent: 0,
             outstanding: BTreeMap::new(),
             probations: Probations::default(),
+            last_ordered_ms: 0,
             chosen_entries: BTreeSet::new(),
             is_chosen_from_sent: false,
         }
@@ -192,7 +196,8 @@
 
     /// Records a start order that is sent to the agent. It uses up the agent's
     /// offer, if any.
-    pub(crate) fn add_order(&mut self, order: OrderId, needs: Resources) {
+    pub(crate) fn add_order(&mut self, now_ms: u64, order: OrderId, needs: Resources) {
+        self.last_ordered_ms = now_ms;
         self.starts_sent += 1;
         self.has_offered = false;
         self.outstanding.insert(order, (self.starts_sent, needs));
@@ -204,6 +209,11 @@
         self.probations.remove(order);
     }
 
+    /// Returns whether the last start has had no time to fail yet.
+    pub(crate) fn is_last_start_recent(&self, now_ms: u64) -> bool {
+        !self.outstanding.is_empty() && now_ms < self.last_ordered_ms + TRIAL_MS
+    }
+
     /// Returns the free resources less what the orders need that the agent had
     /// not received at its last frame.
     pub(crate) fn free(&self) -> Resources {
--- a/crates/dispatch/src/dispatcher/rounds.rs
+++ b/crates/dispatch/src/dispatcher/rounds.rs
@@ -335,7 +335,7 @@
         task.host = Some(agent.hello.host.clone());
         let run = task.run;
         state.first_start_ms.get_or_insert(now_ms);
-        agent.add_order(order, step.needs);
+        agent.add_order(now_ms, order, step.needs);
         agent.probations.add(now_ms, order, id, suspicion);
         // The next owner of a stored job waits for the starts of a lost agent anyway.
         let may_be_delayed = agent.hello.max_start_delay_ms > 0 && !state.is_stored;
--- a/crates/dispatch/src/policy/placement.rs
+++ b/crates/dispatch/src/policy/placement.rs
@@ -136,8 +136,9 @@
         && context.tasks_per_host.get(host).copied().unwrap_or(0) >= context.step.max_per_minion;
     let is_admissible = !context.is_ejecting
         || hosts.get(host).is_none_or(|record| {
-            let is_trial_running = record.consecutive_failures > 0 && !agent.outstanding.is_empty();
-            context.now_ms >= record.ejected_until_ms && !is_trial_running
+            let is_trial_recent =
+                record.consecutive_failures > 0 && agent.is_last_start_recent(context.now_ms);
+            context.now_ms >= record.ejected_until_ms && !is_trial_recent
         });
     agent.hello.service == *context.service
         && is_fast_enough(agent, context)
--- a/crates/dispatch/tests/grey_failures.rs
+++ b/crates/dispatch/tests/grey_failures.rs
@@ -12,9 +12,11 @@
 use gannetvane_dispatch::MINION_LEASE_MS;
 use gannetvane_dispatch::Order;
 use gannetvane_dispatch::RunEnd;
+use gannetvane_dispatch::Step;
 
 use driver::Driver;
 use session::Behavior;
+use session::MINION_CAPACITY;
 use session::Session;
 
 const ENTRIES: usize = 12;
@@ -186,3 +188,55 @@
     driver.run_task("c", RunEnd::Done);
     assert!(driver.start_of(5, "e") > 0);
 }
+
+/// Run time of tasks that are longer than each test waits, in milliseconds.
+const LONG_MS: u64 = 20_000;
+/// Time within which a minion that has recovered runs several long tasks, in milliseconds:
+/// the longest pause of its breaker and ten trials.
+const RECOVERY_MS: u64 = 5_500;
+
+/// Returns how many of six long stored tasks run some time after the only minion that is not
+/// full has failed the tasks of these jobs, and recovered.
+fn long_runs_after_failures(entries: usize, failing_jobs: &[&str]) -> usize {
+    let mut session = Session::new(entries, 3);
+    session.has_prompt_minions = true;
+    let warm = session.store("0000000000000001", 1, 10);
+    session.run_until_ended(warm, 5_000);
+    session.run(1_500);
+    for number in 0..2 {
+        let whole = Step {
+            count: 1,
+            needs: MINION_CAPACITY,
+            declared_ms: LONG_MS,
+            ..Step::default()
+        };
+        session.store_steps(&format!("{:016x}", 0x200 + number), vec![whole]);
+    }
+    session.run(300);
+    let is_idle = |minion: &usize| session.minions[*minion].running().count() == 0;
+    let faulty = (0..3).find(is_idle).expect("a minion should be idle");
+    session.minions[faulty].behavior = Behavior::Failing;
+    let failing = failing_jobs.iter();
+    let failing: Vec<usize> = failing
+        .map(|id| session.submit(0, id, 1, WORK_MS))
+        .collect();
+    session.run(10);
+    for job in failing {
+        session.disconnect_caller(job);
+        session.forget_caller(job);
+    }
+    session.minions[faulty].behavior = Behavior::Healthy;
+    for number in 0..6 {
+        session.store(&format!("{:016x}", 0x100 + number), 1, LONG_MS);
+    }
+    session.run(RECOVERY_MS);
+    assert!(session.violations.is_empty(), "{:?}", session.violations);
+    session.minions[faulty].running().count()
+}
+
+/// Guards against a long task on a host that an entry tries again, which holds up the entry's
+/// other tasks there.
+#[test]
+fn a_long_task_on_a_host_that_is_tried_again_does_not_hold_up_others() {
+    assert_eq!(long_runs_after_failures(1, &["a"]), 6);
+}
