Placement: a task returns to a host that it avoids when the others stay full

Cause: a task avoids its last hosts as long as another host has the capacity for it, whether or not that one ever has it free. One crash, failure, move or unanswered call thus rules a host out for as long as the others are busy.

Change: a task waits for the other hosts for a second after its last such event. After that it takes one of them if one suits, and a host that it avoids otherwise, unless that one is ejected.

--- a/crates/dispatch/src/dispatcher/ends.rs
+++ b/crates/dispatch/src/dispatcher/ends.rs
@@ -128,7 +128,7 @@
                 // the run is left then.
                 let until_ms = now_ms + MAX_CALL_DELAY_MS.max(max_start_delay_ms);
                 task.phase = TaskPhase::Orphaned { until_ms };
-                task.avoid(&host);
+                task.avoid(now_ms, &host);
                 self.hosts.record(&host).record_failure(now_ms);
                 if let Some(evidence) = crash {
                     self.run_crashed(now_ms, order, &state, evidence, ran_ms);
@@ -136,14 +136,14 @@
                 self.task_event("task-unsettled", &state, &host, end, ran_ms);
             }
             RunEnd::Crashed(evidence) => {
-                task.avoid(&host);
+                task.avoid(now_ms, &host);
                 self.hosts.record(&host).record_failure(now_ms);
                 self.run_crashed(now_ms, order, &state, evidence, ran_ms);
                 self.task_event("task-crashed", &state, &host, end, ran_ms);
             }
             RunEnd::Lost
             | RunEnd::NotStarted(NotStartedReason::NoAnswer | NotStartedReason::Unhealthy) => {
-                task.avoid(&host);
+                task.avoid(now_ms, &host);
                 self.hosts.record(&host).record_failure(now_ms);
                 self.task_event("task-lost", &state, &host, end, ran_ms);
             }
@@ -183,7 +183,7 @@
             hosts
         };
         let before = hosts_failed_on(job);
-        job.tasks[order.position].avoid(host);
+        job.tasks[order.position].avoid(now_ms, host);
         let after = hosts_failed_on(job);
         if after.len() == 1 {
             self.hosts.record(host).record_failure(now_ms);
@@ -407,7 +407,7 @@
         let Some(job) = self.jobs.get_mut(&state.job) else {
             return;
         };
-        job.tasks[state.position].avoid(host);
+        job.tasks[state.position].avoid(now_ms, host);
         if remaining_ms.is_finite() {
             job.tasks[state.position].moves += 1;
         }
--- a/crates/dispatch/src/dispatcher/jobs.rs
+++ b/crates/dispatch/src/dispatcher/jobs.rs
@@ -29,6 +29,11 @@
 /// host on a small site.
 const MAX_AVOIDED_HOSTS: usize = 3;
 
+/// Time for which a task waits for resources of other hosts before it starts on
+/// one that it avoids, in milliseconds: those that run sub-second tasks have had
+/// free resources by then.
+const AVOIDANCE_MS: u64 = 1_000;
+
 /// Crash weight at which a task is given up, since each crash ends all runs on
 /// a minion and makes it unavailable for seconds. It is reached by two crashes with
 /// strong evidence, or by four crashes at most. Weak evidence beside one strong
@@ -91,6 +96,9 @@
     /// Hosts that the task avoids: it failed or hung there, or calls were
     /// unanswered.
     pub(crate) avoided_hosts: Vec<Name>,
+    /// Time until which it rather waits than starts on one of these hosts, in
+    /// milliseconds.
+    pub(crate) avoids_until_ms: u64,
     /// Host of the last order.
     pub(crate) host: Option<Name>,
 }
@@ -128,7 +136,8 @@
 
     /// Adds a host to those that the task avoids, of which only the last few
     /// are kept.
-    pub(crate) fn avoid(&mut self, host: &Name) {
+    pub(crate) fn avoid(&mut self, now_ms: u64, host: &Name) {
+        self.avoids_until_ms = now_ms + AVOIDANCE_MS;
         self.avoided_hosts.retain(|other| other != host);
         self.avoided_hosts.push(host.clone());
         if self.avoided_hosts.len() > MAX_AVOIDED_HOSTS {
@@ -226,6 +235,7 @@
                 unrecorded_crashes: 0,
                 moves: 0,
                 avoided_hosts: Vec::new(),
+                avoids_until_ms: 0,
                 host: None,
             })
         });
--- a/crates/dispatch/src/dispatcher/rounds.rs
+++ b/crates/dispatch/src/dispatcher/rounds.rs
@@ -245,13 +245,18 @@
         if fitting.is_empty() {
             return None;
         }
-        let context = self.placement_context(now_ms, job, position)?;
+        let is_avoidance_over = now_ms >= task.avoids_until_ms;
+        let mut context = self.placement_context(now_ms, job, position)?;
         let agents: Vec<(LinkId, &AgentState)> = fitting
             .iter()
             .filter_map(|link| Some((*link, self.agents.get(link)?)))
             .collect();
         let mut jitter = || self.rng.random::<f64>();
-        let chosen = placement::choose(&agents, &self.hosts, &context, &mut jitter);
+        let mut chosen = placement::choose(&agents, &self.hosts, &context, &mut jitter);
+        if chosen.is_none() && is_avoidance_over && !context.avoided_hosts.is_empty() {
+            context.avoided_hosts.clear();
+            chosen = placement::choose(&agents, &self.hosts, &context, &mut jitter);
+        }
         if chosen.is_none() {
             candidates.checked_in_vain(fitting.len());
             if !has_own_requirements {
--- a/crates/dispatch/tests/suspects.rs
+++ b/crates/dispatch/tests/suspects.rs
@@ -173,3 +173,32 @@
     assert_eq!(failed, ids.iter().collect());
     assert!(session.violations.is_empty(), "{:?}", session.violations);
 }
+
+/// Guards against a task that waits for a host that is full, beside an idle one on which its
+/// minion crashed before.
+#[test]
+fn a_task_returns_to_the_host_of_its_crash_while_the_others_are_full() {
+    let mut session = session();
+    for minion in [6, 7] {
+        session.set_labels(minion, &["b"]);
+    }
+    session.run(500);
+    let step = |cpu_milli, declared_ms| Step {
+        required_label: Some("b".into()),
+        ..step(cpu_milli, declared_ms)
+    };
+    session.store_steps("00000000000000a1", vec![step(16_000, 60_000)]);
+    session.run(4_000);
+    let id = "00000000000000a2";
+    session.store_steps(id, vec![step(1_000, 3_000)]);
+    session.run(500);
+    let is_there = |minion: &usize| {
+        let mut running = session.minions[*minion].running();
+        running.any(|key| *key.task.job == *id)
+    };
+    let minion = (0..MINIONS).find(is_there).expect("the task should run");
+    session.restart_with_same_id(minion, DOWN_MS);
+    session.run(DOWN_MS + 2_000);
+    assert!(running_jobs(&session).contains(id));
+    assert!(session.violations.is_empty(), "{:?}", session.violations);
+}
