Breaker: a long half-open trial holds up no others

What callers saw: a minion on which two jobs failed gets one start when its breaker is half open, and no other before that run ends. A trial of 12 s keeps it from all entries for 12 s.

A run that fails opens it again, one that stands still is found by the watch of stalls (one job is enough then), and a success closes it.

--- a/crates/dispatch/src/agent/breaker.rs
+++ b/crates/dispatch/src/agent/breaker.rs
@@ -44,7 +44,7 @@
     Closed,
     /// The minion gets no starts.
     Open,
-    /// The minion gets one start at a time, to show that it has recovered. The ends of
+    /// The minion gets a start each [`TRIAL_MS`], to show that it has recovered. The ends of
     /// runs that started before `since_ms` don't change the state.
     HalfOpen {
         /// When the breaker became half-open.
--- a/crates/dispatch/src/agent/mod.rs
+++ b/crates/dispatch/src/agent/mod.rs
@@ -49,6 +49,7 @@
 use crate::StartOrder;
 use crate::agent::breaker::Breaker;
 use crate::agent::breaker::BreakerState;
+use crate::agent::breaker::TRIAL_MS;
 use crate::agent::delayed_calls::DelayedCalls;
 use crate::agent::epochs::Epochs;
 use crate::agent::incarnations::Candidate;
@@ -411,7 +412,9 @@
                 BreakerState::Closed => true,
                 BreakerState::Open => false,
                 BreakerState::HalfOpen { since_ms } => {
-                    !self.runs.iter().any(|run| run.started_ms >= since_ms)
+                    let is_trial = |run: &Run| run.started_ms >= since_ms;
+                    let is_recent = |run: &Run| now_ms < run.started_ms + TRIAL_MS;
+                    !self.runs.iter().any(|run| is_trial(run) && is_recent(run))
                 }
             }
     }
--- a/crates/dispatch/tests/grey_failures.rs
+++ b/crates/dispatch/tests/grey_failures.rs
@@ -234,6 +234,12 @@
     session.minions[faulty].running().count()
 }
 
+/// Guards against a half-open trial that takes long and holds up all other tasks.
+#[test]
+fn a_long_half_open_trial_does_not_hold_up_others() {
+    assert_eq!(long_runs_after_failures(2, &["a", "b"]), 6);
+}
+
 /// Guards against a long task on a host that an entry tries again, which holds up the entry's
 /// other tasks there.
 #[test]
