Ledger: an append that the store would always refuse holds up no partition

In the test on: 64 jobs of 260 steps arrive together in one partition, and 0 of 64 are accepted in 2 s.

Cause: a batch takes up to 64 changes whatever their size, and is sent again until the store takes it. 64 jobs of 260 steps that each name all earlier ones are larger than the store accepts in one call, so everything behind them in the partition waits for good. The same class as a round of placement that ends at what cannot go ahead.

Change: a batch is halved until its records have at most 1 MiB, half of what the platform accepts; the rest goes back to the head of the queue. One job always fits, since a request with it is smaller.

Test: large_jobs_that_arrive_together_are_all_accepted (0 of 64 before, 64 now). The log of the sessions refuses appends above 2 MiB, as the platform's does.

--- a/crates/dispatch/src/ledger/partition.rs
+++ b/crates/dispatch/src/ledger/partition.rs
@@ -22,9 +22,11 @@
 /// Longest time for which changes that are not urgent wait for others to share their append,
 /// in milliseconds. The platform counts an end 100 ms after the minion listed it.
 const MAX_GATHER_MS: u64 = 50;
-/// Largest number of changes in one append. 64 texts of 4,000 bytes are an eighth of the size
-/// that the platform accepts.
+/// Largest number of changes in one append.
 const MAX_BATCH_CHANGES: usize = 64;
+/// Size of the records from which an append takes fewer changes, in bytes: half of what the
+/// platform accepts. One job is always smaller, as callers' requests are.
+const MAX_BATCH_BYTES: usize = 1_048_576;
 
 /// Result of an append to the job log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -412,7 +414,10 @@
             self.epoch = epoch;
             self.next_number = 0;
             let end = self.end;
-            return self.set_batch(now_ms, vec![Change::Verify], end);
+            let changes = vec![Change::Verify];
+            let records = self.records(&changes)?;
+            self.set_batch(now_ms, changes, records, end);
+            return Ok(());
         }
         if self.pending_changes.is_empty() || now_ms < self.batch_due_ms.max(self.next_append_ms) {
             return Ok(());
@@ -420,17 +425,25 @@
         let rest = self
             .pending_changes
             .split_off(self.pending_changes.len().min(MAX_BATCH_CHANGES));
-        let changes = std::mem::replace(&mut self.pending_changes, rest);
-        self.set_batch(now_ms, changes, None)
+        let mut changes = std::mem::replace(&mut self.pending_changes, rest);
+        let mut records = self.records(&changes)?;
+        // The store would refuse an append that is too large each time.
+        while changes.len() > 1 && size(&records) > MAX_BATCH_BYTES {
+            let rest = changes.split_off(changes.len() / 2);
+            self.pending_changes.splice(0..0, rest);
+            records = self.records(&changes)?;
+        }
+        self.set_batch(now_ms, changes, records, None);
+        Ok(())
     }
 
     fn set_batch(
         &mut self,
         now_ms: u64,
         changes: Vec<Change>,
+        records: Vec<LogRecord>,
         expected_end: Option<u64>,
-    ) -> Result<(), postcard::Error> {
-        let records = self.records(&changes)?;
+    ) {
         self.next_append_ms = now_ms + self.append_pause_ms;
         let number = self.next_number;
         if !records.is_empty() {
@@ -446,7 +459,6 @@
             is_outcome_unknown: false,
             is_retried: false,
         });
-        Ok(())
     }
 
     /// Returns the time in milliseconds at which a batch is due; `None` if there is nothing to
@@ -478,3 +490,11 @@
         }
     }
 }
+
+/// Returns the size of the keys and values of these records, in bytes.
+fn size(records: &[LogRecord]) -> usize {
+    let sizes = records
+        .iter()
+        .map(|record| record.key.len() + record.value.len());
+    sizes.sum()
+}
--- a/crates/dispatch/tests/session/log.rs
+++ b/crates/dispatch/tests/session/log.rs
@@ -14,6 +14,9 @@
 /// Number of partitions of the log.
 pub const PARTITIONS: u32 = 4;
 
+/// Size of the records from which the log refuses an append, in bytes.
+const MAX_APPEND_BYTES: usize = 2_097_152;
+
 /// Outcome of a call to the log.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum LogCallOutcome {
@@ -98,6 +101,11 @@
         if append.epoch < partition.epoch {
             return AppendResult::Fenced;
         }
+        let records = append.records.iter();
+        let sizes = records.map(|record| record.key.len() + record.value.len());
+        if sizes.sum::<usize>() > MAX_APPEND_BYTES {
+            return AppendResult::Refused;
+        }
         if append.epoch > partition.epoch {
             partition.epoch = append.epoch;
             partition.next_number = None;
--- a/crates/dispatch/tests/stored.rs
+++ b/crates/dispatch/tests/stored.rs
@@ -6,7 +6,9 @@
 use std::collections::BTreeSet;
 
 use gannetvane_dispatch::Partition;
+use gannetvane_dispatch::Resources;
 use gannetvane_dispatch::RunKey;
+use gannetvane_dispatch::Step;
 use gannetvane_dispatch::StoredEnd;
 use gannetvane_dispatch::TaskId;
 use session::Behavior;
@@ -331,3 +333,36 @@
     session.run_until_answered(caller, 2_000);
     assert_eq!((session.log.joins, session.log.appends), (0, 0));
 }
+
+/// Guards against a partition that stands still for good because its next append is larger
+/// than the store accepts: jobs of many steps arrive at the same time.
+#[test]
+fn large_jobs_that_arrive_together_are_all_accepted() {
+    const STEPS: u32 = 260;
+    let mut session = Session::new(2, 3);
+    let warm = session.store("0000000000000001", 1, 10);
+    session.run_until_ended(warm, 5_000);
+    session.run(1_500);
+    let step = |number| Step {
+        count: 1,
+        needs: Resources {
+            cpu_milli: 10,
+            memory_mb: 1,
+            accelerators: 0,
+        },
+        declared_ms: 60_000,
+        after: (0..number).collect(),
+        ..Step::default()
+    };
+    let steps: Vec<Step> = (0..STEPS).map(step).collect();
+    let ids = (0x100..).map(|id: u64| format!("{id:016x}"));
+    let in_one_partition = |id: &String| Partition::of(id, PARTITIONS) == Partition(0);
+    let ids: Vec<String> = ids.filter(in_one_partition).take(64).collect();
+    let jobs: Vec<usize> = ids
+        .iter()
+        .map(|id| session.store_steps(id, steps.clone()))
+        .collect();
+    session.run(2_000);
+    let accepted = jobs.iter().filter(|job| session.stored[**job].is_accepted);
+    assert_eq!(accepted.count(), jobs.len());
+}
