Placement: a minion is kept for a task that waits for a large part of it

What callers saw: a task that needs a whole minion never starts while small ones arrive all the time.

Cause: nothing is put aside for a task that needs more than any agent has free, so that small tasks take what becomes free.

Change: when a job has waited for a second although some minion could run its task, its entry picks the suitable agent with most free, orders nothing else there, and tells the agent to give no other entry what is free (Order::Reserve, repeated every 30 ms; it lapses after 60 ms). One agent an entry at a time, for 3 s at most; then another one, or another job.

--- a/crates/dispatch/src/agent/mod.rs
+++ b/crates/dispatch/src/agent/mod.rs
@@ -265,6 +265,7 @@
                 Order::Entries(entries) => self.actions.push(AgentAction::Entries(entries)),
                 Order::Witness(starts) => self.witness.hold(now_ms, link, &starts),
                 Order::ForgetWitnessed(orders) => self.witness.forget(link, &orders),
+                Order::Reserve => self.offers.reserve_all(now_ms, link),
             }
         }
     }
--- a/crates/dispatch/src/agent/offers.rs
+++ b/crates/dispatch/src/agent/offers.rs
@@ -21,6 +21,8 @@
 pub(crate) struct Offers {
     waiting: Vec<WaitingProbe>,
     open: Vec<Offer>,
+    /// Entry for which everything is reserved, and the time until then, in milliseconds.
+    reserved_for: Option<(LinkId, u64)>,
 }
 
 /// Tasks of an entry that would start here if there were free resources.
@@ -69,9 +71,19 @@
         self.waiting.sort_by_key(|probe| probe.due_ms);
     }
 
+    /// Reserves everything that is free or becomes free for an entry, unless another one
+    /// has that already.
+    pub(crate) fn reserve_all(&mut self, now_ms: u64, link: LinkId) {
+        let is_others = |(other, until_ms): (LinkId, u64)| other != link && now_ms < until_ms;
+        if !self.reserved_for.is_some_and(is_others) {
+            self.reserved_for = Some((link, now_ms + PROBE_TTL_MS));
+        }
+    }
+
     /// Removes the offer of an entry that used or declined it.
     pub(crate) fn close(&mut self, link: LinkId) {
         self.open.retain(|offer| offer.link != link);
+        self.reserved_for.take_if(|(reserved, _)| *reserved == link);
     }
 
     /// Removes the probes and the offer of an entry.
@@ -84,11 +96,14 @@
     pub(crate) fn clear(&mut self) {
         self.waiting.clear();
         self.open.clear();
+        self.reserved_for = None;
     }
 
     /// Removes the probes and offers that have expired.
     pub(crate) fn expire(&mut self, now_ms: u64) {
         self.open.retain(|offer| now_ms < offer.valid_until_ms);
+        self.reserved_for
+            .take_if(|(_, until_ms)| now_ms >= *until_ms);
         self.waiting.retain(|probe| now_ms < probe.valid_until_ms);
     }
 
@@ -101,6 +116,9 @@
             .iter()
             .fold(free, |unreserved, offer| unreserved.minus(&offer.resources));
         let mut offered_to = Vec::new();
+        if self.reserved_for.is_some() {
+            return offered_to;
+        }
         for probe in &mut self.waiting {
             if self.open.iter().any(|offer| offer.link == probe.link) {
                 continue;
@@ -123,6 +141,12 @@
 
     /// Resources that are reserved for other entries.
     pub(crate) fn reserved_for_others(&self, link: LinkId) -> Resources {
+        if self
+            .reserved_for
+            .is_some_and(|(reserved, _)| reserved != link)
+        {
+            return Resources::ALL;
+        }
         let others = self.open.iter().filter(|offer| offer.link != link);
         others.fold(Resources::default(), |sum, offer| {
             sum.plus(&offer.resources)
@@ -131,6 +155,8 @@
 
     /// When the first offer expires.
     pub(crate) fn due_ms(&self) -> Option<u64> {
-        self.open.iter().map(|offer| offer.valid_until_ms).min()
+        let open = self.open.iter().map(|offer| offer.valid_until_ms);
+        let reserved = self.reserved_for.map(|(_, until_ms)| until_ms);
+        open.chain(reserved).min()
     }
 }
--- a/crates/dispatch/src/dispatcher/candidates.rs
+++ b/crates/dispatch/src/dispatcher/candidates.rs
@@ -92,17 +92,28 @@
 }
 
 impl Candidates {
-    /// Groups these agents, which are sorted by link and may get starts.
-    pub(crate) fn new<'a>(agents: impl Iterator<Item = (LinkId, &'a AgentState)>) -> Self {
+    /// Groups these agents, which are sorted by link and may get starts, by what
+    /// they have free.
+    pub(crate) fn by_free<'a>(agents: impl Iterator<Item = (&'a LinkId, &'a AgentState)>) -> Self {
+        Self::new(agents.map(|(link, agent)| (*link, agent, agent.free())))
+    }
+
+    /// Groups these agents, which are sorted by link, as if they were idle.
+    pub(crate) fn by_capacity<'a>(
+        agents: impl Iterator<Item = (&'a LinkId, &'a AgentState)>,
+    ) -> Self {
+        Self::new(agents.map(|(link, agent)| (*link, agent, agent.hello.capacity)))
+    }
+
+    fn new<'a>(agents: impl Iterator<Item = (LinkId, &'a AgentState, Resources)>) -> Self {
         let mut candidates = Self::default();
-        for (index, (link, agent)) in agents.enumerate() {
+        for (index, (link, agent, free)) in agents.enumerate() {
             let service = &agent.hello.service;
             let groups = match candidates.services.get_mut(service) {
                 Some(groups) => groups,
                 None => candidates.services.entry(service.clone()).or_default(),
             };
             groups.all.members.push(index);
-            let free = agent.free();
             candidates.agents.push(Candidate { link, free });
         }
         candidates
--- a/crates/dispatch/src/dispatcher/ends.rs
+++ b/crates/dispatch/src/dispatcher/ends.rs
@@ -86,6 +86,7 @@
             return;
         };
         let is_open = job.is_open();
+        job.changed(now_ms);
         job.may_have_run |= !matches!(end, RunEnd::NotStarted(_));
         job.was_seen_running |= job.may_have_run;
         let queue = Arc::clone(&job.job.queue);
--- a/crates/dispatch/src/dispatcher/jobs.rs
+++ b/crates/dispatch/src/dispatcher/jobs.rs
@@ -153,6 +153,9 @@
     /// Callers that wait for the outcome.
     pub(crate) callers: Vec<CallerId>,
     pub(crate) received_ms: u64,
+    /// Time at which a task of the job was last ordered or ended, or else of its
+    /// receipt, in milliseconds.
+    pub(crate) changed_ms: u64,
     /// Time by which the job should be complete, in milliseconds.
     pub(crate) objective_ms: u64,
     /// Time from which the job is of no use any more, in milliseconds.
@@ -244,6 +247,7 @@
             job: Arc::new(job),
             callers: Vec::new(),
             received_ms: now_ms,
+            changed_ms: now_ms,
             objective_ms: now_ms.saturating_add(times.objective_ms),
             give_up_at_ms: now_ms.saturating_add(times.give_up_after_ms),
             excess_ms: 0.0,
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -17,6 +17,7 @@
 mod overload;
 mod pools;
 mod probes;
+mod reservations;
 mod resizes;
 mod rounds;
 mod stored_runs;
@@ -59,6 +60,7 @@
 use crate::dispatcher::jobs::TaskPhase;
 use crate::dispatcher::overload::MINION_WAIT_DIVISOR;
 use crate::dispatcher::overload::SHED_INTERVAL_MS;
+use crate::dispatcher::reservations::Reservation;
 use crate::dispatcher::witnesses::Witnesses;
 use crate::policy::BoxedPolicy;
 use crate::policy::FairShare;
@@ -157,6 +159,11 @@
     pub(crate) uplink: Uplink,
     /// Rate of the work that this entry recently started, by service.
     pub(crate) started_work: BTreeMap<Name, WorkRate>,
+    /// Agent that is kept for a task which has waited for long.
+    pub(crate) reservation: Option<Reservation>,
+    /// Number of the starved job, by urgency, that is next considered for an agent
+    /// of its own.
+    pub(crate) starved_turn: usize,
     /// First of the waiting jobs that the last round of placement did not
     /// reach, with its rank.
     pub(crate) next_turn: Option<(Rank, Name)>,
@@ -211,6 +218,8 @@
             starts_resume_at_ms: now_ms,
             policy,
             started_work: BTreeMap::new(),
+            reservation: None,
+            starved_turn: 0,
             next_turn: None,
             last_shed_ms: now_ms,
             services_without_ejection: Vec::new(),
--- a/crates/dispatch/src/dispatcher/overload.rs
+++ b/crates/dispatch/src/dispatcher/overload.rs
@@ -71,6 +71,7 @@
         for started in self.started_work.values_mut() {
             started.decay(now_ms);
         }
+        self.reserve(now_ms);
         let rates = self.drain_rates();
         let mut pools = self.pools();
         let mut ahead: BTreeMap<(Name, Pool), f64> = BTreeMap::new();
--- a/crates/dispatch/src/dispatcher/rounds.rs
+++ b/crates/dispatch/src/dispatcher/rounds.rs
@@ -63,6 +63,7 @@
         if now_ms < self.starts_resume_at_ms || now_ms > self.last_tick_ms + SUSPENSION_MS {
             return;
         }
+        self.use_reservation(now_ms);
         let mut candidates = self.candidates(now_ms);
         if candidates.is_empty() {
             return;
@@ -130,8 +131,11 @@
             let has_enough_cpu = agent.free().cpu_milli >= min_milli;
             agent.accepts_starts(now_ms) && has_enough_cpu
         };
+        let reserved = self.reservation.as_ref();
+        let is_reserved = |link| reserved.is_some_and(|reserved| reserved.link == link);
         let agents = self.agents.iter().filter(|(_, agent)| can_take(agent));
-        Candidates::new(agents.map(|(link, agent)| (*link, agent)))
+        let agents = agents.filter(|(link, _)| !is_reserved(**link));
+        Candidates::by_free(agents)
     }
 
     /// Returns the free processor capacity of a service outside evacuated
@@ -162,7 +166,7 @@
 
     /// Returns the ids and ranks of the waiting jobs that `is_wanted` selects,
     /// the most urgent first.
-    fn by_urgency(
+    pub(crate) fn by_urgency(
         &self,
         now_ms: u64,
         mut is_wanted: impl FnMut(&JobState) -> bool,
@@ -340,6 +344,7 @@
         task.host = Some(agent.hello.host.clone());
         let run = task.run;
         state.first_start_ms.get_or_insert(now_ms);
+        state.changed(now_ms);
         agent.add_order(now_ms, order, step.needs);
         agent.probations.add(now_ms, order, id, suspicion);
         // The next owner of a stored job waits for the starts of a lost agent anyway.
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -169,6 +169,9 @@
     Witness(WitnessedStarts),
     /// Forget these witnessed starts: nothing of them can be carried out late.
     ForgetWitnessed(Vec<OrderId>),
+    /// Give no other entry what is free or becomes free, since a large task of this entry
+    /// waits for it. The order has to be repeated while that lasts.
+    Reserve,
 }
 
 /// What the owner of a stored job decided on a retained end of one of its tasks.
--- a/crates/dispatch/src/policy/placement.rs
+++ b/crates/dispatch/src/policy/placement.rs
@@ -130,7 +130,11 @@
 }
 
 /// Returns whether the agent may get the task, apart from its free resources.
-fn is_eligible(agent: &AgentState, hosts: &Hosts, context: &PlacementContext<'_>) -> bool {
+pub(crate) fn is_eligible(
+    agent: &AgentState,
+    hosts: &Hosts,
+    context: &PlacementContext<'_>,
+) -> bool {
     let host = &agent.hello.host;
     let is_limited = context.step.max_per_minion > 0
         && context.tasks_per_host.get(host).copied().unwrap_or(0) >= context.step.max_per_minion;
--- a/crates/dispatch/src/resources.rs
+++ b/crates/dispatch/src/resources.rs
@@ -28,6 +28,13 @@
 }
 
 impl Resources {
+    /// More than any minion has.
+    pub(crate) const ALL: Self = Self {
+        cpu_milli: u32::MAX,
+        memory_mb: u32::MAX,
+        accelerators: u32::MAX,
+    };
+
     /// Returns whether `need` fits into these resources.
     #[must_use]
     pub fn can_fit(&self, need: &Self) -> bool {
