--- a/crates/dispatch/src/dispatcher/reservations.rs
+++ b/crates/dispatch/src/dispatcher/reservations.rs
@@ -10,6 +10,7 @@
 
 use crate::LinkId;
 use crate::Order;
+use crate::Resources;
 use crate::agent::offers::PROBE_TTL_MS;
 use crate::dispatcher::Dispatcher;
 use crate::dispatcher::candidates::Candidates;
@@ -127,6 +128,7 @@
         let context = self.placement_context(now_ms, &state.job, position)?;
         let can_run = |agent: &AgentState| {
             placement::fits(agent, &agent.hello.capacity, context.service, context.step)
+                && is_large_part(&context.step.needs, &agent.hello.capacity)
                 && placement::is_eligible(agent, &self.hosts, &context)
         };
         let agents = self.agents.iter().filter(|(_, agent)| can_run(agent));
@@ -141,6 +143,12 @@
     }
 }
 
+/// Returns whether the needs are more than half of some resource of a minion, so
+/// that what small tasks free one by one is seldom enough.
+fn is_large_part(needs: &Resources, capacity: &Resources) -> bool {
+    !capacity.can_fit(&needs.plus(needs))
+}
+
 impl JobState {
     /// Notes that a task of the job was ordered or ended.
     pub(crate) fn changed(&mut self, now_ms: u64) {
