Stored jobs: a run that no minion is known to have had does not begin its job

Cause: each end of a run but "not started" counted as a sign that the job had begun. A start that got no answer ends as lost, or as unsettled where minions keep their ids, with the lease of its minion. The state of a job also took the record of a lost run for a begin.

Ruled out: the sum over owners (each owner counts its own jobs right), cached counts.

Change: a job has begun once a run is reported as running, ends done or failed, or ends with a crash of a minion that is known to have had it. That something may have run, which decides whether a job may be refused as not run, is noted as before.

--- a/crates/dispatch/src/dispatcher/ends.rs
+++ b/crates/dispatch/src/dispatcher/ends.rs
@@ -88,7 +88,7 @@
         let is_open = job.is_open();
         job.changed(now_ms);
         job.may_have_run |= !matches!(end, RunEnd::NotStarted(_));
-        job.was_seen_running |= job.may_have_run;
+        job.was_seen_running |= end.shows_run();
         let queue = Arc::clone(&job.job.queue);
         if let Some(number) = retained_number {
             self.stored_events.push(StoredEvent::TaskEnded {
--- a/crates/dispatch/src/ledger/calls.rs
+++ b/crates/dispatch/src/ledger/calls.rs
@@ -16,7 +16,6 @@
 use crate::ledger::partition::Change;
 use crate::ledger::partition::OwnedJob;
 use crate::ledger::partition::OwnedPartition;
-use crate::stored::Progress;
 
 /// Longest time that a call about an unknown job waits for the store to confirm that this
 /// entry still owns the partition, in milliseconds: enough for two joins.
@@ -222,7 +221,7 @@
         let Some(owned_job) = owned.jobs.get(id).filter(|owned_job| owned_job.is_accepted) else {
             return StoredAnswer::Unknown;
         };
-        let has_started = owned_job.progress != Progress::default()
+        let has_started = owned_job.progress.has_ends()
             || !owned_job.crashes.is_empty()
             || dispatcher.has_stored_job_started(id);
         StoredAnswer::State(match owned_job.end {
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -373,6 +373,19 @@
     NotStarted(NotStartedReason),
 }
 
+impl RunEnd {
+    /// Returns whether the minion is known to have had the run. It may not have
+    /// answered its start, and been lost after that.
+    pub(crate) fn shows_run(self) -> bool {
+        match self {
+            Self::Done | Self::Failed => true,
+            Self::Crashed(evidence) => evidence.shows_run(),
+            Self::Unsettled { crash } => crash.is_some_and(CrashEvidence::shows_run),
+            Self::Stopped | Self::Lost | Self::NotStarted(_) => false,
+        }
+    }
+}
+
 /// Largest weight of the evidence of one crash.
 pub(crate) const MAX_EVIDENCE_WEIGHT: u32 = 2;
 /// Number of crashes with evidence of the same kind that prove that a task crashes its
@@ -399,6 +412,11 @@
 }
 
 impl CrashEvidence {
+    /// Returns whether the minion is known to have had the run.
+    fn shows_run(self) -> bool {
+        matches!(self, Self::Strong | Self::StartCrashed | Self::Cleared)
+    }
+
     /// Returns the weight of all crash evidence against a task.
     ///
     /// A single broken start weighs less than strong evidence: a task that crashes its minion
--- a/crates/dispatch/src/stored.rs
+++ b/crates/dispatch/src/stored.rs
@@ -283,6 +283,11 @@
         }
     }
 
+    /// Returns whether some run has ended at its minion.
+    pub(crate) fn has_ends(&self) -> bool {
+        !self.done.is_empty() || !self.failures.is_empty()
+    }
+
     /// Returns whether this run did its work, if the progress contains its end.
     pub(crate) fn end_of(&self, position: u32, run: u32) -> Option<bool> {
         if self.done.get(&position) == Some(&run) {
--- a/crates/dispatch/tests/session/stored.rs
+++ b/crates/dispatch/tests/session/stored.rs
@@ -19,6 +19,7 @@
 use gannetvane_dispatch::TaskId;
 
 use super::DELAY_MS;
+use super::EntryCore;
 use super::Event;
 use super::Session;
 use super::Side;
@@ -283,6 +284,28 @@
         self.post_at(self.now_ms + delay_ms, Side::Entry(entry), event);
     }
 
+    /// Returns the number of jobs of the usual queue that have not begun, as an entry counts
+    /// them in its partitions.
+    pub fn pending(&mut self, entry: usize) -> u32 {
+        let caller = StoredCaller(u64::MAX);
+        let call = StoredCall::Pending("slot-check".into());
+        let now_ms = self.now_ms;
+        let EntryCore { dispatcher, ledger } = &mut self.entries[entry].core;
+        ledger.call(now_ms, caller, call, dispatcher);
+        let mut pending = 0;
+        for action in ledger.take_actions() {
+            match action {
+                LedgerAction::Answer(answered, StoredAnswer::Pending { jobs, .. })
+                    if answered == caller =>
+                {
+                    pending = jobs;
+                }
+                action => self.ledger_action(entry, action),
+            }
+        }
+        pending
+    }
+
     pub fn ledger(&mut self, entry: usize) -> &mut Ledger {
         &mut self.entries[entry].core.ledger
     }
--- a/crates/dispatch/tests/stored.rs
+++ b/crates/dispatch/tests/stored.rs
@@ -366,3 +366,36 @@
     let accepted = jobs.iter().filter(|job| session.stored[**job].is_accepted);
     assert_eq!(accepted.count(), jobs.len());
 }
+
+/// Guards against jobs that are not counted as pending although none of their tasks has
+/// started: their starts got no answer from a minion that was then given up.
+#[parameterized(
+    kept_ids = { true },
+    other_ids = { false },
+)]
+fn jobs_whose_starts_got_no_answer_are_pending(keeps_ids: bool) {
+    const JOBS: u32 = 10;
+    let mut session = Session::new(2, 3);
+    session.has_prompt_minions = true;
+    if keeps_ids {
+        session.report_start_times();
+    }
+    session.set_labels(2, &["b"]);
+    let warm = session.store("0000000000000001", 1, 10);
+    session.run_until_ended(warm, 5_000);
+    session.run(1_500);
+    session.call_delay = Box::new(|_, agent| (agent == 2).then_some(10_000_000));
+    let step = Step {
+        count: 1,
+        needs: session::TASK_RESOURCES,
+        declared_ms: 1_000,
+        required_label: Some("b".into()),
+        ..Step::default()
+    };
+    for id in 0..JOBS {
+        session.store_steps(&format!("{:016x}", 0x300 + id), vec![step.clone()]);
+    }
+    session.run(5_200);
+    let pending = session.pending(0) + session.pending(1);
+    assert_eq!(pending, JOBS);
+}
