Stored jobs: a job that arrives after its cancel never runs

Cause: a cancel of a job that its owner does not know left no note.

Ruled out: a cancel at the wrong owner (the owner is confirmed by the store before it answers).

Change: the owner records the cancel of an unknown job as an end without steps before it answers 410, and refuses the job when it arrives (503, "cancelled"). Such a record is never shown, passes to the next owner, and is dropped as those of ended jobs are.

What it costs: one record for a cancel of an unknown job where there are stored jobs.

--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -84,6 +84,9 @@
     /// The store takes no records at present, so the job can't be stored.
     #[error("the store takes no records at present, so the job cannot be stored")]
     NotStorable,
+    /// The job was cancelled before it arrived.
+    #[error("the job was cancelled before it arrived")]
+    Cancelled,
     /// The job needs a feature that is not implemented.
     #[error("this kind of job is not supported")]
     Unsupported,
@@ -104,6 +107,7 @@
             Self::Stopping => "stopping",
             Self::StillStopping => "still-stopping",
             Self::NotStorable => "not-storable",
+            Self::Cancelled => "cancelled",
             Self::Unsupported => "unsupported",
             Self::Evacuated => "evacuated",
         }
--- a/crates/dispatch/src/ledger/calls.rs
+++ b/crates/dispatch/src/ledger/calls.rs
@@ -153,6 +153,10 @@
         };
         match owned.jobs.get(&id) {
             Some(known) if known.is_accepted => return Some(StoredAnswer::Accepted),
+            Some(known) if known.is_cancelled_early() => {
+                self.refuse(&id, &[caller], Refusal::Cancelled);
+                return None;
+            }
             Some(_) => {
                 owned.add_accept_caller(&id, caller);
                 return None;
@@ -243,8 +247,15 @@
             return Some(StoredAnswer::NotOwner);
         };
         let Some(owned_job) = owned.jobs.get_mut(id) else {
-            return Some(StoredAnswer::Unknown);
+            // A submission may still be on its way, from a caller that has left.
+            owned.jobs.insert(id.clone(), OwnedJob::cancelled_early());
+            owned.push(now_ms, Change::EarlyCancel(id.clone(), vec![caller]));
+            return None;
         };
+        if owned_job.is_cancelled_early() {
+            owned.push(now_ms, Change::EarlyCancel(id.clone(), vec![caller]));
+            return None;
+        }
         if owned_job.end.is_some() {
             return Some(StoredAnswer::Cancelled);
         }
--- a/crates/dispatch/src/ledger/log.rs
+++ b/crates/dispatch/src/ledger/log.rs
@@ -10,6 +10,7 @@
 use crate::Partition;
 use crate::Refusal;
 use crate::StoredAnswer;
+use crate::StoredEnd;
 use crate::ledger::jobs::start_if_unfinished;
 use crate::ledger::partition::Change;
 use crate::ledger::partition::Stage;
@@ -123,6 +124,13 @@
                     self.event("recorded", Some(id), format!("end={end:?}"));
                     self.answer_all(&callers, StoredAnswer::Cancelled);
                 }
+                Change::EarlyCancel(id, callers) => {
+                    if let Some(owned_job) = owned.jobs.get_mut(&id) {
+                        owned_job.end = Some((StoredEnd::Cancelled, now_ms));
+                    }
+                    self.event("cancelled-early", Some(id), String::new());
+                    self.answer_all(&callers, StoredAnswer::Unknown);
+                }
                 Change::Forget(id) => {
                     owned.jobs.remove(&id);
                 }
--- a/crates/dispatch/src/ledger/mod.rs
+++ b/crates/dispatch/src/ledger/mod.rs
@@ -303,7 +303,9 @@
                 Change::TaskEnd(_, link, number) => {
                     dispatcher.send_disposition(link, number, Disposition::NotOwner);
                 }
-                Change::Accept(_, callers) | Change::JobEnd(_, _, callers) => {
+                Change::Accept(_, callers)
+                | Change::JobEnd(_, _, callers)
+                | Change::EarlyCancel(_, callers) => {
                     self.answer_all(&callers, StoredAnswer::OutcomeUnknown);
                 }
                 _ => {}
--- a/crates/dispatch/src/ledger/partition.rs
+++ b/crates/dispatch/src/ledger/partition.rs
@@ -108,8 +108,30 @@
         }
     }
 
+    /// Returns a job that was cancelled before it arrived. It is never shown.
+    pub(crate) fn cancelled_early() -> Self {
+        Self {
+            job: None,
+            step_counts: None,
+            progress: Progress::default(),
+            has_progress_record: false,
+            crashes: JobCrashes::new(),
+            is_accepted: false,
+            is_started: false,
+            end: None,
+            unrecorded_end: Some(StoredEnd::Cancelled),
+        }
+    }
+
+    /// Returns whether the job was cancelled before it arrived.
+    pub(crate) fn is_cancelled_early(&self) -> bool {
+        !self.is_accepted && self.job.is_none()
+    }
+
     /// Returns a job that the log holds as ended.
     pub(crate) fn ended(ended: EndedJob, now_ms: u64) -> Self {
+        // Only a job that has arrived has steps.
+        let was_accepted = ended.step_counts.is_some() || ended.end != StoredEnd::Cancelled;
         let progress = Progress {
             done: ended.done,
             ..Progress::default()
@@ -120,7 +142,7 @@
             progress,
             has_progress_record: false,
             crashes: JobCrashes::new(),
-            is_accepted: true,
+            is_accepted: was_accepted,
             is_started: false,
             end: Some((ended.end, now_ms)),
             unrecorded_end: None,
@@ -176,6 +198,9 @@
     Crashed(Name, u32),
     /// Records the end of the job with this id; the callers wait for its cancellation.
     JobEnd(Name, StoredEnd, Vec<StoredCaller>),
+    /// Records that the job with this id is cancelled, which has not arrived; the callers wait
+    /// for that.
+    EarlyCancel(Name, Vec<StoredCaller>),
     /// Drops the job with this id, which ended long ago.
     Forget(Name),
     /// Records that this owner is about to start jobs that earlier owners accepted, and drops
@@ -377,7 +402,10 @@
             _ => true,
         });
         for (id, _) in &withdrawn {
-            self.jobs.remove(id);
+            let withdrawn = self.jobs.remove(id);
+            if withdrawn.is_some_and(|owned_job| owned_job.unrecorded_end.is_some()) {
+                self.jobs.insert(id.clone(), OwnedJob::cancelled_early());
+            }
         }
         withdrawn
     }
--- a/crates/dispatch/src/ledger/records.rs
+++ b/crates/dispatch/src/ledger/records.rs
@@ -7,6 +7,7 @@
 
 use crate::LogRecord;
 use crate::RecordError;
+use crate::StoredEnd;
 use crate::ledger::partition::Change;
 use crate::ledger::partition::OwnedJob;
 use crate::ledger::partition::OwnedPartition;
@@ -81,6 +82,14 @@
                         add(LogRecord::drop_key(crashes_key(id)));
                     }
                 }
+                Change::EarlyCancel(id, _) => {
+                    let ended = EndedJob {
+                        end: StoredEnd::Cancelled,
+                        done: BTreeMap::new(),
+                        step_counts: None,
+                    };
+                    add(LogRecord::ended(id, ended)?);
+                }
                 Change::Forget(id) => {
                     add(LogRecord::drop_key(id.clone()));
                     add(LogRecord::drop_key(progress_key(id)));
--- a/crates/dispatch/tests/cancelled_jobs.rs
+++ b/crates/dispatch/tests/cancelled_jobs.rs
@@ -3,6 +3,7 @@
 
 mod session;
 
+use gannetvane_dispatch::Partition;
 use session::Session;
 use yare::parameterized;
 
@@ -113,3 +114,60 @@
     cancel(&mut session, JobKind::CallerWaits, job);
     assert_all_runs_end(&mut session);
 }
+
+/// Guards against a job that runs although its cancel was answered before the job arrived:
+/// its submission was held up, and its caller cancelled it at another entry.
+#[parameterized(
+    at_the_same_owner = { false },
+    at_the_next_owner = { true },
+)]
+fn a_job_that_arrives_after_its_cancel_never_runs(changes_owner: bool) {
+    let mut session = Session::new(3, 2);
+    let id = "00000000000000b1";
+    let warm = session.store("0000000000000001", 1, 10);
+    session.run_until_ended(warm, 5_000);
+    session.run(1_500);
+    session.cancel_at_owner(id);
+    session.run(200);
+    if changes_owner {
+        let owner = session.owner_of(id).expect("there should be an owner");
+        session.kill_entry(owner, FOREVER_MS);
+        session.run(6_000);
+    }
+    let job = session.store(id, 1, 100);
+    session.run(3_000);
+    assert!(session.stored[job].refusals > 0);
+    let starts: usize = session.starts.values().sum();
+    assert_eq!(starts, 1, "only the first job should have run");
+    assert!(session.violations.is_empty(), "{:?}", session.violations);
+}
+
+/// Guards against a job that runs after its cancel because the store refused the job's record
+/// before that of its cancel.
+#[test]
+fn a_job_whose_record_was_refused_stays_cancelled() {
+    let mut session = Session::new(1, 2);
+    let id = "00000000000000b1";
+    let warm = session.store("0000000000000001", 1, 10);
+    session.run_until_ended(warm, 5_000);
+    session.run(1_500);
+    session.log_outcome = Box::new(|_, _| session::LogCallOutcome::Refused);
+    let other = (0x100..).map(|other: u64| format!("{other:016x}"));
+    let partition = |id: &str| Partition::of(id, session::PARTITIONS);
+    let other = other
+        .into_iter()
+        .find(|other| partition(other) == partition(id));
+    session.store(&other.expect("there should be another id"), 1, 100);
+    session.run(3);
+    let job = session.store(id, 1, 100);
+    session.run(1);
+    session.cancel_at_owner(id);
+    session.run(300);
+    session.log_outcome = Box::new(|_, _| session::LogCallOutcome::Served);
+    session.run(500);
+    let again = session.store(id, 1, 100);
+    session.run(3_000);
+    assert!(session.stored[job].refusals > 0);
+    assert!(session.stored[again].refusals > 0);
+    assert!(session.violations.is_empty(), "{:?}", session.violations);
+}
--- a/crates/dispatch/tests/session/stored.rs
+++ b/crates/dispatch/tests/session/stored.rs
@@ -98,6 +98,17 @@
         self.store(id, tasks, 0)
     }
 
+    /// Sends a cancel of a job to the owner of its partition.
+    pub fn cancel_at_owner(&mut self, id: &str) {
+        let owner = self
+            .owner_of(id)
+            .expect("the partition should have an owner");
+        self.next_caller += 1;
+        let call = StoredCall::Cancel(id.into());
+        let event = Event::Stored(StoredCaller(self.next_caller), call);
+        self.post(Side::Entry(owner), event);
+    }
+
     /// Makes the caller cancel a job, and repeat that until it is answered.
     pub fn cancel_stored(&mut self, position: usize) {
         self.stored[position].wants_cancel = true;
