Stored jobs: an owner takes up open jobs in turns, at a cost linear in their steps

Cause: the next owner passed all open jobs of a partition to the dispatcher in one turn of its loop. The path lengths of each job took a time that is quadratic in its steps and more with several dependencies a step, and each round of placement repeated a part of that for each waiting job. The loop stood still past its grants and its lease, and the next owner began anew.

Ruled out: the read of the partition and the log (jobs are accepted and read in time).

Change: path lengths are computed in one pass over the dependencies, kept with the job, and computed anew when a task ends and they are a second old. Steps are unblocked in one pass over the tasks. An owner passes jobs of 10,000 tasks a turn in a partition, and the rest 2 ms later; only jobs that were passed count, so that those that can't go ahead yet hold up no others.

--- a/crates/dispatch/src/dispatcher/ends.rs
+++ b/crates/dispatch/src/dispatcher/ends.rs
@@ -238,6 +238,7 @@
             self.finish(now_ms, id, JobOutcome::Completed, "done");
         } else {
             job.unblock();
+            job.refresh_path_lengths(now_ms, &self.estimates);
         }
     }
 
--- a/crates/dispatch/src/dispatcher/jobs.rs
+++ b/crates/dispatch/src/dispatcher/jobs.rs
@@ -156,6 +156,7 @@
     /// Time at which a task of the job was last ordered or ended, or else of its
     /// receipt, in milliseconds.
     pub(crate) changed_ms: u64,
+    path_lengths: PathLengths,
     /// Time by which the job should be complete, in milliseconds.
     pub(crate) objective_ms: u64,
     /// Time from which the job is of no use any more, in milliseconds.
@@ -220,7 +221,8 @@
 
     /// Returns a job without callers that is received at `now_ms`.
     fn without_caller(now_ms: u64, job: Job, estimates: &Estimates) -> Self {
-        let times = JobTimes::new(&job, critical_path_ms(&job, estimates));
+        let path_lengths = PathLengths::new(now_ms, &job, estimates);
+        let times = JobTimes::new(&job, path_lengths.longest_ms());
         let tasks = job.steps.iter().enumerate().flat_map(|(number, step)| {
             let phase = if step.after.is_empty() {
                 TaskPhase::Waiting
@@ -248,6 +250,7 @@
             callers: Vec::new(),
             received_ms: now_ms,
             changed_ms: now_ms,
+            path_lengths,
             objective_ms: now_ms.saturating_add(times.objective_ms),
             give_up_at_ms: now_ms.saturating_add(times.give_up_after_ms),
             excess_ms: 0.0,
@@ -278,7 +281,9 @@
             return;
         }
         self.excess_ms = excess_ms;
-        let critical_path_ms = critical_path_ms(&self.job, estimates) + excess_ms;
+        let computed_ms = self.path_lengths.computed_ms;
+        self.path_lengths = PathLengths::new(computed_ms, &self.job, estimates);
+        let critical_path_ms = self.path_lengths.longest_ms() + excess_ms;
         let times = JobTimes::new(&self.job, critical_path_ms);
         let received_ms = self.received_ms;
         self.objective_ms = self.objective_ms.max(received_ms + times.objective_ms);
@@ -385,12 +390,14 @@
 
     /// Makes the blocked tasks ready whose earlier steps are done.
     pub(crate) fn unblock(&mut self) {
-        let steps = self.job.steps.len();
-        let is_step_done = |step: usize| {
-            let mut tasks = self.tasks.iter().filter(|task| task.step == step);
-            tasks.all(|task| task.phase == TaskPhase::Done)
-        };
-        let done: Vec<bool> = (0..steps).map(is_step_done).collect();
+        let mut done = vec![true; self.job.steps.len()];
+        let not_done = self
+            .tasks
+            .iter()
+            .filter(|task| task.phase != TaskPhase::Done);
+        for task in not_done {
+            done[task.step] = false;
+        }
         for task in &mut self.tasks {
             let after = &self.job.steps[task.step].after;
             let is_ready = after.iter().all(|step| done[*step as usize]);
@@ -442,18 +449,18 @@
     }
 
     /// Returns the view of the job on which the policy decides.
-    pub(crate) fn waiting(&self, estimates: &Estimates) -> WaitingJob {
+    pub(crate) fn waiting(&self) -> WaitingJob {
         WaitingJob {
             objective_ms: self.objective_ms,
-            remaining_ms: critical_path_from_ms(&self.job, self.next_step(), estimates),
+            remaining_ms: self.path_lengths.from_step_ms(self.next_step()),
             has_started: self.first_start_ms.is_some(),
         }
     }
 
     /// Returns the time by which a task of the step must start for the job to
     /// meet its objective, in milliseconds.
-    pub(crate) fn latest_start_ms(&self, step: usize, estimates: &Estimates) -> i64 {
-        let remaining_ms = critical_path_from_ms(&self.job, step, estimates);
+    pub(crate) fn latest_start_ms(&self, step: usize) -> i64 {
+        let remaining_ms = self.path_lengths.from_step_ms(step);
         self.objective_ms.cast_signed() - remaining_ms as i64
     }
 }
@@ -478,25 +485,52 @@
     }
 }
 
-/// Returns the longest chain of expected run times, in milliseconds.
-fn critical_path_ms(job: &Job, estimates: &Estimates) -> f64 {
-    let lengths = (0..job.steps.len()).map(|step| critical_path_from_ms(job, step, estimates));
-    lengths.fold(0.0, f64::max)
+/// Age from which the path lengths of a job are computed anew when one of its
+/// tasks ends, in milliseconds. Estimates change within seconds.
+const MAX_PATH_AGE_MS: u64 = 1_000;
+
+/// For each step of a job, the expected time from its start to the end of all
+/// steps that depend on it.
+#[derive(Debug)]
+struct PathLengths {
+    by_step_ms: Vec<f64>,
+    computed_ms: u64,
 }
 
-/// Returns the expected time from the start of a step to the end of all steps
-/// that depend on it, in milliseconds.
-fn critical_path_from_ms(job: &Job, step: usize, estimates: &Estimates) -> f64 {
-    let own_ms = estimates.expected_ms(&job.queue.name, job.steps[step].declared_ms);
-    let mut longest: BTreeMap<usize, f64> = BTreeMap::from([(step, own_ms)]);
-    for later in step + 1..job.steps.len() {
-        let before = job.steps[later].after.iter();
-        let before = before.filter_map(|earlier| longest.get(&(*earlier as usize)));
-        let Some(before_ms) = before.copied().reduce(f64::max) else {
-            continue;
-        };
-        let later_ms = estimates.expected_ms(&job.queue.name, job.steps[later].declared_ms);
-        longest.insert(later, before_ms + later_ms);
+impl PathLengths {
+    /// Computes the lengths in a time that grows with the number of dependencies.
+    fn new(now_ms: u64, job: &Job, estimates: &Estimates) -> Self {
+        let mut by_step_ms = vec![0.0_f64; job.steps.len()];
+        for (number, step) in job.steps.iter().enumerate().rev() {
+            by_step_ms[number] += estimates.expected_ms(&job.queue.name, step.declared_ms);
+            let length_ms = by_step_ms[number];
+            for earlier in step.after.iter().map(|earlier| *earlier as usize) {
+                if let Some(after_ms) = by_step_ms[..number].get_mut(earlier) {
+                    *after_ms = after_ms.max(length_ms);
+                }
+            }
+        }
+        Self {
+            by_step_ms,
+            computed_ms: now_ms,
+        }
+    }
+
+    /// Returns the longest chain of expected run times, in milliseconds.
+    fn longest_ms(&self) -> f64 {
+        self.by_step_ms.iter().copied().fold(0.0, f64::max)
+    }
+
+    fn from_step_ms(&self, step: usize) -> f64 {
+        self.by_step_ms.get(step).copied().unwrap_or(0.0)
+    }
+}
+
+impl JobState {
+    /// Computes the path lengths anew from the present estimates if they are old.
+    pub(crate) fn refresh_path_lengths(&mut self, now_ms: u64, estimates: &Estimates) {
+        if now_ms >= self.path_lengths.computed_ms + MAX_PATH_AGE_MS {
+            self.path_lengths = PathLengths::new(now_ms, &self.job, estimates);
+        }
     }
-    longest.values().copied().fold(0.0, f64::max)
 }
--- a/crates/dispatch/src/ledger/jobs.rs
+++ b/crates/dispatch/src/ledger/jobs.rs
@@ -26,6 +26,12 @@
 /// left are then stopped. Most tasks are shorter.
 const RELEASE_TIMEOUT_MS: u64 = 1_000;
 
+/// Number of tasks from which no more jobs of a partition are passed to the dispatcher in one
+/// turn of the event loop. An entry that stands still for longer than a grant loses its runs.
+const MAX_TASKS_PER_TURN: usize = 10_000;
+/// Time until the next jobs are passed, in milliseconds.
+const TURN_PAUSE_MS: u64 = 2;
+
 /// A retained end, offered by an agent, on which the owner of the job has to decide.
 #[derive(Debug)]
 pub(crate) struct PendingEnd {
@@ -191,8 +197,13 @@
         return;
     }
     if owned.has_taken_over {
+        let mut started_tasks = 0;
         for id in due {
-            start(now_ms, owned, &id, dispatcher);
+            started_tasks += start(now_ms, owned, &id, dispatcher);
+            if started_tasks >= MAX_TASKS_PER_TURN {
+                owned.start_rest_at(now_ms + TURN_PAUSE_MS);
+                return;
+            }
         }
     } else if now_ms >= owned.former_runs_gone_at_ms
         && !dispatcher.may_have_unknown_starts(now_ms, owned.former_runs_gone_at_ms)
@@ -270,15 +281,19 @@
     None
 }
 
-/// Passes a job to the dispatcher. The caller tries again while the dispatcher is still
-/// stopping runs of the job from the last time that this entry owned the partition.
-fn start(now_ms: u64, owned: &mut OwnedPartition, id: &Name, dispatcher: &mut Dispatcher) {
+/// Passes a job to the dispatcher; returns the number of its tasks, or 0 if it was not passed.
+/// The caller tries again while the dispatcher is still stopping runs of the job from the last
+/// time that this entry owned the partition.
+fn start(now_ms: u64, owned: &mut OwnedPartition, id: &Name, dispatcher: &mut Dispatcher) -> usize {
     let Some(owned_job) = owned.jobs.get_mut(id) else {
-        return;
+        return 0;
     };
-    if let Some(job) = &owned_job.job {
-        owned_job.is_started = dispatcher.run_stored(now_ms, job, owned.epoch, owned_job);
-    }
+    let Some(job) = &owned_job.job else {
+        return 0;
+    };
+    owned_job.is_started = dispatcher.run_stored(now_ms, job, owned.epoch, owned_job);
+    let tasks = job.steps.iter().map(|step| step.count as usize).sum();
+    if owned_job.is_started { tasks } else { 0 }
 }
 
 /// Drops the jobs that ended more than [`ENDED_JOB_TTL_MS`] ago.
--- a/crates/dispatch/src/ledger/mod.rs
+++ b/crates/dispatch/src/ledger/mod.rs
@@ -395,7 +395,13 @@
             let former_runs_gone_at_ms =
                 (owned.former_runs_gone_at_ms > now_ms).then_some(owned.former_runs_gone_at_ms);
             let lease_ms = Some(owned.confirmed_ms + OWNER_LEASE_MS + 1);
-            [owned.next_due_ms(), former_runs_gone_at_ms, lease_ms]
+            let rest_ms = owned.start_rest_at_ms(now_ms);
+            [
+                owned.next_due_ms(),
+                former_runs_gone_at_ms,
+                lease_ms,
+                rest_ms,
+            ]
         });
         let due_ms = times.flatten().chain(self.join_due_ms).min();
         let watchers_ms = self.watchers.iter().map(|watcher| watcher.until_ms);
--- a/crates/dispatch/src/ledger/partition.rs
+++ b/crates/dispatch/src/ledger/partition.rs
@@ -255,6 +255,9 @@
     pub(crate) has_taken_over: bool,
     /// Whether the takeover was queued for the log.
     is_taking_over: bool,
+    /// Time in milliseconds at which jobs are started that were too many for one turn; `None`
+    /// if there are none.
+    start_rest_at_ms: Option<u64>,
     /// Number of the next append in the present epoch.
     pub(crate) next_number: u64,
     /// Offset at which the partition ended after this entry's last append.
@@ -295,6 +298,7 @@
             started_epoch: 0,
             has_taken_over: false,
             is_taking_over: false,
+            start_rest_at_ms: None,
             next_number: first_number,
             load: 0,
             end: None,
@@ -418,6 +422,16 @@
         changes
     }
 
+    /// Plans the next turn of starting jobs.
+    pub(crate) fn start_rest_at(&mut self, at_ms: u64) {
+        self.start_rest_at_ms = Some(at_ms);
+    }
+
+    /// Returns the time in milliseconds of the next turn of starting jobs, if one is planned.
+    pub(crate) fn start_rest_at_ms(&self, now_ms: u64) -> Option<u64> {
+        self.start_rest_at_ms.filter(|at_ms| now_ms < *at_ms)
+    }
+
     /// Returns whether all changes are in the log.
     pub(crate) fn is_flushed(&self) -> bool {
         self.pending_changes.is_empty() && self.batch.is_none()
