--- a/crates/dispatch/src/dispatcher/jobs.rs
+++ b/crates/dispatch/src/dispatcher/jobs.rs
@@ -452,7 +452,7 @@
     pub(crate) fn waiting(&self) -> WaitingJob {
         WaitingJob {
             objective_ms: self.objective_ms,
-            remaining_ms: self.path_lengths.from_step_ms(self.next_step()),
+            remaining_ms: self.path_lengths.of_step_ms(self.next_step()),
             has_started: self.first_start_ms.is_some(),
         }
     }
@@ -460,7 +460,7 @@
     /// Returns the time by which a task of the step must start for the job to
     /// meet its objective, in milliseconds.
     pub(crate) fn latest_start_ms(&self, step: usize) -> i64 {
-        let remaining_ms = self.path_lengths.from_step_ms(step);
+        let remaining_ms = self.path_lengths.of_step_ms(step);
         self.objective_ms.cast_signed() - remaining_ms as i64
     }
 }
@@ -521,7 +521,7 @@
         self.by_step_ms.iter().copied().fold(0.0, f64::max)
     }
 
-    fn from_step_ms(&self, step: usize) -> f64 {
+    fn of_step_ms(&self, step: usize) -> f64 {
         self.by_step_ms.get(step).copied().unwrap_or(0.0)
     }
 }
