Placement: stored tasks start beside others on slow minions

Cause: a slow minion gets a late task only while nothing runs on it, to show that it has recovered.

Waited jobs keep the rule: a late one is of little use, and its run would only take room.

Test: stored_tasks_start_beside_others_on_slow_minions (3 of 12 before, 12 now).

--- a/crates/dispatch/src/dispatcher/rounds.rs
+++ b/crates/dispatch/src/dispatcher/rounds.rs
@@ -298,6 +298,7 @@
                 .estimates
                 .expected_ms(&job.queue.name, step.declared_ms),
             time_left_ms: state.objective_ms as f64 - now_ms as f64,
+            is_stored: state.is_stored,
             avoided_hosts: self.hosts_to_avoid(&task.avoided_hosts, &job.queue.service, step),
             tasks_per_host,
             remote_factor: self.settings.remote_factor,
--- a/crates/dispatch/src/policy/placement.rs
+++ b/crates/dispatch/src/policy/placement.rs
@@ -38,6 +38,8 @@
     /// Time that is left until the objective, in milliseconds; negative when
     /// the job is late.
     pub(crate) time_left_ms: f64,
+    /// Whether the job has to be done, however late it is.
+    pub(crate) is_stored: bool,
     /// Hosts that the task avoids.
     pub(crate) avoided_hosts: Vec<Name>,
     /// Number of ordered tasks of the step on each host.
@@ -158,11 +160,13 @@
 
 /// Returns whether the minion is fast enough for the task. A minion that has
 /// become slow gets only what it can still end in time, or one task at a time
-/// to show that it has recovered.
+/// to show that it has recovered. A stored task waits for no faster minion
+/// longer than such a trial takes to show it.
 fn is_fast_enough(agent: &AgentState, context: &PlacementContext<'_>) -> bool {
     agent.speed >= MIN_HEALTHY_SPEED
         || context.expected_ms / agent.speed.max(MIN_SPEED) <= context.time_left_ms
         || agent.is_idle()
+        || context.is_stored && !agent.is_last_start_recent(context.now_ms)
 }
 
 fn has_required_label(agent: &AgentState, step: &Step) -> bool {
--- a/crates/dispatch/tests/grey_failures.rs
+++ b/crates/dispatch/tests/grey_failures.rs
@@ -246,3 +246,30 @@
 fn a_long_task_on_a_host_that_is_tried_again_does_not_hold_up_others() {
     assert_eq!(long_runs_after_failures(1, &["a"]), 6);
 }
+
+/// Guards against stored tasks that start one at a time on minions whose tasks take many times
+/// as long as expected, beside free resources.
+#[test]
+fn stored_tasks_start_beside_others_on_slow_minions() {
+    let mut session = Session::new(1, 3);
+    session.has_prompt_minions = true;
+    let warm = session.store("0000000000000001", 1, 10);
+    session.run_until_ended(warm, 5_000);
+    session.run(1_500);
+    for minion in &mut session.minions {
+        minion.behavior = Behavior::Slow(4.0);
+    }
+    for number in 0..3 {
+        session.store(&format!("{:016x}", 0x100 + number), 1, 2_000);
+    }
+    session.run(1_500);
+    for number in 0..9 {
+        session.store(&format!("{:016x}", 0x200 + number), 1, 2_000);
+    }
+    session.run(2_500);
+    let running = session
+        .minions
+        .iter()
+        .map(|minion| minion.running().count());
+    assert_eq!(running.sum::<usize>(), 12);
+}
