Placement: stored and waited tasks are told apart within a round

A task whose demand suited no agent earlier in a round is not tried again. A stored task may start on a slow minion where a waited one may not, so the two are kept apart. Found by reading.

--- a/crates/dispatch/src/dispatcher/candidates.rs
+++ b/crates/dispatch/src/dispatcher/candidates.rs
@@ -32,14 +32,15 @@
     unsuited: BTreeMap<DemandKey, f64>,
 }
 
-/// Service, required label and needs of a task.
-type DemandKey = (Name, Option<Name>, [u32; 3]);
+/// Service, required label and needs of a task, and whether it is stored.
+type DemandKey = (Name, Option<Name>, [u32; 3], bool);
 
 /// What a task without requirements of its own asks of an agent.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct TaskDemand<'a> {
     pub(crate) service: &'a Name,
     pub(crate) step: &'a Step,
+    pub(crate) is_stored: bool,
     /// Time left until the objective as a multiple of the expected run time. A
     /// task with less slack suits no more agents.
     pub(crate) slack: f64,
@@ -49,11 +50,8 @@
     fn key(&self) -> DemandKey {
         let needs = &self.step.needs;
         let needs = [needs.cpu_milli, needs.memory_mb, needs.accelerators];
-        (
-            self.service.clone(),
-            self.step.required_label.clone(),
-            needs,
-        )
+        let label = self.step.required_label.clone();
+        (self.service.clone(), label, needs, self.is_stored)
     }
 }
 
--- a/crates/dispatch/src/dispatcher/rounds.rs
+++ b/crates/dispatch/src/dispatcher/rounds.rs
@@ -239,6 +239,7 @@
         let demand = TaskDemand {
             service: &job.queue.service,
             step,
+            is_stored: state.is_stored,
             slack: time_left_ms / expected_ms.max(1.0),
         };
         if !has_own_requirements && candidates.is_unsuited(&demand) {
