Jobs: path lengths of few steps follow the present estimates

Estimates change with each run, and those of jobs that arrive in a burst count. Jobs of up to 8 steps, whose lengths cost little, are computed when they are needed, as before.

--- a/crates/dispatch/src/dispatcher/jobs.rs
+++ b/crates/dispatch/src/dispatcher/jobs.rs
@@ -449,18 +449,18 @@
     }
 
     /// Returns the view of the job on which the policy decides.
-    pub(crate) fn waiting(&self) -> WaitingJob {
+    pub(crate) fn waiting(&self, estimates: &Estimates) -> WaitingJob {
         WaitingJob {
             objective_ms: self.objective_ms,
-            remaining_ms: self.path_lengths.of_step_ms(self.next_step()),
+            remaining_ms: self.path_length_ms(self.next_step(), estimates),
             has_started: self.first_start_ms.is_some(),
         }
     }
 
     /// Returns the time by which a task of the step must start for the job to
     /// meet its objective, in milliseconds.
-    pub(crate) fn latest_start_ms(&self, step: usize) -> i64 {
-        let remaining_ms = self.path_lengths.of_step_ms(step);
+    pub(crate) fn latest_start_ms(&self, step: usize, estimates: &Estimates) -> i64 {
+        let remaining_ms = self.path_length_ms(step, estimates);
         self.objective_ms.cast_signed() - remaining_ms as i64
     }
 }
@@ -485,8 +485,11 @@
     }
 }
 
-/// Age from which the path lengths of a job are computed anew when one of its
-/// tasks ends, in milliseconds. Estimates change within seconds.
+/// Largest number of steps of a job whose path lengths are computed whenever they
+/// are needed.
+const MAX_FRESH_STEPS: usize = 8;
+/// Age from which the path lengths of a job with more steps are computed anew when
+/// one of its tasks ends, in milliseconds. Estimates change within seconds.
 const MAX_PATH_AGE_MS: u64 = 1_000;
 
 /// For each step of a job, the expected time from its start to the end of all
@@ -527,6 +530,17 @@
 }
 
 impl JobState {
+    /// Returns the expected time from the start of a step to the end of all steps
+    /// that depend on it, in milliseconds.
+    fn path_length_ms(&self, step: usize, estimates: &Estimates) -> f64 {
+        match self.job.steps.len() {
+            0..=MAX_FRESH_STEPS => {
+                PathLengths::new(self.received_ms, &self.job, estimates).of_step_ms(step)
+            }
+            _ => self.path_lengths.of_step_ms(step),
+        }
+    }
+
     /// Computes the path lengths anew from the present estimates if they are old.
     pub(crate) fn refresh_path_lengths(&mut self, now_ms: u64, estimates: &Estimates) {
         if now_ms >= self.path_lengths.computed_ms + MAX_PATH_AGE_MS {
--- a/crates/dispatch/src/dispatcher/overload.rs
+++ b/crates/dispatch/src/dispatcher/overload.rs
@@ -126,7 +126,7 @@
         {
             return false;
         }
-        let waiting = job.waiting();
+        let waiting = job.waiting(&self.estimates);
         !self.policy.can_meet_objective(now_ms, &waiting, wait_ms)
     }
 }
--- a/crates/dispatch/src/dispatcher/probes.rs
+++ b/crates/dispatch/src/dispatcher/probes.rs
@@ -65,7 +65,7 @@
         };
         let job = Arc::clone(&state.job);
         let step = state.tasks[first].step;
-        let latest_ms = state.latest_start_ms(step);
+        let latest_ms = state.latest_start_ms(step, &self.estimates);
         let slack_ms = (latest_ms - now_ms.cast_signed()).max(0);
         let agents: Vec<(LinkId, &AgentState)> = self
             .agents
--- a/crates/dispatch/src/dispatcher/rounds.rs
+++ b/crates/dispatch/src/dispatcher/rounds.rs
@@ -175,7 +175,7 @@
             .jobs
             .iter()
             .filter(|(_, job)| job.is_open() && job.has_waiting() && is_wanted(job));
-        let rank = |job: &JobState| self.policy.rank(now_ms, &job.waiting());
+        let rank = |job: &JobState| self.policy.rank(now_ms, &job.waiting(&self.estimates));
         let mut waiting: Vec<(Rank, Name)> =
             waiting.map(|(id, job)| (rank(job), id.clone())).collect();
         waiting.sort_unstable();
--- a/crates/dispatch/src/dispatcher/views.rs
+++ b/crates/dispatch/src/dispatcher/views.rs
@@ -29,7 +29,7 @@
             return true;
         }
         let queue = &job.job.queue;
-        let waiting = job.waiting();
+        let waiting = job.waiting(&self.estimates);
         let arrival = Arrival {
             queue,
             work: job.waiting_work(&self.estimates),
