Test: a step that fits nowhere, beside minions that are partly busy

With agents filtered by the first waiting step of each job again, the test failed to find it while some minion was idle. With 120 small tasks on the minions it does.

--- a/crates/dispatch/tests/scarce_capacity.rs
+++ b/crates/dispatch/tests/scarce_capacity.rs
@@ -176,9 +176,14 @@
 }
 
 /// Guards against a step that is never looked at because a step before it fits nowhere.
-#[test]
-fn a_step_that_fits_nowhere_holds_up_no_other_step_of_its_job() {
+#[parameterized(
+    beside_idle_minions = { 0 },
+    beside_minions_that_are_partly_busy = { 120 },
+)]
+fn a_step_that_fits_nowhere_holds_up_no_other_step_of_its_job(busy_tasks: usize) {
     let mut session = session();
+    store_jobs(&mut session, 0x500, busy_tasks, &step(SMALL, None, 20_000));
+    session.run(500);
     let blocker = step(MINION_CAPACITY, Some(SCARCE_LABEL), 5_000);
     store_jobs(&mut session, 0x100, 1, &blocker);
     session.run(500);
