--- a/crates/dispatch/tests/scarce_capacity.rs
+++ b/crates/dispatch/tests/scarce_capacity.rs
@@ -175,6 +175,36 @@
     assert_eq!(completed.count(), outcomes.len(), "{outcomes:?}");
 }
 
+/// Guards against refusals of jobs whose callers wait for stored work that no minion can run
+/// any more: in the load that entries tell each other, and ahead of jobs that wait a moment.
+#[parameterized(
+    beside_idle_minions = { 0 },
+    beside_minions_that_are_full_for_a_moment = { SCARCE },
+)]
+fn waited_jobs_are_not_refused_for_stored_work_that_fits_nowhere(full_minions: usize) {
+    let mut session = session();
+    let bound = step(SMALL, Some(SCARCE_LABEL), 8_000);
+    store_jobs(&mut session, 0x100, SCARCE_JOBS, &bound);
+    session.run(1_500);
+    session.crash_minion_for(SCARCE, FOR_GOOD_MS);
+    session.run(2_000);
+    for minion in 0..full_minions {
+        let brief = step(MINION_CAPACITY, Some("a"), 60);
+        session.submit_steps(0, &format!("brief-{minion}"), vec![brief]);
+    }
+    session.run(10);
+    let small = step(SMALL, None, 100);
+    let jobs: Vec<usize> = (0..12)
+        .map(|id| session.submit_steps(id % ENTRIES, &format!("small-{id}"), vec![small.clone()]))
+        .collect();
+    session.run(500);
+    let outcomes: Vec<Option<JobOutcome>> =
+        jobs.into_iter().map(|job| session.outcome(job)).collect();
+    let is_completed = |outcome: &Option<JobOutcome>| *outcome == Some(JobOutcome::Completed);
+    assert!(outcomes.iter().all(is_completed), "{outcomes:?}");
+    assert!(session.violations.is_empty(), "{:?}", session.violations);
+}
+
 /// Guards against a step that is never looked at because a step before it fits nowhere.
 #[parameterized(
     beside_idle_minions = { 0 },
