Tests: shared evidence, cleared suspects, ages of crashes

Taken out one by one, three parts of the weighing of suspects were found by no test: weak evidence for suspects that passed their probation together, the weight of a task that is cleared again and again, and the comparison of ages.

--- a/crates/dispatch/tests/crash_evidence.rs
+++ b/crates/dispatch/tests/crash_evidence.rs
@@ -342,3 +342,50 @@
     driver.answer_with(&ListResult::Broken);
     assert_eq!(evidence(end(&mut driver)), None);
 }
+
+/// Time after which an isolated suspect has passed its probation, in milliseconds.
+const PROBATION_MS: u64 = 110;
+
+/// Returns the evidence that a crash gives against each suspect, by its order.
+fn evidence_of_crash(driver: &mut Driver) -> Vec<(OrderId, Option<CrashEvidence>)> {
+    driver.answer_with(&ListResult::Broken);
+    let ends = driver.ends_of_refused_minion();
+    ends.into_iter()
+        .map(|(order, end)| (order, evidence(end)))
+        .collect()
+}
+
+#[test]
+fn suspects_that_passed_their_probation_share_the_evidence_of_a_crash() {
+    let mut driver = Driver::new();
+    driver.start_suspect(1, "a", &[]);
+    driver.advance(PROBATION_MS);
+    driver.start_suspect(2, "b", &["a"]);
+    driver.advance(PROBATION_MS);
+    driver.list_running(&["a", "b"], 0, 0);
+    let weak = Some(CrashEvidence::Weak);
+    let expected = [(OrderId(1), weak), (OrderId(2), weak)];
+    assert_eq!(evidence_of_crash(&mut driver), expected);
+}
+
+#[test]
+fn a_suspect_on_probation_clears_one_that_has_passed_its_own() {
+    let mut driver = Driver::new();
+    driver.start_suspect(1, "a", &[]);
+    driver.advance(PROBATION_MS);
+    driver.start_suspect(2, "b", &["a"]);
+    let expected = [
+        (OrderId(1), Some(CrashEvidence::Cleared)),
+        (OrderId(2), Some(CrashEvidence::Strong)),
+    ];
+    assert_eq!(evidence_of_crash(&mut driver), expected);
+}
+
+#[test]
+fn a_suspect_is_refused_beside_one_on_probation() {
+    let mut driver = Driver::new();
+    driver.start_suspect(1, "a", &[]);
+    let refused = driver.order_start(2, "b", true);
+    let full = RunEnd::NotStarted(NotStartedReason::Full);
+    assert_eq!(driver::ends_in(&refused), [(OrderId(2), full)]);
+}
--- a/crates/dispatch/tests/driver/mod.rs
+++ b/crates/dispatch/tests/driver/mod.rs
@@ -206,6 +206,33 @@
         }))
     }
 
+    /// Starts the only task of a job, an isolated suspect, while these runs are listed.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the agent sends no start.
+    pub fn start_suspect(&mut self, order: u64, job: &str, running: &[&str]) {
+        for action in self.order_start(order, job, true) {
+            if let AgentAction::List {
+                call, incarnation, ..
+            } = action
+            {
+                let listing = ListResult::Listed(listing_of(running, self.now_ms));
+                self.answer_call(&incarnation, call, listing);
+            }
+        }
+        let starts = starts_in(&self.advance(1));
+        assert!(starts > 0, "the agent should start {job}");
+        for _ in 0..starts {
+            self.agent.start_answered(
+                self.now_ms,
+                &incarnation_at(1_000),
+                &key(job),
+                StartResult::Started,
+            );
+        }
+    }
+
     /// Runs the only task of a stored job to its end, which the minion then retains;
     /// returns the number of the end.
     pub fn run_stored_task(&mut self, order: u64, job: &str) -> u64 {
--- a/crates/dispatch/tests/suspects.rs
+++ b/crates/dispatch/tests/suspects.rs
@@ -5,10 +5,13 @@
 
 use std::collections::BTreeSet;
 
+use gannetvane_dispatch::Crash;
+use gannetvane_dispatch::CrashEvidence;
 use gannetvane_dispatch::JobOutcome;
 use gannetvane_dispatch::Resources;
 use gannetvane_dispatch::Step;
 use gannetvane_dispatch::StoredEnd;
+use gannetvane_dispatch::TaskId;
 use session::FakeMinion;
 use session::Session;
 use yare::parameterized;
@@ -174,6 +177,67 @@
     assert!(session.violations.is_empty(), "{:?}", session.violations);
 }
 
+/// Returns the minion that runs a job.
+fn minion_of(session: &Session, id: &str) -> Option<usize> {
+    let runs_job = |minion: &usize| {
+        let mut running = session.minions[*minion].running();
+        running.any(|key| *key.task.job == *id)
+    };
+    (0..session.minions.len()).find(runs_job)
+}
+
+/// Guards against failing a good job whose caller waits: two minions crash under it, and a
+/// task that crashes its minions would have done so at about the same age.
+#[test]
+fn crashes_at_other_ages_fail_no_waited_job() {
+    let mut session = session();
+    let id = "good";
+    let job = session.submit_steps(0, id, vec![step(200, LONG_MS)]);
+    for age_ms in [3_000, 200] {
+        while minion_of(&session, id).is_none() {
+            session.run(1);
+        }
+        session.run(age_ms);
+        let minion = minion_of(&session, id).expect("the job should run");
+        session.restart_with_same_id(minion, DOWN_MS);
+        session.run(100);
+    }
+    session.run(500);
+    assert_eq!(session.outcome(job), None);
+    assert!(running_jobs(&session).contains(id));
+}
+
+/// Returns whether a waited job is given up that has one strong crash, and this many crashes
+/// of which its task was cleared.
+fn is_given_up_after_cleared(cleared: u64) -> bool {
+    let mut session = session();
+    let job = session.submit_steps(0, "job", vec![step(200, LONG_MS)]);
+    session.run(50);
+    let crash = |(number, evidence)| Crash {
+        number,
+        task: TaskId {
+            job: "job".into(),
+            step: 0,
+            index: 0,
+        },
+        evidence,
+        age_ms: 0,
+    };
+    let strong = [(1, CrashEvidence::Strong)];
+    let cleared = (0..cleared).map(|number| (10 + number, CrashEvidence::Cleared));
+    let crashes = strong.into_iter().chain(cleared).map(crash).collect();
+    let now_ms = session.now_ms;
+    session.entry(0).add_crashes(now_ms, crashes);
+    session.run(10);
+    session.outcome(job) == Some(JobOutcome::Failed)
+}
+
+#[test]
+fn a_task_that_is_cleared_again_and_again_is_given_up() {
+    assert!(!is_given_up_after_cleared(2));
+    assert!(is_given_up_after_cleared(3));
+}
+
 /// Guards against a task that waits for a host that is full, beside an idle one on which its
 /// minion crashed before.
 #[test]
@@ -192,11 +256,7 @@
     let id = "00000000000000a2";
     session.store_steps(id, vec![step(1_000, 3_000)]);
     session.run(500);
-    let is_there = |minion: &usize| {
-        let mut running = session.minions[*minion].running();
-        running.any(|key| *key.task.job == *id)
-    };
-    let minion = (0..MINIONS).find(is_there).expect("the task should run");
+    let minion = minion_of(&session, id).expect("the task should run");
     session.restart_with_same_id(minion, DOWN_MS);
     session.run(DOWN_MS + 2_000);
     assert!(running_jobs(&session).contains(id));
