Test: the withdrawn job's cancel is carried out before the record is withdrawn

While no join is answered, the cancel waits for the owner's confirmation, so the former form never came to the case. Only the append is left unanswered now.

--- a/crates/dispatch/tests/cancelled_jobs.rs
+++ b/crates/dispatch/tests/cancelled_jobs.rs
@@ -151,7 +151,11 @@
     let warm = session.store("0000000000000001", 1, 10);
     session.run_until_ended(warm, 5_000);
     session.run(1_500);
-    session.log_outcome = Box::new(|_, _| session::LogCallOutcome::Dropped);
+    let dropped_until_ms = session.now_ms + 3;
+    session.log_outcome = Box::new(move |now_ms, _| match now_ms <= dropped_until_ms {
+        true => session::LogCallOutcome::Dropped,
+        false => session::LogCallOutcome::Served,
+    });
     let other = (0x100..).map(|other: u64| format!("{other:016x}"));
     let partition = |id: &str| Partition::of(id, session::PARTITIONS);
     let other = other
@@ -162,9 +166,7 @@
     let job = session.store(id, 1, 100);
     session.run(1);
     session.cancel_at_owner(id);
-    session.run(600);
-    session.log_outcome = Box::new(|_, _| session::LogCallOutcome::Served);
-    session.run(500);
+    session.run(1_500);
     let again = session.store(id, 1, 100);
     session.run(3_000);
     assert!(session.stored[job].refusals > 0);
