--- a/crates/dispatch/src/dispatcher/ends.rs
+++ b/crates/dispatch/src/dispatcher/ends.rs
@@ -86,7 +86,7 @@
             return;
         };
         let is_open = job.is_open();
-        job.changed(now_ms);
+        job.changed_ms = now_ms;
         job.may_have_run |= !matches!(end, RunEnd::NotStarted(_));
         job.was_seen_running |= end.shows_run();
         let queue = Arc::clone(&job.job.queue);
--- a/crates/dispatch/src/dispatcher/pools.rs
+++ b/crates/dispatch/src/dispatcher/pools.rs
@@ -14,6 +14,8 @@
 use crate::dispatcher::Dispatcher;
 use crate::dispatcher::fleet::AgentState;
 use crate::dispatcher::jobs::JobState;
+use crate::dispatcher::views::MILLI_PER_CORE;
+use crate::dispatcher::views::MIN_SHARE;
 use crate::policy::MIN_RATE_MILLI;
 use crate::policy::ServiceView;
 use crate::policy::placement;
@@ -161,7 +163,7 @@
             let needs = agent.outstanding.values().map(|(_, needs)| needs.cpu_milli);
             own_milli += needs.map(f64::from).sum::<f64>() * speed;
         }
-        let min_milli = in_use_milli * super::views::MIN_SHARE;
+        let min_milli = in_use_milli * MIN_SHARE;
         own_milli.max(min_milli).max(MIN_RATE_MILLI)
     }
 
@@ -180,7 +182,7 @@
         ServiceView {
             capacity_milli,
             offered_milli: 0.0,
-            waiting_core_ms: waiting / super::views::MILLI_PER_CORE,
+            waiting_core_ms: waiting / MILLI_PER_CORE,
             is_capacity_known: capacity_milli > 0.0 && self.have_all_reported_free(service),
         }
     }
--- a/crates/dispatch/src/dispatcher/reservations.rs
+++ b/crates/dispatch/src/dispatcher/reservations.rs
@@ -148,10 +148,3 @@
 fn is_large_part(needs: &Resources, capacity: &Resources) -> bool {
     !capacity.can_fit(&needs.plus(needs))
 }
-
-impl JobState {
-    /// Notes that a task of the job was ordered or ended.
-    pub(crate) fn changed(&mut self, now_ms: u64) {
-        self.changed_ms = now_ms;
-    }
-}
--- a/crates/dispatch/src/dispatcher/rounds.rs
+++ b/crates/dispatch/src/dispatcher/rounds.rs
@@ -203,13 +203,14 @@
             if without_agent.iter().any(is_like) {
                 continue;
             }
-            let demand = (task.step, suspicion, task.avoided_hosts.clone());
+            let step = task.step;
+            let avoided_hosts = task.avoided_hosts.clone();
             match self.choose_agent(now_ms, &job, position, candidates) {
                 Some(link) => {
-                    candidates.add_order(link, &job.steps[demand.0].needs);
+                    candidates.add_order(link, &job.steps[step].needs);
                     self.order_start(now_ms, id, position, link);
                 }
-                None => without_agent.push(demand),
+                None => without_agent.push((step, suspicion, avoided_hosts)),
             }
             if candidates.is_exhausted() {
                 return;
@@ -346,7 +347,7 @@
         task.host = Some(agent.hello.host.clone());
         let run = task.run;
         state.first_start_ms.get_or_insert(now_ms);
-        state.changed(now_ms);
+        state.changed_ms = now_ms;
         agent.add_order(now_ms, order, step.needs);
         agent.probations.add(now_ms, order, id, suspicion);
         // The next owner of a stored job waits for the starts of a lost agent anyway.
