Tests: crowds of clients that do not end their requests; clients that keep to the limits

What callers saw: crowds of clients ended a process for want of memory.

The tests start the processes, connect 400 clients to one listener and let them send until all are done, refused or stuck: bodies short of their end at once and in pieces, large and one-byte chunks, whole bodies, a head without end, empty lines, bytes after a request, messages between processes.

Clients within the limits are served: largest body, largest job, slow client, 400 kept connections, the balancer's checks, a planned stop.

The fleet of the tests takes the limits of its HTTP interface as an argument; its defaults are as before.

--- /dev/null
+++ b/crates/daemon/tests/crowds/crowd.rs
@@ -0,0 +1,221 @@
+//! Clients that send much, stop before they are done, and keep their connections open.
+
+use std::io::ErrorKind;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+/// Number of clients in a crowd.
+const CLIENTS: usize = 400;
+/// Time without progress of any client after which a crowd is complete.
+const QUIET_TIME: Duration = Duration::from_millis(500);
+/// Clients that cannot connect for this long stay away: the server's backlog is full.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+const PAUSE: Duration = Duration::from_millis(2);
+/// Bytes that a client hands to its socket at a time.
+const WRITE_BYTES: usize = 64 * 1024;
+/// The same for a client that sends piece by piece.
+const PIECE_BYTES: usize = 512;
+/// Bytes of a client's head or empty lines, and of what follows a whole request.
+const ENDLESS_BYTES: usize = 2 * 1024 * 1024;
+
+/// Size of a message between processes.
+const FRAME_BYTES: usize = 1_000_000;
+
+/// What the clients of a crowd send.
+#[derive(Clone, Copy, Debug)]
+pub enum Behaviour {
+    /// A body of the largest legal size, without its last byte.
+    ShortBody,
+    /// The same in small pieces.
+    PieceByPiece,
+    /// A chunked body in large chunks, without its end.
+    LargeChunks,
+    /// A chunked body with one byte in each chunk, without its end.
+    SmallChunks,
+    /// A whole request with a body of the largest legal size.
+    WholeBody,
+    /// A head without end.
+    LongHead,
+    /// Empty lines without end in place of a request.
+    EmptyLines,
+    /// A whole request, and bytes without end after it.
+    Unread,
+    /// A message between processes without its last byte.
+    ShortFrame,
+}
+
+/// A request that takes a body, as the crowd sends it.
+#[derive(Clone, Debug)]
+pub struct Target {
+    pub addr: SocketAddr,
+    /// Method and path.
+    pub request: String,
+    pub host: &'static str,
+    /// First part of a valid body; spaces follow.
+    pub body_start: String,
+    /// Last part of a valid body.
+    pub body_end: &'static str,
+    /// Largest legal size of a body.
+    pub max_body_bytes: usize,
+    /// Encodes the length before a message between processes.
+    pub frame_length: fn(u32) -> Vec<u8>,
+}
+
+/// Bytes to send: a start, a part that is repeated, and an end.
+#[derive(Debug)]
+struct Script {
+    start: Vec<u8>,
+    repeated: Vec<u8>,
+    times: usize,
+    end: Vec<u8>,
+    write_bytes: usize,
+}
+
+impl Script {
+    fn new(target: &Target, behaviour: Behaviour) -> Self {
+        let head = format!("{} HTTP/1.1\r\nHost: {}\r\n", target.request, target.host);
+        let body_bytes = target.body_start.len() + target.body_end.len();
+        let padding = target.max_body_bytes - body_bytes;
+        let sized = format!(
+            "{head}Content-Length: {}\r\n\r\n{}",
+            target.max_body_bytes, target.body_start
+        );
+        let chunked = format!("{head}Transfer-Encoding: chunked\r\n\r\n");
+        let padded = |times, end: &str| Self::repeat(&sized, " ", times, end);
+        let without_last = &target.body_end[..target.body_end.len() - 1];
+        match behaviour {
+            Behaviour::ShortBody => padded(padding, without_last),
+            Behaviour::PieceByPiece => Self {
+                write_bytes: PIECE_BYTES,
+                ..padded(padding, without_last)
+            },
+            Behaviour::WholeBody => padded(padding, target.body_end),
+            Behaviour::LargeChunks => {
+                let chunk = format!("4000\r\n{}\r\n", " ".repeat(0x4000));
+                Self::repeat(&chunked, &chunk, target.max_body_bytes / 0x4000 - 1, "")
+            }
+            Behaviour::SmallChunks => {
+                Self::repeat(&chunked, "1\r\n \r\n", target.max_body_bytes / 4, "")
+            }
+            Behaviour::LongHead => Self::endless(&format!("{head}Cookie: "), "0123456789abcdef"),
+            Behaviour::EmptyLines => Self::endless("", "\r\n"),
+            Behaviour::ShortFrame => {
+                let length = u32::try_from(FRAME_BYTES).expect("a short frame");
+                Self {
+                    start: (target.frame_length)(length),
+                    ..Self::repeat("", " ", FRAME_BYTES - 1, "")
+                }
+            }
+            Behaviour::Unread => {
+                let whole = sized + &" ".repeat(padding) + target.body_end;
+                Self::endless(&whole, " ")
+            }
+        }
+    }
+
+    fn repeat(start: &str, repeated: &str, times: usize, end: &str) -> Self {
+        Self {
+            start: start.as_bytes().to_vec(),
+            repeated: repeated.as_bytes().to_vec(),
+            times,
+            end: end.as_bytes().to_vec(),
+            write_bytes: WRITE_BYTES,
+        }
+    }
+
+    fn endless(start: &str, repeated: &str) -> Self {
+        Self::repeat(start, repeated, ENDLESS_BYTES / repeated.len(), "")
+    }
+
+    /// Returns all bytes.
+    fn bytes(&self) -> Vec<u8> {
+        let repeated = self.repeated.repeat(self.times);
+        [self.start.as_slice(), &repeated, &self.end].concat()
+    }
+}
+
+impl Target {
+    /// Returns what a client of this behaviour sends.
+    pub fn bytes(&self, behaviour: Behaviour) -> Vec<u8> {
+        Script::new(self, behaviour).bytes()
+    }
+}
+
+/// A crowd of clients, whose connections are open until it is dropped.
+#[derive(Debug)]
+pub struct Crowd {
+    clients: Vec<Client>,
+}
+
+#[derive(Debug)]
+struct Client {
+    stream: TcpStream,
+    sent_bytes: usize,
+    is_closed: bool,
+}
+
+impl Crowd {
+    /// Connects the clients and sends until all of them are done, refused or stuck.
+    pub fn send(target: &Target, behaviour: Behaviour) -> Self {
+        let script = Script::new(target, behaviour);
+        let bytes = script.bytes();
+        let mut crowd = Self {
+            clients: Vec::with_capacity(CLIENTS),
+        };
+        for _ in 0..CLIENTS {
+            crowd.clients.extend(Client::connect(target.addr));
+            crowd.send_once(&bytes, script.write_bytes);
+        }
+        let mut progress_at = Instant::now();
+        while progress_at.elapsed() < QUIET_TIME {
+            if crowd.send_once(&bytes, script.write_bytes) {
+                progress_at = Instant::now();
+            } else {
+                thread::sleep(PAUSE);
+            }
+        }
+        crowd
+    }
+
+    /// Lets each client write once. Returns whether one of them could.
+    fn send_once(&mut self, bytes: &[u8], write_bytes: usize) -> bool {
+        let clients = self.clients.iter_mut();
+        let progress = clients.map(|client| client.send(bytes, write_bytes));
+        progress.fold(false, |any, one| any | one)
+    }
+}
+
+impl Client {
+    /// Connects; `None` if the server refuses.
+    fn connect(addr: SocketAddr) -> Option<Self> {
+        let stream = TcpStream::connect_timeout(&addr, CONNECT_TIMEOUT).ok()?;
+        stream.set_nodelay(true).ok()?;
+        stream.set_nonblocking(true).ok()?;
+        Some(Self {
+            stream,
+            sent_bytes: 0,
+            is_closed: false,
+        })
+    }
+
+    fn send(&mut self, bytes: &[u8], write_bytes: usize) -> bool {
+        let rest = &bytes[self.sent_bytes..];
+        if self.is_closed || rest.is_empty() {
+            return false;
+        }
+        match self.stream.write(&rest[..rest.len().min(write_bytes)]) {
+            Ok(written) => {
+                self.sent_bytes += written;
+                true
+            }
+            Err(error) => {
+                self.is_closed = error.kind() != ErrorKind::WouldBlock;
+                false
+            }
+        }
+    }
+}
--- a/crates/daemon/tests/fleet/mod.rs
+++ b/crates/daemon/tests/fleet/mod.rs
@@ -104,12 +104,22 @@
     pub agents: Vec<Option<Process>>,
     pub entries: Vec<Option<Process>>,
     minion_addrs: Vec<SocketAddr>,
+    limits: &'static str,
 }
 
+/// Limits of the HTTP interface in the settings of all processes.
+const LIMITS: &str = "max_requests = 64\nmax_body_bytes = 100000\nio_timeout_ms = 2000\n";
+
 impl Fleet {
     /// Starts entries and agents, waits until the entries know all agents, and
     /// configures the service `bretti-desk`.
     pub fn start(entries: usize, agents: usize) -> Self {
+        Self::start_with_limits(entries, agents, LIMITS)
+    }
+
+    /// Starts a fleet whose settings continue with `limits` in the section of the HTTP
+    /// interface.
+    pub fn start_with_limits(entries: usize, agents: usize, limits: &'static str) -> Self {
         let log = LogService::new(Duration::from_secs(3_600));
         let log_addr = free_addr();
         log.serve(log_addr).expect("the log can be served");
@@ -120,6 +130,7 @@
             agents: Vec::new(),
             entries: Vec::new(),
             minion_addrs: Vec::new(),
+            limits,
         };
         for index in 0..agents {
             let minion = MinionStandIn::new(8);
@@ -154,9 +165,10 @@
         let (addr, http) = (free_addr(), free_addr());
         let zone = ZONES[index % ZONES.len()];
         let log = self.log_addr;
+        let limits = self.limits;
         let text = format!(
             "[node]\naddress = \"{addr}\"\nzone = \"{zone}\"\n\
-             [http]\naddress = \"{http}\"\nmax_requests = 64\nmax_body_bytes = 100000\nio_timeout_ms = 2000\n\
+             [http]\naddress = \"{http}\"\n{limits}\
              [log]\nurl = \"http://{log}\"\ntimeout_ms = 1000\n{section}"
         );
         let file = settings_file(&text);
