Settings: size of the host and limits on its clients

Nothing is enforced yet. The crowds' settings name their small host from here on; crowd and bounds are unchanged.

--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -6,6 +6,8 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
+use gannetvane_node::ClientLimitError;
+use gannetvane_node::ClientSettings;
 use serde::Deserialize;
 use thiserror::Error;
 use toml::Table;
@@ -41,6 +43,9 @@
         /// The values that are allowed.
         allowed: String,
     },
+    /// A limit on clients is out of its range.
+    #[error(transparent)]
+    Clients(#[from] ClientLimitError),
     /// A section that the role needs is missing.
     #[error("[{section}]: missing, needed by {role}")]
     Missing {
@@ -78,6 +83,9 @@
     /// Log lines of this process.
     #[serde(default)]
     pub logging: LoggingSection,
+    /// Limits on what clients can make the process hold.
+    #[serde(default)]
+    pub clients: ClientSettings,
 }
 
 /// Address and availability zone of the process.
@@ -367,7 +375,14 @@
             1_024,
             7 * 1024 * 1024,
         )?;
-        check_range("http.io_timeout_ms", http.io_timeout_ms, 100, 300_000)
+        check_range("http.io_timeout_ms", http.io_timeout_ms, 100, 300_000)?;
+        self.clients.check()?;
+        check_range(
+            "clients.max_held_bytes",
+            self.clients.limits().max_held_bytes as u64,
+            http.max_body_bytes,
+            1 << 36,
+        )
     }
 
     fn check_log(&self) -> Result<(), SettingsError> {
--- a/crates/daemon/tests/crowds/site.rs
+++ b/crates/daemon/tests/crowds/site.rs
@@ -28,10 +28,11 @@
 /// Largest legal body of a minion's report.
 const MAX_REPORT_BYTES: usize = 1_048_576;
 /// Limits on clients in the settings of the platform's processes.
-const PLATFORM_LIMITS: &str = "";
+const PLATFORM_LIMITS: &str = "[clients]\nhost_memory_mb = 64\nhost_descriptors = 512\n";
 /// Limits on clients in the settings of the own interface's processes. The timeout ends
 /// no connection while a test runs.
-const OWN_LIMITS: &str = "max_requests = 64\nmax_body_bytes = 262144\nio_timeout_ms = 300000\n";
+const OWN_LIMITS: &str = "max_requests = 64\nmax_body_bytes = 262144\nio_timeout_ms = 300000\n\
+     [clients]\nhost_memory_mb = 64\nhost_descriptors = 512\n";
 /// A configuration with one queue and no limit on bodies.
 const CONFIG: &str = r#"{"version":3,"routes":[
   {"name":"slots","host":"desk.example","path_prefix":"/slots/","type":"non_idempotent","timeout_ms":1500,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod agent_links;
 mod agent_node;
+mod client_limits;
 mod clock;
 mod dialers;
 mod entry_handle;
@@ -28,6 +29,9 @@
 pub use agent_node::AgentHandle;
 pub use agent_node::AgentNode;
 pub use agent_node::AgentNodeSettings;
+pub use client_limits::ClientLimitError;
+pub use client_limits::ClientLimits;
+pub use client_limits::ClientSettings;
 pub use clock::BootTime;
 pub use clock::Clock;
 pub use clock::TimeSource;
