Clients: heads and empty lines without end take 16 KiB

What callers saw: a crowd that sends heads or empty lines without end takes a process of the platform beyond the memory of its host.

Cause: the HTTP library collects a head in a buffer of up to 400 KB a connection, and counts empty lines before it as a part of it. Evidence: 400 such clients, resident and unread bytes: front 312 and 292 MB, ready 296, metrics 236, agent's metrics 167, control 404 MB. Ruled out: the number of headers (over 100 are refused at once).

Change: the buffer ends at clients.max_head_bytes (16 KiB); the library answers 431 and closes. Heads of clients within the limits are below 1 KB.

--- a/crates/node/src/http_server.rs
+++ b/crates/node/src/http_server.rs
@@ -24,6 +24,8 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
+use crate::ClientLimits;
+
 /// Timeout for reading the header of a request, in milliseconds. The limits that
 /// users configure on their sites are not below it.
 const HEADER_TIMEOUT_MS: u64 = 15_000;
@@ -63,9 +65,10 @@
 }
 
 /// Accepts connections until `stop` is true, and then closes each connection after
-/// the request in progress.
+/// the request in progress. Heads over the limit are refused.
 pub async fn serve_http<F, R>(
     listener: TcpListener,
+    limits: ClientLimits,
     handler: F,
     mut stop: watch::Receiver<bool>,
     open_connections: OpenConnections,
@@ -84,7 +87,7 @@
             Ok((stream, _)) => {
                 let connection = open_connections.register();
                 let handler = Rc::clone(&handler);
-                let served = serve_connection(stream, handler, stop.clone(), log.clone());
+                let served = serve_connection(stream, limits, handler, stop.clone(), log.clone());
                 tokio::task::spawn_local(async move {
                     served.await;
                     drop(connection);
@@ -100,6 +103,7 @@
 
 async fn serve_connection<F, R>(
     stream: TcpStream,
+    limits: ClientLimits,
     handler: Rc<F>,
     mut stop: watch::Receiver<bool>,
     log: Logger,
@@ -117,6 +121,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(HEADER_TIMEOUT_MS))
+        .max_buf_size(limits.max_head_bytes)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
     let ended = tokio::select! {
--- a/crates/node/tests/entry.rs
+++ b/crates/node/tests/entry.rs
@@ -36,6 +36,7 @@
 use gannetvane_dispatch::RoutingTable;
 use gannetvane_dispatch::StoredAnswer;
 use gannetvane_dispatch::decode;
+use gannetvane_node::ClientSettings;
 use gannetvane_node::Clock;
 use gannetvane_node::EntryHandle;
 use gannetvane_node::EntryNode;
@@ -399,7 +400,8 @@
             tokio::time::sleep(Duration::from_millis(600)).await;
             Response::new(Full::new(Bytes::from_static(b"whole")))
         };
-        tokio::task::spawn_local(serve_http(listener, serve, stop, open, log()));
+        let limits = ClientSettings::default().limits();
+        tokio::task::spawn_local(serve_http(listener, limits, serve, stop, open, log()));
         let store_client = StoreClient::new(Rc::new(FakeStore::default()), log());
         let running = tokio::task::spawn_local(node.run(store_client));
         let mut stream = TcpStream::connect(front).await.expect("an open front");
