Clients: connections and what their requests hold are bounded

What callers saw: clients that stop short of the end of their bodies and stay take a process of the platform beyond the memory of its host, one connection and one body each, with no end.

Cause: nothing bounds the number of connections, nor what is held for them together. The HTTP library hands a body over in parts that each keep its whole read buffer alive; the handlers kept these parts. Evidence: 400 clients, 418 descriptors and 109 to 335 MB at the front, 108 to 439 MB at the agent's control address on the untouched sources. Ruled out as bounds: the largest body (each client keeps to it), pausing reads (the system receives on), a time limit for bodies (slow clients are legal, and a crowd comes again).

Change: a table of a listener's connections with their phase and what is held for each. At the limit on connections or on memory, the one that has waited longest for its client is closed for the new one; for memory only those that hold at least the average. A complete request is never closed. A body is copied into one buffer, whose growth is reserved first; the parts are dropped at once. What does not fit is refused with 503 client-memory and has not run; the rest of a refused body is read, so that its client sees the answer.

--- a/crates/node/src/http_server.rs
+++ b/crates/node/src/http_server.rs
@@ -1,19 +1,21 @@
 //! An HTTP/1.1 server for callers, whose connections stay open until a planned
-//! stop.
+//! stop. It bounds what clients can make the process hold: the receive buffers, heads
+//! and number of connections here, what belongs to requests in `connection_table`.
 
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::fmt;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::Request;
 use hyper::Response;
-use hyper::body::Incoming;
+use hyper::body::Body;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -30,13 +32,18 @@
 use tokio::sync::watch;
 
 use crate::ClientLimits;
+use crate::client_request::ClientRequest;
+use crate::client_stream::ClientStream;
+use crate::connection_table::CloseReason;
+use crate::connection_table::ConnectionSlot;
+use crate::connection_table::ConnectionTable;
+use crate::connection_table::RequestCounts;
 
-/// Timeout for reading the header of a request, in milliseconds. The limits that
-/// users configure on their sites are not below it.
+/// Timeout for reading the header of a request where no pause of a client is bounded, in
+/// milliseconds. The limits that users configure on their sites are not below it.
 const HEADER_TIMEOUT_MS: u64 = 15_000;
 /// Pause after a failed accept, in milliseconds.
 const ACCEPT_PAUSE_MS: u64 = 20;
-
 /// Largest number of connections that wait to be accepted.
 const BACKLOG: i32 = 1_024;
 
@@ -91,74 +98,201 @@
     Ok(socket.into())
 }
 
-/// Accepts connections until `stop` is true, and then closes each connection after
-/// the request in progress. Heads over the limit are refused.
-pub async fn serve_http<F, R>(
-    listener: TcpListener,
+/// Serves the clients of one listener.
+pub struct HttpServer {
     limits: ClientLimits,
-    handler: F,
-    mut stop: watch::Receiver<bool>,
+    on_close: Rc<dyn Fn(CloseReason)>,
+    stop: Option<watch::Receiver<bool>>,
     open_connections: OpenConnections,
+    counts: Arc<RequestCounts>,
     log: Logger,
-) where
-    F: Fn(Request<Incoming>) -> R + 'static,
-    R: Future<Output = HttpResponse> + 'static,
-{
-    let handler = Rc::new(handler);
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = stop.wait_for(|is_stopping| *is_stopping) => return,
-        };
-        match accepted {
-            Ok((stream, _)) => {
-                let connection = open_connections.register();
-                let handler = Rc::clone(&handler);
-                let served = serve_connection(stream, limits, handler, stop.clone(), log.clone());
-                tokio::task::spawn_local(async move {
-                    served.await;
-                    drop(connection);
-                });
+}
+
+impl fmt::Debug for HttpServer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("HttpServer").finish_non_exhaustive()
+    }
+}
+
+impl HttpServer {
+    /// Creates a server with these limits that runs until the process ends.
+    #[must_use]
+    pub fn new(limits: ClientLimits, log: Logger) -> Self {
+        Self {
+            limits,
+            on_close: Rc::new(|_| ()),
+            stop: None,
+            open_connections: OpenConnections::default(),
+            counts: Arc::default(),
+            log,
+        }
+    }
+
+    /// Calls `on_close` for each connection that the server closes for a limit.
+    #[must_use]
+    pub fn with_on_close(mut self, on_close: impl Fn(CloseReason) + 'static) -> Self {
+        self.on_close = Rc::new(on_close);
+        self
+    }
+
+    /// Stops once `stop` is true: each connection is closed after the request in
+    /// progress.
+    #[must_use]
+    pub fn with_stop(mut self, stop: watch::Receiver<bool>) -> Self {
+        self.stop = Some(stop);
+        self
+    }
+
+    /// Counts open connections in `open_connections`.
+    #[must_use]
+    pub fn with_open_connections(mut self, open_connections: OpenConnections) -> Self {
+        self.open_connections = open_connections;
+        self
+    }
+
+    /// Counts requests in `counts`.
+    #[must_use]
+    pub fn with_counts(mut self, counts: Arc<RequestCounts>) -> Self {
+        self.counts = counts;
+        self
+    }
+
+    /// Accepts connections and passes their requests to the handler.
+    pub async fn serve<F, R>(self, listener: TcpListener, handler: F)
+    where
+        F: Fn(ClientRequest) -> R + 'static,
+        R: Future<Output = HttpResponse> + 'static,
+    {
+        let handler = Rc::new(handler);
+        let table = ConnectionTable::new(
+            self.limits,
+            Arc::clone(&self.counts),
+            Rc::clone(&self.on_close),
+        );
+        let stop = self.stop.clone();
+        let mut stopping = pin!(stopped(stop));
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = &mut stopping => return,
+            };
+            match accepted {
+                Ok((stream, _)) => {
+                    let Some(slot) = table.open().await else {
+                        continue;
+                    };
+                    let served = self.connection(stream, slot, Rc::clone(&handler));
+                    tokio::task::spawn_local(served);
+                    self.wait_for_evicted().await;
+                }
+                Err(error) => {
+                    warn!(self.log, "accept-failed"; "error" => %error);
+                    tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
+                }
             }
-            Err(error) => {
-                warn!(log, "accept-failed"; "error" => %error);
-                tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
+        }
+    }
+
+    /// Lets the tasks of evicted connections close them, so that their descriptors are
+    /// free before the next connection is accepted.
+    async fn wait_for_evicted(&self) {
+        while self.open_connections.count() > self.limits.max_connections {
+            tokio::task::yield_now().await;
+        }
+    }
+
+    /// Returns the future that serves a connection to its end.
+    fn connection<F, R>(
+        &self,
+        stream: TcpStream,
+        slot: ConnectionSlot,
+        handler: Rc<F>,
+    ) -> impl Future<Output = ()> + 'static
+    where
+        F: Fn(ClientRequest) -> R + 'static,
+        R: Future<Output = HttpResponse> + 'static,
+    {
+        let counted = self.open_connections.register();
+        let limits = self.limits;
+        let stop = self.stop.clone();
+        let log = self.log.clone();
+        async move {
+            let served = serve_connection(stream, &slot, limits, handler, stop);
+            let ended = tokio::select! {
+                biased;
+                () = slot.evicted() => Ok(()),
+                ended = served => ended,
+            };
+            if let Err(error) = ended {
+                if let Some(reason) = close_reason(&error) {
+                    slot.count(reason);
+                }
+                debug!(log, "connection-ended"; "error" => %error);
             }
+            slot.close();
+            drop(counted);
         }
     }
 }
 
 async fn serve_connection<F, R>(
     stream: TcpStream,
+    slot: &ConnectionSlot,
     limits: ClientLimits,
     handler: Rc<F>,
-    mut stop: watch::Receiver<bool>,
-    log: Logger,
-) where
-    F: Fn(Request<Incoming>) -> R + 'static,
+    stop: Option<watch::Receiver<bool>>,
+) -> hyper::Result<()>
+where
+    F: Fn(ClientRequest) -> R + 'static,
     R: Future<Output = HttpResponse> + 'static,
 {
-    if let Err(error) = stream.set_nodelay(true) {
-        debug!(log, "connection-option"; "error" => %error);
-    }
+    // Only costs latency if it fails.
+    let _ = stream.set_nodelay(true);
+    let stream = ClientStream::new(stream, slot.clone(), limits.io_timeout);
     let service = service_fn(move |request| {
-        let response = handler(request);
-        async move { Ok::<_, Infallible>(response.await) }
+        let slot = slot.clone();
+        let answer = handler(ClientRequest::new(request, slot.clone()));
+        async move {
+            let answer = answer.await;
+            let bytes = answer.body().size_hint().lower();
+            slot.answer_started(usize::try_from(bytes).unwrap_or(usize::MAX));
+            Ok::<_, Infallible>(answer)
+        }
     });
+    let head_timeout = match limits.io_timeout {
+        // Bounds each pause, also in a head.
+        Some(_) => None,
+        None => Some(Duration::from_millis(HEADER_TIMEOUT_MS)),
+    };
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_millis(HEADER_TIMEOUT_MS))
+        .header_read_timeout(head_timeout)
         .max_buf_size(limits.max_head_bytes)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
-    let ended = tokio::select! {
+    tokio::select! {
         ended = connection.as_mut() => ended,
-        _ = stop.wait_for(|is_stopping| *is_stopping) => {
+        () = stopped(stop) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
-    };
-    if let Err(error) = ended {
-        debug!(log, "connection-ended"; "error" => %error);
     }
 }
+
+/// Returns once a stop is requested; never without a receiver or sender of it.
+async fn stopped(stop: Option<watch::Receiver<bool>>) {
+    if let Some(mut stop) = stop
+        && stop.wait_for(|is_stopping| *is_stopping).await.is_ok()
+    {
+        return;
+    }
+    std::future::pending::<()>().await;
+}
+
+/// Returns the limit for which the HTTP library closed a connection, if any.
+fn close_reason(error: &hyper::Error) -> Option<CloseReason> {
+    if error.is_parse_too_large() {
+        return Some(CloseReason::HeadTooLarge);
+    }
+    error.is_timeout().then_some(CloseReason::HeadTimeout)
+}
--- a/crates/node/tests/entry.rs
+++ b/crates/node/tests/entry.rs
@@ -41,6 +41,7 @@
 use gannetvane_node::EntryHandle;
 use gannetvane_node::EntryNode;
 use gannetvane_node::EntryNodeSettings;
+use gannetvane_node::HttpServer;
 use gannetvane_node::Metrics;
 use gannetvane_node::StoreClient;
 use gannetvane_node::Tunables;
@@ -48,7 +49,6 @@
 use gannetvane_node::ports::JobLogPort;
 use gannetvane_node::ports::StoreError;
 use gannetvane_node::ports::ZoneRecord;
-use gannetvane_node::serve_http;
 use gannetvane_wire::NodeId;
 use http_body_util::Full;
 use hyper::Response;
@@ -400,8 +400,10 @@
             tokio::time::sleep(Duration::from_millis(600)).await;
             Response::new(Full::new(Bytes::from_static(b"whole")))
         };
-        let limits = ClientSettings::default().limits();
-        tokio::task::spawn_local(serve_http(listener, limits, serve, stop, open, log()));
+        let server = HttpServer::new(ClientSettings::default().limits(), log())
+            .with_stop(stop)
+            .with_open_connections(open);
+        tokio::task::spawn_local(server.serve(listener, serve));
         let store_client = StoreClient::new(Rc::new(FakeStore::default()), log());
         let running = tokio::task::spawn_local(node.run(store_client));
         let mut stream = TcpStream::connect(front).await.expect("an open front");
