Clients: what is made of a body is bounded

What callers saw: jobs of legal size with tens of thousands of empty steps take an entry beyond the memory of its host; it stands still over them until its agents take it for lost, and other callers get 503 no-minion.

Cause: 12 bytes of a body become a step of over 100 bytes, and decisions look at every step; only tasks were counted (4,096 at most), after decoding. What is made of a body was held uncounted until its answer.

Ruled out: jobs of 4,000 tasks (16 MB; the policy refuses most, and tells others 429 truly).

Change: lists in bodies of callers end at 4,096 items while they are decoded, here and on the own interface (400).

--- a/crates/daemon/tests/crowds/crowd.rs
+++ b/crates/daemon/tests/crowds/crowd.rs
@@ -4,6 +4,7 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpStream;
+use std::rc::Rc;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -25,6 +26,13 @@
 /// Size of a message between processes.
 const FRAME_BYTES: usize = 1_000_000;
 
+/// A step without tasks, and the comma after it.
+const EMPTY_STEP: &str = r#"{"count":0},"#;
+/// A step with a task.
+const LAST_STEP: &str = r#"{"count":1,"cpu":1000,"mem_mb":64,"est_runtime_ms":300}"#;
+/// Id of the job in the requests of a target.
+pub const JOB_ID: &str = "00000000000000aa";
+
 /// What the clients of a crowd send.
 #[derive(Clone, Copy, Debug)]
 pub enum Behaviour {
@@ -46,6 +54,8 @@
     Unread,
     /// A message between processes without its last byte.
     ShortFrame,
+    /// A whole request for a job of its own, with very many steps without tasks.
+    ManySteps,
 }
 
 /// A request that takes a body, as the crowd sends it.
@@ -103,6 +113,10 @@
             }
             Behaviour::LongHead => Self::endless(&format!("{head}Cookie: "), "0123456789abcdef"),
             Behaviour::EmptyLines => Self::endless("", "\r\n"),
+            Behaviour::ManySteps => {
+                let steps = EMPTY_STEP.repeat(target.max_body_bytes / EMPTY_STEP.len() - 20);
+                Self::job(&head, &(steps + LAST_STEP))
+            }
             Behaviour::ShortFrame => {
                 let length = u32::try_from(FRAME_BYTES).expect("a short frame");
                 Self {
@@ -127,6 +141,13 @@
         }
     }
 
+    fn job(head: &str, steps: &str) -> Self {
+        let body = format!(r#"{{"spec":"ms=300","best_effort":true,"steps":[{steps}]}}"#);
+        let length = body.len();
+        let head = format!("{head}Gannetvane-Timeout-Ms: 60000\r\nContent-Length: {length}");
+        Self::repeat(&format!("{head}\r\n\r\n{body}"), "", 0, "")
+    }
+
     fn endless(start: &str, repeated: &str) -> Self {
         Self::repeat(start, repeated, ENDLESS_BYTES / repeated.len(), "")
     }
@@ -139,6 +160,14 @@
 }
 
 impl Target {
+    /// Returns the target of the client with this number, whose job is its own.
+    fn of_client(&self, number: usize) -> Self {
+        Self {
+            request: self.request.replace(JOB_ID, &format!("{number:016x}")),
+            ..self.clone()
+        }
+    }
+
     /// Returns what a client of this behaviour sends.
     pub fn bytes(&self, behaviour: Behaviour) -> Vec<u8> {
         Script::new(self, behaviour).bytes()
@@ -154,6 +183,7 @@
 #[derive(Debug)]
 struct Client {
     stream: TcpStream,
+    bytes: Rc<Vec<u8>>,
     sent_bytes: usize,
     is_closed: bool,
 }
@@ -162,17 +192,21 @@
     /// Connects the clients and sends until all of them are done, refused or stuck.
     pub fn send(target: &Target, behaviour: Behaviour) -> Self {
         let script = Script::new(target, behaviour);
-        let bytes = script.bytes();
+        let shared = Rc::new(script.bytes());
         let mut crowd = Self {
             clients: Vec::with_capacity(CLIENTS),
         };
-        for _ in 0..CLIENTS {
-            crowd.clients.extend(Client::connect(target.addr));
-            crowd.send_once(&bytes, script.write_bytes);
+        for number in 0..CLIENTS {
+            let bytes = match behaviour {
+                Behaviour::ManySteps => Rc::new(target.of_client(number).bytes(behaviour)),
+                _ => Rc::clone(&shared),
+            };
+            crowd.clients.extend(Client::connect(target.addr, bytes));
+            crowd.send_once(script.write_bytes);
         }
         let mut progress_at = Instant::now();
         while progress_at.elapsed() < QUIET_TIME {
-            if crowd.send_once(&bytes, script.write_bytes) {
+            if crowd.send_once(script.write_bytes) {
                 progress_at = Instant::now();
             } else {
                 thread::sleep(PAUSE);
@@ -182,28 +216,29 @@
     }
 
     /// Lets each client write once. Returns whether one of them could.
-    fn send_once(&mut self, bytes: &[u8], write_bytes: usize) -> bool {
+    fn send_once(&mut self, write_bytes: usize) -> bool {
         let clients = self.clients.iter_mut();
-        let progress = clients.map(|client| client.send(bytes, write_bytes));
+        let progress = clients.map(|client| client.send(write_bytes));
         progress.fold(false, |any, one| any | one)
     }
 }
 
 impl Client {
     /// Connects; `None` if the server refuses.
-    fn connect(addr: SocketAddr) -> Option<Self> {
+    fn connect(addr: SocketAddr, bytes: Rc<Vec<u8>>) -> Option<Self> {
         let stream = TcpStream::connect_timeout(&addr, CONNECT_TIMEOUT).ok()?;
         stream.set_nodelay(true).ok()?;
         stream.set_nonblocking(true).ok()?;
         Some(Self {
             stream,
+            bytes,
             sent_bytes: 0,
             is_closed: false,
         })
     }
 
-    fn send(&mut self, bytes: &[u8], write_bytes: usize) -> bool {
-        let rest = &bytes[self.sent_bytes..];
+    fn send(&mut self, write_bytes: usize) -> bool {
+        let rest = &self.bytes[self.sent_bytes..];
         if self.is_closed || rest.is_empty() {
             return false;
         }
--- a/crates/daemon/tests/crowds/legal.rs
+++ b/crates/daemon/tests/crowds/legal.rs
@@ -11,6 +11,7 @@
 
 use crate::crowd::Behaviour;
 use crate::crowd::Crowd;
+use crate::crowd::JOB_ID;
 use crate::crowd::Target;
 use crate::site;
 use crate::site::Limits;
@@ -146,7 +147,7 @@
     let site = site::start(listener, Limits::Lowered);
     let target = site.target();
     let crowd_target = Target {
-        request: target.request.replace("aa", "bb"),
+        request: target.request.replace(JOB_ID, "00000000000000bb"),
         ..target.clone()
     };
     let _crowd = Crowd::send(&crowd_target, Behaviour::ShortBody);
--- a/crates/daemon/tests/crowds/main.rs
+++ b/crates/daemon/tests/crowds/main.rs
@@ -41,6 +41,7 @@
     front_long_heads = { Listener::Front, Behaviour::LongHead },
     front_empty_lines = { Listener::Front, Behaviour::EmptyLines },
     front_unread_bytes = { Listener::Front, Behaviour::Unread },
+    front_many_steps = { Listener::Front, Behaviour::ManySteps },
     ready_small_chunks = { Listener::Ready, Behaviour::SmallChunks },
     ready_long_heads = { Listener::Ready, Behaviour::LongHead },
     ready_unread_bytes = { Listener::Ready, Behaviour::Unread },
--- a/crates/daemon/tests/crowds/site.rs
+++ b/crates/daemon/tests/crowds/site.rs
@@ -14,6 +14,7 @@
 use gannetvane_platform_standins::settings;
 use gannetvane_platform_standins::until;
 
+use crate::crowd::JOB_ID;
 use crate::crowd::Target;
 use crate::fleet::End;
 use crate::fleet::Fleet;
@@ -171,7 +172,7 @@
             Listener::AgentMetrics => (self.agent.http, "POST /metrics"),
             Listener::Control => (self.control, "PUT /api/instances/i-1"),
             Listener::Link => (self.link, ""),
-            _ => (self.front, "POST /slots/00000000000000aa"),
+            _ => (self.front, &*format!("POST /slots/{JOB_ID}")),
         };
         Target {
             addr,
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -44,6 +44,19 @@
     pub max_per_minion: u32,
 }
 
+/// Size of the state of a task while its job is open, in bytes.
+const TASK_BYTES: usize = 512;
+
+impl Step {
+    /// Returns the memory that the step and the state of its tasks take, in bytes.
+    fn memory_bytes(&self) -> usize {
+        let labels = [&self.required_label, &self.preferred_label];
+        let label_bytes: usize = labels.into_iter().flatten().map(|label| label.len()).sum();
+        let after_bytes = size_of_val(self.after.as_slice());
+        size_of::<Self>() + after_bytes + label_bytes + self.count as usize * TASK_BYTES
+    }
+}
+
 /// A job whose caller waits for the outcome.
 #[derive(Clone, Debug)]
 pub struct Job {
@@ -59,6 +72,15 @@
     pub wait_ms: u64,
 }
 
+impl Job {
+    /// Returns the memory that the job and the state of its tasks take, in bytes.
+    #[must_use]
+    pub fn memory_bytes(&self) -> usize {
+        let step_bytes: usize = self.steps.iter().map(Step::memory_bytes).sum();
+        self.spec.len() + step_bytes
+    }
+}
+
 /// Why a job was refused. No task of it has run or will run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Error, Serialize, Deserialize)]
 pub enum Refusal {
--- a/crates/wire/src/api.rs
+++ b/crates/wire/src/api.rs
@@ -10,6 +10,7 @@
 use crate::Ran;
 use crate::Reason;
 use crate::TaskStatus;
+use crate::bounded_list;
 
 /// Deadline of a submission whose caller sets none, in milliseconds.
 const DEFAULT_DEADLINE_MS: u64 = 30_000;
@@ -50,6 +51,7 @@
     #[serde(default = "default_deadline_ms")]
     pub deadline_ms: u64,
     /// The tasks.
+    #[serde(deserialize_with = "bounded_list")]
     pub tasks: Vec<TaskBody>,
 }
 
@@ -132,6 +134,7 @@
     #[serde(default)]
     pub change_id: Option<Name>,
     /// The steps that the operator intends.
+    #[serde(deserialize_with = "bounded_list")]
     pub operations: Vec<Operation>,
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod answer;
 pub mod api;
+mod bounded_list;
 mod codec;
 mod configuration;
 mod id;
@@ -19,6 +20,8 @@
 pub use answer::Reason;
 pub use answer::TaskReport;
 pub use answer::TaskStatus;
+pub use bounded_list::MAX_LIST_ITEMS;
+pub use bounded_list::bounded_list;
 pub use codec::CodecError;
 pub use codec::MAX_FRAME_BYTES;
 pub use codec::decode;
