Own interface: a crowd of clients neither holds a thread each nor shuts out others

What callers saw: clients that stop short of their bodies' end keep everybody else from an entry of the own interface, until its timeout ends them, and beside that take 75 to 146 MB with 192 to 400 of them.

Cause: oxhttp serves each connection with a thread, up to http.max_requests and 128 more, reads heads, chunks and bodies by itself and gives no hand on any of it. Beyond the limit it stops accepting; a request counted against max_requests from its head on. Evidence on the untouched sources, 400 clients, max_requests 64: five of the crowds of the entry leave no answer to others within 90 s, the agent's none within 4 s; a caller cannot connect before its system gives up, beside a planned stop. Ruled out: a smaller timeout (slow clients are legal, and the crowd comes again); a relay in front within the process (it would hold the same bytes twice).

Change: the own interface is served by the server of the platform's processes, its nearest kin, on one thread; handlers wait for the core without a thread. Only complete requests count against http.max_requests. What a submission holds is reserved until the core's reply, also when its caller leaves before. http.io_timeout_ms bounds each pause as before.

--- a/crates/daemon/src/event_loop.rs
+++ b/crates/daemon/src/event_loop.rs
@@ -23,6 +23,7 @@
 use slog::debug;
 use slog::info;
 use slog::warn;
+use tokio::sync::oneshot;
 
 use crate::clock::Clock;
 use crate::clock::SystemClock;
@@ -116,7 +117,7 @@
     stop: Arc<AtomicBool>,
     is_stopping: bool,
     has_ended: bool,
-    callers: BTreeMap<CallerId, Sender<Reply>>,
+    callers: BTreeMap<CallerId, oneshot::Sender<Reply>>,
     next_caller_id: u64,
     next_sizes_at_ms: u64,
     next_contacts_at_ms: u64,
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -1,26 +1,30 @@
-//! The HTTP server of a process and its limits.
+//! The HTTP server of a process: one thread reads requests within the limits and passes
+//! them to the process.
 
-use std::io::Read;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::thread;
 
+use async_trait::async_trait;
+use gannetvane_node::BodyError;
+use gannetvane_node::ClientBody;
+use gannetvane_node::ClientLimits;
+use gannetvane_node::ClientRequest;
+use gannetvane_node::HttpResponse;
+use gannetvane_node::HttpServer as NodeServer;
+use gannetvane_node::RequestCounts;
+use gannetvane_node::bind_clients;
 use gannetvane_wire::Answer;
 use gannetvane_wire::Ran;
 use gannetvane_wire::Reason;
-use oxhttp::Server;
-use oxhttp::model::Body;
-use oxhttp::model::Request;
-use oxhttp::model::Response;
+use slog::Logger;
+use tokio::net::TcpListener;
+use tokio::task::LocalSet;
 
+use crate::metrics::Metrics;
 use crate::problem::refusal_response;
 use crate::problem::rejection;
 
-/// Connections accepted beyond the limit on requests, so that their requests
-/// get a refusal as answer.
-const SPARE_CONNECTIONS: usize = 128;
 /// Time after which a refused caller may try again.
 const RETRY_AFTER_MS: u32 = 1_000;
 
@@ -30,106 +34,149 @@
     /// Largest number of concurrent requests; further ones are refused.
     pub max_requests: usize,
     /// Largest body in bytes.
-    pub max_body_bytes: u64,
-    /// Longest time without progress while a caller sends or receives.
-    pub io_timeout: Duration,
+    pub max_body_bytes: usize,
+    /// Limits on connections.
+    pub clients: ClientLimits,
 }
 
 /// A request with its complete body.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(crate) struct HttpCall {
-    pub(crate) method: String,
-    pub(crate) path: String,
-    pub(crate) query: String,
-    pub(crate) has_idempotency_key: bool,
-    pub(crate) body: Vec<u8>,
+    pub(crate) request: ClientRequest,
+    pub(crate) body: ClientBody,
 }
 
-/// Returns the response to a request.
-pub(crate) type Handler = dyn Fn(&HttpCall) -> Response<Body> + Send + Sync;
+impl HttpCall {
+    pub(crate) fn method(&self) -> &str {
+        self.request.method().as_str()
+    }
 
-/// The HTTP server for callers, operators, metrics scrapers and the balancer.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct HttpServer {
-    active: Arc<AtomicUsize>,
-}
+    pub(crate) fn path(&self) -> &str {
+        self.request.uri().path()
+    }
 
-struct ActiveGuard(Arc<AtomicUsize>);
+    pub(crate) fn query(&self) -> &str {
+        self.request.uri().query().unwrap_or_default()
+    }
 
-impl Drop for ActiveGuard {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::SeqCst);
+    pub(crate) fn has_idempotency_key(&self) -> bool {
+        self.request.headers().contains_key("idempotency-key")
     }
 }
 
+/// Answers requests.
+#[async_trait(?Send)]
+pub(crate) trait Handler: Send + Sync {
+    /// Returns the response to a request.
+    async fn handle(&self, call: HttpCall) -> HttpResponse;
+}
+
+/// The HTTP server for callers, operators, metrics scrapers and the balancer.
+#[derive(Clone, Debug)]
+pub(crate) struct HttpServer {
+    counts: Arc<RequestCounts>,
+}
+
 impl HttpServer {
-    /// Binds the address and serves requests on the server's own threads.
+    /// Binds the address and serves requests on a separate thread until the process ends.
     ///
     /// # Errors
     ///
-    /// An I/O error when the address cannot be bound.
+    /// An I/O error when the address cannot be bound or the thread cannot start.
     pub(crate) fn start(
         addr: SocketAddr,
         limits: HttpLimits,
-        handler: Box<Handler>,
+        handler: Arc<dyn Handler>,
+        metrics: Arc<Metrics>,
+        log: Logger,
     ) -> std::io::Result<Self> {
-        let server = Self::default();
-        let active = Arc::clone(&server.active);
-        let listener = Server::new(move |request| {
-            let count = active.fetch_add(1, Ordering::SeqCst);
-            let _guard = ActiveGuard(Arc::clone(&active));
-            if count >= limits.max_requests {
-                return overloaded();
-            }
-            match read_call(request, limits.max_body_bytes) {
-                Ok(call) => handler(&call),
-                Err(refusal) => *refusal,
-            }
-        })
-        .bind(addr)
-        .with_max_concurrent_connections(limits.max_requests + SPARE_CONNECTIONS)
-        .with_global_timeout(limits.io_timeout)
-        .spawn()?;
-        // The listener runs until the process ends.
-        std::mem::forget(listener);
-        Ok(server)
+        let listener = bind_clients(addr, &limits.clients)?;
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        let counts = Arc::<RequestCounts>::default();
+        let answerer = Answerer {
+            limits,
+            handler,
+            counts: Arc::clone(&counts),
+        };
+        let thread = move || {
+            LocalSet::new().block_on(&runtime, answerer.serve(listener, metrics, log));
+        };
+        thread::Builder::new().name("http".into()).spawn(thread)?;
+        Ok(Self { counts })
+    }
+
+    /// Returns the number of complete requests that have no answer yet.
+    #[must_use]
+    pub fn serving(&self) -> usize {
+        self.counts.serving()
     }
 
-    /// Returns the number of requests that are being served.
+    /// Returns the number of requests whose body or answer is being transferred.
     #[must_use]
-    pub fn active(&self) -> usize {
-        self.active.load(Ordering::SeqCst)
+    pub fn transferring(&self) -> usize {
+        self.counts.transferring()
     }
 }
 
-fn overloaded() -> Response<Body> {
-    // Another entry may already have run the submission, so whether it ran is
-    // unknown here.
-    let answer = Answer::refusal(Ran::Unknown, Reason::EntryOverloaded, Some(RETRY_AFTER_MS));
-    refusal_response(&answer, "try any other entry".to_owned())
+/// Answers requests on the thread of the server.
+#[derive(Clone)]
+struct Answerer {
+    limits: HttpLimits,
+    handler: Arc<dyn Handler>,
+    counts: Arc<RequestCounts>,
 }
 
-fn read_call(
-    request: &mut Request<Body>,
-    max_body_bytes: u64,
-) -> Result<HttpCall, Box<Response<Body>>> {
-    let mut body = Vec::new();
-    let mut limited = request.body_mut().take(max_body_bytes + 1);
-    if let Err(error) = limited.read_to_end(&mut body) {
-        return Err(Box::new(rejection(
-            Reason::BadRequest,
-            format!("body: {error}"),
-        )));
+impl Answerer {
+    async fn serve(self, listener: std::net::TcpListener, metrics: Arc<Metrics>, log: Logger) {
+        let listener = match TcpListener::from_std(listener) {
+            Ok(listener) => listener,
+            Err(error) => {
+                slog::crit!(log, "http-failed"; "error" => %error);
+                return;
+            }
+        };
+        NodeServer::new(self.limits.clients, log)
+            .with_counts(Arc::clone(&self.counts))
+            .with_on_close(move |reason| metrics.count_event(reason.name()))
+            .serve(listener, move |request| self.clone().answer(request))
+            .await;
     }
-    if body.len() as u64 > max_body_bytes {
-        let detail = format!("body: larger than {max_body_bytes} bytes");
-        return Err(Box::new(rejection(Reason::BodyTooLarge, detail)));
+
+    async fn answer(self, mut request: ClientRequest) -> HttpResponse {
+        let body = match request.read_body(self.limits.max_body_bytes).await {
+            Ok(body) => body,
+            Err(error) => return self.refuse_body(error),
+        };
+        if self.counts.serving() > self.limits.max_requests {
+            return overloaded();
+        }
+        let call = HttpCall { request, body };
+        // A submission runs on when its caller disconnects, and so do its task and the
+        // memory that is reserved for it.
+        let handler = Arc::clone(&self.handler);
+        let handled = tokio::task::spawn_local(async move { handler.handle(call).await });
+        handled.await.unwrap_or_else(|_| overloaded())
     }
-    Ok(HttpCall {
-        method: request.method().as_str().to_owned(),
-        path: request.uri().path().to_owned(),
-        query: request.uri().query().unwrap_or_default().to_owned(),
-        has_idempotency_key: request.headers().contains_key("idempotency-key"),
-        body,
-    })
+
+    fn refuse_body(&self, error: BodyError) -> HttpResponse {
+        match error {
+            BodyError::TooLarge => {
+                let max_body_bytes = self.limits.max_body_bytes;
+                let detail = format!("body: larger than {max_body_bytes} bytes");
+                rejection(Reason::BodyTooLarge, detail)
+            }
+            BodyError::MemoryExhausted(_) => overloaded(),
+            BodyError::Incomplete => rejection(Reason::BadRequest, format!("body: {error}")),
+        }
+    }
+}
+
+/// Returns the refusal of a request that this entry has no room for.
+pub(crate) fn overloaded() -> HttpResponse {
+    // Another entry may already have run the submission, so whether it ran is
+    // unknown here.
+    let answer = Answer::refusal(Ran::Unknown, Reason::EntryOverloaded, Some(RETRY_AFTER_MS));
+    refusal_response(&answer, "try any other entry".to_owned())
 }
--- a/crates/daemon/src/input.rs
+++ b/crates/daemon/src/input.rs
@@ -2,13 +2,13 @@
 
 use std::net::SocketAddr;
 
-use crossbeam::channel::Sender;
 use gannetvane_core::Command;
 use gannetvane_core::Reply;
 use gannetvane_wire::Credit;
 use gannetvane_wire::Envelope;
 use gannetvane_wire::Message;
 use gannetvane_wire::TaskResult;
+use tokio::sync::oneshot;
 
 use crate::platform::LogReply;
 
@@ -40,5 +40,5 @@
 #[derive(Debug)]
 pub(crate) struct CommandRequest {
     pub(crate) command: Command,
-    pub(crate) reply_to: Sender<Reply>,
+    pub(crate) reply_to: oneshot::Sender<Reply>,
 }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -108,7 +108,8 @@
         );
     }
 
-    fn count_event(&self, event: &'static str) {
+    /// Counts the event with this name.
+    pub fn count_event(&self, event: &'static str) {
         self.events.add(1, &[KeyValue::new("event", event)]);
     }
 }
--- a/crates/daemon/src/problem.rs
+++ b/crates/daemon/src/problem.rs
@@ -1,5 +1,6 @@
 //! HTTP responses for answers, refusals and failures.
 
+use gannetvane_node::HttpResponse;
 use gannetvane_wire::Answer;
 use gannetvane_wire::Outcome;
 use gannetvane_wire::Ran;
@@ -10,8 +11,9 @@
 use gannetvane_wire::api::AnswerBody;
 use gannetvane_wire::api::Problem;
 use gannetvane_wire::api::TaskState;
-use oxhttp::model::Body;
-use oxhttp::model::Response;
+use http_body_util::Full;
+use hyper::Response;
+use hyper::body::Bytes;
 use serde::Serialize;
 
 use crate::metrics::reason_name;
@@ -26,7 +28,7 @@
 }
 
 /// Returns the response for a final answer.
-pub(crate) fn answer_response(id: SubmissionId, answer: &Answer) -> Response<Body> {
+pub(crate) fn answer_response(id: SubmissionId, answer: &Answer) -> HttpResponse {
     if answer.outcome == Outcome::Complete {
         let results = answer
             .tasks
@@ -45,17 +47,17 @@
 }
 
 /// Returns the response for a refusal of something other than a submission.
-pub(crate) fn refusal_response(answer: &Answer, detail: String) -> Response<Body> {
+pub(crate) fn refusal_response(answer: &Answer, detail: String) -> HttpResponse {
     problem_response(&build_problem(answer, detail))
 }
 
 /// Returns the response for a request that cannot be served without a change.
-pub(crate) fn rejection(reason: Reason, detail: impl Into<String>) -> Response<Body> {
+pub(crate) fn rejection(reason: Reason, detail: impl Into<String>) -> HttpResponse {
     refusal_response(&Answer::refusal(Ran::NotRun, reason, None), detail.into())
 }
 
 /// Returns a response with a JSON body.
-pub(crate) fn json_response(status: u16, body: &impl Serialize) -> Response<Body> {
+pub(crate) fn json_response(status: u16, body: &impl Serialize) -> HttpResponse {
     response(
         status,
         JSON,
@@ -64,7 +66,7 @@
 }
 
 /// Returns a response with a text body.
-pub(crate) fn text_response(status: u16, text: &str) -> Response<Body> {
+pub(crate) fn text_response(status: u16, text: &str) -> HttpResponse {
     response(status, "text/plain; charset=utf-8", text.to_owned())
 }
 
@@ -90,7 +92,7 @@
     }
 }
 
-fn problem_response(problem: &Problem) -> Response<Body> {
+fn problem_response(problem: &Problem) -> HttpResponse {
     let body = serde_json::to_string(problem).unwrap_or_default();
     let mut response = response(problem.status, PROBLEM_JSON, body);
     if let Some(retry_after_ms) = problem.retry_after_ms {
@@ -100,11 +102,11 @@
     response
 }
 
-fn response(status: u16, content_type: &str, body: String) -> Response<Body> {
+fn response(status: u16, content_type: &str, body: String) -> HttpResponse {
     Response::builder()
         .status(status)
         .header("content-type", content_type)
-        .body(Body::from(body))
+        .body(Full::new(Bytes::from(body)))
         .unwrap_or_default()
 }
 
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
+use async_trait::async_trait;
 use crossbeam::channel::unbounded;
 use gannetvane_core::Agent;
 use gannetvane_core::AgentSettings;
@@ -13,19 +14,20 @@
 use gannetvane_core::GENERATION_MS;
 use gannetvane_core::MembershipSettings;
 use gannetvane_core::TableSettings;
+use gannetvane_node::ClientLimits;
+use gannetvane_node::HttpResponse;
 use gannetvane_wire::Member;
 use gannetvane_wire::MemberState;
 use gannetvane_wire::Name;
 use gannetvane_wire::Needs;
 use gannetvane_wire::NodeId;
-use oxhttp::model::Body;
-use oxhttp::model::Response;
 use slog::Logger;
 use slog::info;
 use thiserror::Error;
 
 use crate::event_loop::EventLoop;
 use crate::event_loop::Runtime;
+use crate::http::Handler;
 use crate::http::HttpCall;
 use crate::http::HttpLimits;
 use crate::http::HttpServer;
@@ -84,7 +86,7 @@
         is_ready: Arc::clone(&runtime.is_ready),
         max_deadline_ms: settings.entry.max_deadline_ms,
     };
-    let http = start_http(settings, Box::new(move |call| routes.handle(call)))?;
+    let http = start_http(settings, Arc::new(routes), &runtime.metrics, log)?;
     let core = EntryCore {
         entry: Entry::new(entry_settings, now_ms),
         stop_notice_ms: settings.entry.stop_notice_ms,
@@ -122,12 +124,11 @@
     let now_ms = runtime.clock.now_ms();
     let mut agent = Agent::new(agent_settings(settings, node)?, now_ms);
     agent.add_contacts(settings.contact.addresses.iter().copied());
-    let metrics = Arc::clone(&runtime.metrics);
-    let is_ready = Arc::clone(&runtime.is_ready);
-    let http = start_http(
-        settings,
-        Box::new(move |call| handle_agent_request(call, &metrics, &is_ready)),
-    )?;
+    let checks = AgentChecks {
+        metrics: Arc::clone(&runtime.metrics),
+        is_ready: Arc::clone(&runtime.is_ready),
+    };
+    let http = start_http(settings, Arc::new(checks), &runtime.metrics, log)?;
     info!(log, "started"; "address" => %settings.node.address, "service" => &section.service);
     EventLoop::new(
         Box::new(AgentCore { agent }),
@@ -188,31 +189,41 @@
 
 fn start_http(
     settings: &Settings,
-    handler: Box<crate::http::Handler>,
+    handler: Arc<dyn Handler>,
+    metrics: &Arc<Metrics>,
+    log: &Logger,
 ) -> Result<HttpServer, ProcessError> {
     let limits = HttpLimits {
         max_requests: settings.http.max_requests,
         max_body_bytes: settings.http.max_body_bytes,
-        io_timeout: Duration::from_millis(settings.http.io_timeout_ms),
+        clients: ClientLimits {
+            io_timeout: Some(Duration::from_millis(settings.http.io_timeout_ms)),
+            ..settings.clients.limits()
+        },
     };
     let addr = settings.http.address;
-    HttpServer::start(addr, limits, handler).map_err(|e| start_error(&format!("http {addr}"), e))
+    HttpServer::start(addr, limits, handler, Arc::clone(metrics), log.clone())
+        .map_err(|e| start_error(&format!("http {addr}"), e))
+}
+
+/// Answers the checks of an agent.
+struct AgentChecks {
+    metrics: Arc<Metrics>,
+    is_ready: Arc<AtomicBool>,
 }
 
-/// Returns the response of an agent to an HTTP request.
-fn handle_agent_request(
-    call: &HttpCall,
-    metrics: &Metrics,
-    is_ready: &AtomicBool,
-) -> Response<Body> {
-    match (call.method.as_str(), call.path.as_str()) {
-        ("GET", "/healthz") => text_response(200, "ok\n"),
-        ("GET", "/readyz") => readiness(is_ready),
-        ("GET", "/metrics") => text_response(200, &metrics.text()),
-        _ => rejection(
-            gannetvane_wire::Reason::NoSuchPath,
-            format!("{} {}", call.method, call.path),
-        ),
+#[async_trait(?Send)]
+impl Handler for AgentChecks {
+    async fn handle(&self, call: HttpCall) -> HttpResponse {
+        match (call.method(), call.path()) {
+            ("GET", "/healthz") => text_response(200, "ok\n"),
+            ("GET", "/readyz") => readiness(&self.is_ready),
+            ("GET", "/metrics") => text_response(200, &self.metrics.text()),
+            (method, path) => rejection(
+                gannetvane_wire::Reason::NoSuchPath,
+                format!("{method} {path}"),
+            ),
+        }
     }
 }
 
--- a/crates/daemon/src/role.rs
+++ b/crates/daemon/src/role.rs
@@ -15,6 +15,10 @@
 use crate::http::HttpServer;
 use crate::metrics::Sizes;
 
+/// Time after the notice of a stop for which callers may still send a body or receive an
+/// answer, in milliseconds.
+const TRANSFER_LIMIT_MS: u64 = 10_000;
+
 /// The core of an entry or an agent.
 pub(crate) trait Core {
     /// Handles an input and returns the actions to execute.
@@ -135,10 +139,14 @@
     }
 
     fn can_stop(&self, now_ms: u64, http: &HttpServer) -> bool {
-        let has_notice_passed = self
-            .stopping_since_ms
-            .is_some_and(|since_ms| now_ms.saturating_sub(since_ms) >= self.stop_notice_ms);
-        has_notice_passed && self.entry.waiting() == 0 && http.active() == 0
+        let Some(since_ms) = self.stopping_since_ms else {
+            return false;
+        };
+        let served_on_ms = now_ms.saturating_sub(since_ms);
+        let has_notice_passed = served_on_ms >= self.stop_notice_ms;
+        let is_transferring =
+            http.transferring() > 0 && served_on_ms < self.stop_notice_ms + TRANSFER_LIMIT_MS;
+        has_notice_passed && self.entry.waiting() == 0 && http.serving() == 0 && !is_transferring
     }
 
     fn has_no_other_agents(&self) -> bool {
--- a/crates/daemon/src/routes.rs
+++ b/crates/daemon/src/routes.rs
@@ -6,10 +6,11 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use async_trait::async_trait;
 use crossbeam::channel::Sender;
-use crossbeam::channel::bounded;
 use gannetvane_core::Command;
 use gannetvane_core::Reply;
+use gannetvane_node::HttpResponse;
 use gannetvane_wire::MemberState;
 use gannetvane_wire::Name;
 use gannetvane_wire::Reason;
@@ -24,11 +25,13 @@
 use gannetvane_wire::api::PlanRequest;
 use gannetvane_wire::api::RequestBody;
 use gannetvane_wire::api::TaskBody;
-use oxhttp::model::Body;
-use oxhttp::model::Response;
 use serde::de::DeserializeOwned;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
 
+use crate::http::Handler;
 use crate::http::HttpCall;
+use crate::http::overloaded;
 use crate::input::CommandRequest;
 use crate::input::Input;
 use crate::metrics::Metrics;
@@ -53,7 +56,7 @@
 /// taken to be stopping.
 const CORE_REPLY_GRACE: Duration = Duration::from_secs(10);
 
-type Refusal = Box<Response<Body>>;
+type Refusal = Box<HttpResponse>;
 
 /// Routes requests to the core of an entry.
 #[derive(Debug)]
@@ -64,46 +67,56 @@
     pub(crate) max_deadline_ms: u64,
 }
 
+#[async_trait(?Send)]
+impl Handler for Routes {
+    async fn handle(&self, call: HttpCall) -> HttpResponse {
+        let response = self.route(call).await;
+        response.unwrap_or_else(|refusal| *refusal)
+    }
+}
+
 impl Routes {
     /// Returns the response to one request.
-    pub(crate) fn handle(&self, call: &HttpCall) -> Response<Body> {
-        let segments: Vec<&str> = call.path.trim_matches('/').split('/').collect();
-        let response = match (call.method.as_str(), segments.as_slice()) {
+    async fn route(&self, call: HttpCall) -> Result<HttpResponse, Refusal> {
+        let path = call.path().to_owned();
+        let segments: Vec<&str> = path.trim_matches('/').split('/').collect();
+        match (call.method(), segments.as_slice()) {
             ("GET", ["healthz"]) => Ok(text_response(200, "ok\n")),
             ("GET", ["readyz"]) => Ok(readiness(&self.is_ready)),
             ("GET", ["metrics"]) => Ok(text_response(200, &self.metrics.text())),
-            ("POST", ["v1", "ids"]) => self.take_ids(call),
-            ("PUT", ["v1", "jobs", id]) => self.submit_job(call, id),
-            ("PUT", ["v1", "requests", id]) => self.submit_request(call, id),
-            ("GET", ["v1", "jobs" | "requests", id]) => self.lookup(call, id),
-            ("DELETE", ["v1", "jobs" | "requests", id]) => self.cancel(id),
-            ("POST", ["v1", "plans"]) => self.plan(call),
-            ("PUT", ["v1", "changes", id]) => self.confirm(call, id),
-            ("GET", ["v1", "changes", id]) => self.change_status(id),
-            ("GET", ["v1", "configuration"]) => self.configuration(),
-            ("GET", ["v1", "members"]) => self.members(),
-            ("GET", ["v1", "contacts"]) => self.contacts(),
+            ("POST", ["v1", "ids"]) => self.take_ids(&call).await,
+            ("PUT", ["v1", "jobs", id]) => self.submit_job(call, id).await,
+            ("PUT", ["v1", "requests", id]) => self.submit_request(call, id).await,
+            ("GET", ["v1", "jobs" | "requests", id]) => self.lookup(&call, id).await,
+            ("DELETE", ["v1", "jobs" | "requests", id]) => self.cancel(id).await,
+            ("POST", ["v1", "plans"]) => self.plan(&call).await,
+            ("PUT", ["v1", "changes", id]) => self.confirm(&call, id).await,
+            ("GET", ["v1", "changes", id]) => self.change_status(id).await,
+            ("GET", ["v1", "configuration"]) => self.configuration().await,
+            ("GET", ["v1", "members"]) => self.members().await,
+            ("GET", ["v1", "contacts"]) => self.contacts().await,
             _ => Err(refuse(
                 Reason::NoSuchPath,
-                format!("{} {}", call.method, call.path),
+                format!("{} {path}", call.method()),
             )),
-        };
-        response.unwrap_or_else(|refusal| *refusal)
+        }
     }
 
-    fn take_ids(&self, call: &HttpCall) -> Result<Response<Body>, Refusal> {
-        let service = query_value(&call.query, "service")
+    async fn take_ids(&self, call: &HttpCall) -> Result<HttpResponse, Refusal> {
+        let service = query_value(call.query(), "service")
             .ok_or_else(|| refuse(Reason::BadRequest, "service: missing in the query"))?;
         let service = parse_name("service", service)?;
-        let count = query_number(&call.query, "count", 1, 1, MAX_IDS as u64)?;
+        let count = query_number(call.query(), "count", 1, 1, MAX_IDS as u64)?;
         let count = usize::try_from(count).unwrap_or(MAX_IDS);
-        let reply = self.send_command(
-            Command::TakeIds {
-                service: service.clone(),
-                count,
-            },
-            0,
-        )?;
+        let reply = self
+            .send_command(
+                Command::TakeIds {
+                    service: service.clone(),
+                    count,
+                },
+                0,
+            )
+            .await?;
         Ok(match reply {
             Reply::Ids(ids) => {
                 let ids = ids.iter().map(ToString::to_string).collect();
@@ -113,8 +126,8 @@
         })
     }
 
-    fn submit_job(&self, call: &HttpCall, id: &str) -> Result<Response<Body>, Refusal> {
-        let body: JobBody = parse_body(call)?;
+    async fn submit_job(&self, call: HttpCall, id: &str) -> Result<HttpResponse, Refusal> {
+        let body: JobBody = parse_body(&call)?;
         let tasks = body
             .tasks
             .into_iter()
@@ -126,11 +139,11 @@
             repeatable: false,
             tasks,
         };
-        self.submit(call, id, submission, body.deadline_ms)
+        self.submit(call, id, submission, body.deadline_ms).await
     }
 
-    fn submit_request(&self, call: &HttpCall, id: &str) -> Result<Response<Body>, Refusal> {
-        let body: RequestBody = parse_body(call)?;
+    async fn submit_request(&self, call: HttpCall, id: &str) -> Result<HttpResponse, Refusal> {
+        let body: RequestBody = parse_body(&call)?;
         let task_body = TaskBody {
             kind: body.kind,
             payload: body.payload,
@@ -143,57 +156,67 @@
             repeatable: body.repeatable,
             tasks: vec![parse_task(task_body)?],
         };
-        self.submit(call, id, submission, body.deadline_ms)
+        self.submit(call, id, submission, body.deadline_ms).await
     }
 
-    fn submit(
+    async fn submit(
         &self,
-        call: &HttpCall,
+        call: HttpCall,
         id: &str,
         submission: Submission,
         deadline_ms: u64,
-    ) -> Result<Response<Body>, Refusal> {
-        if call.has_idempotency_key {
+    ) -> Result<HttpResponse, Refusal> {
+        if call.has_idempotency_key() {
             let detail = "idempotency-key: not accepted; POST /v1/ids, then PUT under that id";
             return Err(refuse(Reason::OwnKey, detail));
         }
         let id = parse_submission_id(id)?;
         in_range("deadline_ms", deadline_ms, 1, self.max_deadline_ms)?;
         in_range("tasks", submission.tasks.len() as u64, 1, MAX_TASKS as u64)?;
+        let HttpCall { request, body } = call;
+        drop(body);
+        let held = request.hold(submission.memory_bytes());
+        let _held = held.map_err(|_| Box::new(overloaded()))?;
         let submission = Arc::new(submission);
-        let reply = self.send_command(
-            Command::Submit {
-                id,
-                submission,
+        let reply = self
+            .send_command(
+                Command::Submit {
+                    id,
+                    submission,
+                    deadline_ms,
+                },
                 deadline_ms,
-            },
-            deadline_ms,
-        )?;
+            )
+            .await?;
         Ok(submission_response(id, reply))
     }
 
-    fn lookup(&self, call: &HttpCall, id: &str) -> Result<Response<Body>, Refusal> {
+    async fn lookup(&self, call: &HttpCall, id: &str) -> Result<HttpResponse, Refusal> {
         let id = parse_submission_id(id)?;
         let default_ms = DEFAULT_WAIT_MS.min(self.max_deadline_ms);
-        let wait_ms = query_number(&call.query, "wait_ms", default_ms, 1, self.max_deadline_ms)?;
-        let reply = self.send_command(Command::Lookup { id, wait_ms }, wait_ms)?;
+        let wait_ms = query_number(call.query(), "wait_ms", default_ms, 1, self.max_deadline_ms)?;
+        let reply = self
+            .send_command(Command::Lookup { id, wait_ms }, wait_ms)
+            .await?;
         Ok(submission_response(id, reply))
     }
 
-    fn cancel(&self, id: &str) -> Result<Response<Body>, Refusal> {
+    async fn cancel(&self, id: &str) -> Result<HttpResponse, Refusal> {
         let id = parse_submission_id(id)?;
-        let reply = self.send_command(Command::Cancel { id }, DEFAULT_WAIT_MS)?;
+        let reply = self
+            .send_command(Command::Cancel { id }, DEFAULT_WAIT_MS)
+            .await?;
         Ok(submission_response(id, reply))
     }
 
-    fn plan(&self, call: &HttpCall) -> Result<Response<Body>, Refusal> {
+    async fn plan(&self, call: &HttpCall) -> Result<HttpResponse, Refusal> {
         let body: PlanRequest = parse_body(call)?;
         let change_id = body.change_id.unwrap_or_else(random_change_id);
         let command = Command::Plan {
             change_id,
             operations: body.operations,
         };
-        match self.send_command(command, 0)? {
+        match self.send_command(command, 0).await? {
             Reply::Plan(Ok(plan)) => {
                 let body = PlanBody {
                     change: plan.change,
@@ -206,7 +229,7 @@
         }
     }
 
-    fn confirm(&self, call: &HttpCall, id: &str) -> Result<Response<Body>, Refusal> {
+    async fn confirm(&self, call: &HttpCall, id: &str) -> Result<HttpResponse, Refusal> {
         let body: PlanBody = parse_body(call)?;
         if &*body.change.change_id != id {
             let detail = format!(
@@ -216,37 +239,41 @@
             return Err(refuse(Reason::BadRequest, detail));
         }
         in_range("operations", body.change.operations.len() as u64, 1, 256)?;
-        let reply = self.send_command(
-            Command::Confirm {
-                change: body.change,
-            },
-            DEFAULT_WAIT_MS,
-        )?;
+        let reply = self
+            .send_command(
+                Command::Confirm {
+                    change: body.change,
+                },
+                DEFAULT_WAIT_MS,
+            )
+            .await?;
         Ok(change_response(id, reply))
     }
 
-    fn change_status(&self, id: &str) -> Result<Response<Body>, Refusal> {
+    async fn change_status(&self, id: &str) -> Result<HttpResponse, Refusal> {
         let change_id = parse_name("change_id", id)?;
-        let reply = self.send_command(Command::ChangeStatus { change_id }, DEFAULT_WAIT_MS)?;
+        let reply = self
+            .send_command(Command::ChangeStatus { change_id }, DEFAULT_WAIT_MS)
+            .await?;
         Ok(change_response(id, reply))
     }
 
-    fn configuration(&self) -> Result<Response<Body>, Refusal> {
-        match self.send_command(Command::Configuration, 0)? {
+    async fn configuration(&self) -> Result<HttpResponse, Refusal> {
+        match self.send_command(Command::Configuration, 0).await? {
             Reply::Configuration(snapshot) => Ok(json_response(200, &snapshot.configuration)),
             other => Ok(reply_response(other, "configuration")),
         }
     }
 
-    fn members(&self) -> Result<Response<Body>, Refusal> {
-        match self.send_command(Command::Members, 0)? {
+    async fn members(&self) -> Result<HttpResponse, Refusal> {
+        match self.send_command(Command::Members, 0).await? {
             Reply::Members(members) => Ok(json_response(200, &members)),
             other => Ok(reply_response(other, "members")),
         }
     }
 
-    fn contacts(&self) -> Result<Response<Body>, Refusal> {
-        let Reply::Members(members) = self.send_command(Command::Members, 0)? else {
+    async fn contacts(&self) -> Result<HttpResponse, Refusal> {
+        let Reply::Members(members) = self.send_command(Command::Members, 0).await? else {
             return Ok(json_response(
                 200,
                 &ContactsBody {
@@ -263,8 +290,8 @@
 
     /// Sends a command to the core and waits for its reply, for at most `wait_ms`
     /// and [`CORE_REPLY_GRACE`].
-    fn send_command(&self, command: Command, wait_ms: u64) -> Result<Reply, Refusal> {
-        let (reply_to, reply) = bounded(1);
+    async fn send_command(&self, command: Command, wait_ms: u64) -> Result<Reply, Refusal> {
+        let (reply_to, reply) = oneshot::channel();
         let stopping_response = || {
             let answer = gannetvane_wire::Answer::refusal(
                 gannetvane_wire::Ran::Unknown,
@@ -278,13 +305,16 @@
         };
         let input = Input::Command(CommandRequest { command, reply_to });
         self.inputs.send(input).map_err(|_| stopping_response())?;
-        let timeout = Duration::from_millis(wait_ms) + CORE_REPLY_GRACE;
-        reply.recv_timeout(timeout).map_err(|_| stopping_response())
+        let longest = Duration::from_millis(wait_ms) + CORE_REPLY_GRACE;
+        match timeout(longest, reply).await {
+            Ok(Ok(reply)) => Ok(reply),
+            _ => Err(stopping_response()),
+        }
     }
 }
 
 /// Returns the response of `/readyz`.
-pub(crate) fn readiness(is_ready: &AtomicBool) -> Response<Body> {
+pub(crate) fn readiness(is_ready: &AtomicBool) -> HttpResponse {
     if is_ready.load(Ordering::SeqCst) {
         text_response(200, "ready\n")
     } else {
@@ -292,14 +322,14 @@
     }
 }
 
-fn submission_response(id: SubmissionId, reply: Reply) -> Response<Body> {
+fn submission_response(id: SubmissionId, reply: Reply) -> HttpResponse {
     match reply {
         Reply::Answer(answer) => answer_response(id, &answer),
         other => reply_response(other, &format!("submission {id}")),
     }
 }
 
-fn change_response(id: &str, reply: Reply) -> Response<Body> {
+fn change_response(id: &str, reply: Reply) -> HttpResponse {
     match reply {
         Reply::ChangeAccepted { version } => json_response(
             200,
@@ -312,7 +342,7 @@
     }
 }
 
-fn reply_response(reply: Reply, detail: &str) -> Response<Body> {
+fn reply_response(reply: Reply, detail: &str) -> HttpResponse {
     match reply {
         Reply::Answer(answer) => refusal_response(&answer, detail.to_owned()),
         _ => text_response(500, "unexpected reply\n"),
@@ -324,7 +354,7 @@
 }
 
 fn parse_body<T: DeserializeOwned>(call: &HttpCall) -> Result<T, Refusal> {
-    serde_json::from_slice(&call.body)
+    serde_json::from_slice(call.body.bytes())
         .map_err(|error| refuse(Reason::BadRequest, format!("body: {error}")))
 }
 
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -109,7 +109,7 @@
     pub max_requests: usize,
     /// Largest size of a request body, in bytes.
     #[serde(default = "defaults::max_body_bytes")]
-    pub max_body_bytes: u64,
+    pub max_body_bytes: usize,
     /// Longest time without progress while a caller sends or receives, in
     /// milliseconds.
     #[serde(default = "defaults::io_timeout_ms")]
@@ -250,7 +250,7 @@
         512
     }
 
-    pub(super) fn max_body_bytes() -> u64 {
+    pub(super) fn max_body_bytes() -> usize {
         2 * 1024 * 1024
     }
 
@@ -371,7 +371,7 @@
         check_range("http.max_requests", http.max_requests as u64, 1, 10_000)?;
         check_range(
             "http.max_body_bytes",
-            http.max_body_bytes,
+            http.max_body_bytes as u64,
             1_024,
             7 * 1024 * 1024,
         )?;
@@ -380,7 +380,7 @@
         check_range(
             "clients.max_held_bytes",
             self.clients.limits().max_held_bytes as u64,
-            http.max_body_bytes,
+            http.max_body_bytes as u64,
             1 << 36,
         )
     }
--- a/crates/wire/src/submission.rs
+++ b/crates/wire/src/submission.rs
@@ -18,6 +18,19 @@
     pub tasks: Vec<Task>,
 }
 
+/// Size of the state of a task while its submission is open, in bytes.
+const TASK_STATE_BYTES: usize = 512;
+
+impl Submission {
+    /// Returns the memory that the submission and the state of its tasks take, in bytes.
+    #[must_use]
+    pub fn memory_bytes(&self) -> usize {
+        let tasks = self.tasks.iter();
+        let task_bytes = tasks.map(|task| task.kind.len() + task.payload.len() + TASK_STATE_BYTES);
+        size_of::<Self>() + task_bytes.sum::<usize>()
+    }
+}
+
 /// One task of a submission.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Task {
