Links: connections that have not greeted are bounded

What callers saw: anyone who reaches the address for agents and entries takes an entry beyond the memory of its host with messages that never end.

Cause: each connection may claim a frame of 4 MB, which the codec reserves at once, for as long as it likes, and their number has no end.

Its frame is read in parts whose memory is reserved first.

--- a/crates/node/src/entry_node.rs
+++ b/crates/node/src/entry_node.rs
@@ -32,7 +32,6 @@
 use slog::Logger;
 use slog::info;
 use slog::warn;
-use tokio::net::TcpListener;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::mpsc::unbounded_channel;
@@ -210,10 +209,11 @@
     /// Returns the I/O error if the address for agents and other entries cannot be
     /// bound.
     pub async fn run(mut self, store: StoreClient) -> std::io::Result<()> {
-        let listener = TcpListener::bind(self.settings.link_addr).await?;
+        let listener = agent_links::bind(self.settings.link_addr)?;
         tokio::task::spawn_local(agent_links::accept(
             listener,
             self.inputs.clone(),
+            Rc::clone(&self.metrics),
             self.log.clone(),
         ));
         let gossip = self.gossip.subscribe();
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use futures_util::StreamExt;
+use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
@@ -16,6 +17,8 @@
 use tokio_util::codec::FramedRead;
 use tokio_util::codec::LengthDelimitedCodec;
 
+use crate::connection_table::ConnectionSlot;
+
 /// Size of the largest frame, in bytes. Thousands of starts with a full-length spec
 /// each would not fit, but they are spread over many frames, since a start is only
 /// sent once there are free resources for it.
@@ -24,6 +27,11 @@
 /// apart, and the first packet to a host that was just switched on is lost.
 const CONNECT_TIMEOUT_MS: u64 = 200;
 
+/// Size of the length before each frame, in bytes.
+const LENGTH_BYTES: usize = 4;
+/// Bytes of a first frame that are read at a time.
+const READ_BYTES: usize = 16 * 1024;
+
 /// Reads the frames that arrive on a connection.
 pub(crate) type FrameReader = FramedRead<OwnedReadHalf, LengthDelimitedCodec>;
 
@@ -67,6 +75,27 @@
     }
 }
 
+/// Reads the first frame of a connection, whose memory is reserved as it arrives; `None`
+/// if it is too large or the connection ends. Nothing after the frame is read.
+pub(crate) async fn first_frame(stream: &mut TcpStream, slot: &ConnectionSlot) -> Option<Vec<u8>> {
+    let mut length = [0; LENGTH_BYTES];
+    stream.read_exact(&mut length).await.ok()?;
+    let length = usize::try_from(u32::from_be_bytes(length)).ok()?;
+    if length > MAX_FRAME_BYTES {
+        return None;
+    }
+    let mut frame = Vec::new();
+    let mut held = slot.hold(0).ok()?;
+    while frame.len() < length {
+        let part = READ_BYTES.min(length - frame.len());
+        held.grow(part).ok()?;
+        let start = frame.len();
+        frame.resize(start + part, 0);
+        stream.read_exact(&mut frame[start..]).await.ok()?;
+    }
+    Some(frame)
+}
+
 fn codec() -> LengthDelimitedCodec {
     LengthDelimitedCodec::builder()
         .max_frame_length(MAX_FRAME_BYTES)
