Own interface: connections of processes that have not named themselves are bounded

What callers saw: anyone who reaches the address for other processes takes an entry or agent of the own interface beyond the memory of its host with messages that never end.

Cause: each connection may collect a message of 8 MB, their number has no end, and a connection is read until its socket is empty before its messages are looked at, so a fast sender is collected without end.

A first message that cannot be read closes its connection. Messages are split as they arrive, in batches of 8 MB, after which other connections have their turn. Connections ask for a receive buffer of 32 KiB.

--- a/crates/daemon/src/connection.rs
+++ b/crates/daemon/src/connection.rs
@@ -15,6 +15,8 @@
 const LENGTH_BYTES: usize = 4;
 /// Size in bytes of the buffer for one read.
 pub(crate) const READ_BYTES: usize = 64 * 1024;
+/// Largest size of the frames that one call of [`Connection::receive`] returns, in bytes.
+const RECEIVED_BATCH_BYTES: usize = MAX_FRAME_BYTES;
 /// Largest number of queued bytes; with more, the connection is closed as broken.
 const MAX_QUEUED_BYTES: usize = 64 * 1024 * 1024;
 
@@ -47,6 +49,8 @@
     pub(crate) is_closed_by_peer: bool,
     /// Whether the connection ended, failed, or carried a frame over the limit.
     pub(crate) is_broken: bool,
+    /// Whether there may be more to read.
+    pub(crate) may_have_more: bool,
 }
 
 impl Connection {
@@ -97,17 +101,26 @@
         Ok(())
     }
 
-    /// Reads until the socket would block, through a buffer of the caller, and
-    /// returns the complete frames.
+    /// Reads until the socket would block or a batch is complete, through a buffer of
+    /// the caller, and returns the complete frames.
     pub(crate) fn receive(&mut self, buffer: &mut [u8]) -> Received {
         let mut result = Received::default();
-        loop {
+        let mut batch_bytes = 0;
+        while !result.is_broken && !result.is_closed_by_peer {
+            if batch_bytes >= RECEIVED_BATCH_BYTES {
+                result.may_have_more = true;
+                break;
+            }
             match self.stream.read(buffer) {
                 Ok(0) => {
                     result.is_broken = true;
                     break;
                 }
-                Ok(read) => self.received.extend_from_slice(&buffer[..read]),
+                Ok(read) => {
+                    batch_bytes += read;
+                    self.received.extend_from_slice(&buffer[..read]);
+                    self.split_frames(&mut result);
+                }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => break,
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 Err(_) => {
@@ -116,10 +129,14 @@
                 }
             }
         }
-        self.split_frames(&mut result);
         result
     }
 
+    /// Returns the memory that an incomplete frame takes, in bytes.
+    pub(crate) fn received_bytes(&self) -> usize {
+        self.received.capacity()
+    }
+
     /// Returns the payloads of the frames of which no byte was written.
     pub(crate) fn unsent(self) -> impl Iterator<Item = Vec<u8>> {
         self.queued
--- a/crates/daemon/src/event_loop.rs
+++ b/crates/daemon/src/event_loop.rs
@@ -88,6 +88,7 @@
             inputs.clone(),
             Arc::clone(&metrics),
             Arc::clone(&clock),
+            settings.clients.max_unknown_peers(),
         )
         .map_err(|source| start_error(&format!("address {addr}"), source))?;
         let timeout = Duration::from_millis(settings.log.timeout_ms);
--- a/crates/daemon/src/net.rs
+++ b/crates/daemon/src/net.rs
@@ -17,6 +17,7 @@
 use crossbeam::channel::unbounded;
 use gannetvane_core::Peer;
 use gannetvane_wire::Envelope;
+use gannetvane_wire::MAX_FRAME_BYTES;
 use gannetvane_wire::Message;
 use gannetvane_wire::NodeId;
 use gannetvane_wire::decode;
@@ -59,6 +60,11 @@
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
 /// Interval between searches for idle and unestablished connections.
 const SWEEP_INTERVAL_MS: u64 = 500;
+/// Largest size of the incomplete messages of processes that have not named themselves, in
+/// bytes; one of the largest size fits.
+const MAX_UNKNOWN_PEER_BYTES: usize = 2 * MAX_FRAME_BYTES;
+/// Receive buffer that is requested for each connection, in bytes.
+const RECEIVE_BUFFER_BYTES: usize = 32 * 1024;
 /// Largest number of connections that wait to be accepted.
 const BACKLOG: i32 = 1_024;
 
@@ -101,6 +107,7 @@
         inputs: Sender<Input>,
         metrics: Arc<Metrics>,
         clock: Arc<dyn Clock>,
+        max_unknown_peers: usize,
     ) -> io::Result<Self> {
         let poll = Poll::new()?;
         let waker = Arc::new(Waker::new(poll.registry(), WAKER)?);
@@ -119,6 +126,7 @@
             outgoing_queue,
             metrics,
             clock,
+            max_unknown_peers,
         };
         network.register()?;
         thread::Builder::new()
@@ -152,6 +160,9 @@
     outgoing_queue: Receiver<Outgoing>,
     metrics: Arc<Metrics>,
     clock: Arc<dyn Clock>,
+    /// Largest number of connections that others opened and on which no message has
+    /// arrived.
+    max_unknown_peers: usize,
 }
 
 impl NetworkThread {
@@ -193,6 +204,28 @@
             if let Err(error) = self.add_connection(Connection::new(stream, None, now_ms)) {
                 self.deliver(Input::NetworkError(error.to_string()));
             }
+            self.limit_unknown_peers();
+        }
+    }
+
+    /// Closes connections on which no message has arrived, the oldest first, while there
+    /// are too many of them or they hold too much.
+    fn limit_unknown_peers(&mut self) {
+        let unknown = self.connections.iter().filter(|(_, c)| c.peer.is_none());
+        let sizes: Vec<(Token, usize)> = unknown
+            .map(|(token, c)| (*token, c.received_bytes()))
+            .collect();
+        let mut count = sizes.len();
+        let mut total_bytes: usize = sizes.iter().map(|(_, bytes)| bytes).sum();
+        for (token, bytes) in sizes {
+            let is_over_bytes = total_bytes > MAX_UNKNOWN_PEER_BYTES && bytes > 0;
+            if count <= self.max_unknown_peers && !is_over_bytes {
+                continue;
+            }
+            count -= 1;
+            total_bytes -= bytes;
+            self.remove_connection(token);
+            self.metrics.count_event("connection-closed-unknown-peer");
         }
     }
 
@@ -263,14 +296,37 @@
         }
         connection.last_used_at_ms = now_ms;
         let received = connection.receive(&mut self.read_buffer);
+        let is_unknown = connection.peer.is_none();
+        let mut is_broken = received.is_broken;
         for frame in &received.frames {
-            if let Some(from) = self.deliver_frame(frame) {
-                self.set_peer(token, from);
+            match self.deliver_frame(frame) {
+                Some(from) => self.set_peer(token, from),
+                None => is_broken |= is_unknown,
             }
         }
         if received.is_closed_by_peer {
             self.remove_connection(token);
-        } else if received.is_broken {
+        } else if is_broken {
+            self.close_broken(token);
+        } else if received.may_have_more {
+            self.await_readable(token);
+        }
+        if is_unknown {
+            self.limit_unknown_peers();
+        }
+    }
+
+    /// Makes the next poll report a connection again that was not read to its end.
+    fn await_readable(&mut self, token: Token) {
+        let Some(connection) = self.connections.get_mut(&token) else {
+            return;
+        };
+        let interest = Interest::READABLE | Interest::WRITABLE;
+        let registry = self.poll.registry();
+        if registry
+            .reregister(&mut connection.stream, token, interest)
+            .is_err()
+        {
             self.close_broken(token);
         }
     }
@@ -401,6 +457,7 @@
     let socket = Socket::new(Domain::for_address(addr), Type::STREAM, Some(Protocol::TCP))?;
     socket.set_reuse_address(true)?;
     socket.set_nonblocking(true)?;
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
     socket.bind(&addr.into())?;
     socket.listen(BACKLOG)?;
     Ok(TcpListener::from_std(socket.into()))
