Reading: phases, reasons and table of connections apart; the platform's words of the crowds in its stand-ins

Names and places only: CloseReason, Phase and RequestCounts have modules of their own, limits of the listeners for checks and metrics are called monitoring limits, and the bodies, paths and headers of the platform that the crowds send come from platform/standins.

--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -18,6 +18,7 @@
 use gannetvane_wire::Ran;
 use gannetvane_wire::Reason;
 use slog::Logger;
+use slog::crit;
 use tokio::net::TcpListener;
 use tokio::task::LocalSet;
 
@@ -95,13 +96,13 @@
             .enable_all()
             .build()?;
         let counts = Arc::<RequestCounts>::default();
-        let answerer = Answerer {
+        let service = HttpService {
             limits,
             handler,
             counts: Arc::clone(&counts),
         };
         let thread = move || {
-            LocalSet::new().block_on(&runtime, answerer.serve(listener, metrics, log));
+            LocalSet::new().block_on(&runtime, service.serve(listener, metrics, log));
         };
         thread::Builder::new().name("http".into()).spawn(thread)?;
         Ok(Self { counts })
@@ -120,20 +121,20 @@
     }
 }
 
-/// Answers requests on the thread of the server.
+/// Reads and answers requests on the thread of the server.
 #[derive(Clone)]
-struct Answerer {
+struct HttpService {
     limits: HttpLimits,
     handler: Arc<dyn Handler>,
     counts: Arc<RequestCounts>,
 }
 
-impl Answerer {
+impl HttpService {
     async fn serve(self, listener: std::net::TcpListener, metrics: Arc<Metrics>, log: Logger) {
         let listener = match TcpListener::from_std(listener) {
             Ok(listener) => listener,
             Err(error) => {
-                slog::crit!(log, "http-failed"; "error" => %error);
+                crit!(log, "http-failed"; "error" => %error);
                 return;
             }
         };
--- a/crates/daemon/tests/crowds/crowd.rs
+++ b/crates/daemon/tests/crowds/crowd.rs
@@ -9,6 +9,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use gannetvane_platform_standins::TIMEOUT_HEADER;
+use gannetvane_platform_standins::job_of_many_steps;
+
 /// Number of clients in a crowd.
 const CLIENTS: usize = 400;
 /// Time without progress of any client after which a crowd is complete.
@@ -26,10 +29,6 @@
 /// Size of a message between processes.
 const FRAME_BYTES: usize = 1_000_000;
 
-/// A step without tasks, and the comma after it.
-const EMPTY_STEP: &str = r#"{"count":0},"#;
-/// A step with a task.
-const LAST_STEP: &str = r#"{"count":1,"cpu":1000,"mem_mb":64,"est_runtime_ms":300}"#;
 /// Id of the job in the requests of a target.
 pub const JOB_ID: &str = "00000000000000aa";
 
@@ -114,8 +113,10 @@
             Behaviour::LongHead => Self::endless(&format!("{head}Cookie: "), "0123456789abcdef"),
             Behaviour::EmptyLines => Self::endless("", "\r\n"),
             Behaviour::ManySteps => {
-                let steps = EMPTY_STEP.repeat(target.max_body_bytes / EMPTY_STEP.len() - 20);
-                Self::job(&head, &(steps + LAST_STEP))
+                let body = job_of_many_steps(target.max_body_bytes);
+                let length = body.len();
+                let head = format!("{head}{TIMEOUT_HEADER}: 60000\r\nContent-Length: {length}");
+                Self::repeat(&format!("{head}\r\n\r\n{body}"), "", 0, "")
             }
             Behaviour::ShortFrame => {
                 let length = u32::try_from(FRAME_BYTES).expect("a short frame");
@@ -141,13 +142,6 @@
         }
     }
 
-    fn job(head: &str, steps: &str) -> Self {
-        let body = format!(r#"{{"spec":"ms=300","best_effort":true,"steps":[{steps}]}}"#);
-        let length = body.len();
-        let head = format!("{head}Gannetvane-Timeout-Ms: 60000\r\nContent-Length: {length}");
-        Self::repeat(&format!("{head}\r\n\r\n{body}"), "", 0, "")
-    }
-
     fn endless(start: &str, repeated: &str) -> Self {
         Self::repeat(start, repeated, ENDLESS_BYTES / repeated.len(), "")
     }
--- a/crates/daemon/tests/crowds/legal.rs
+++ b/crates/daemon/tests/crowds/legal.rs
@@ -7,6 +7,8 @@
 use std::thread;
 use std::time::Duration;
 
+use gannetvane_platform_standins::READINESS_PATH;
+use gannetvane_platform_standins::job_of_small_tasks;
 use yare::parameterized;
 
 use crate::crowd::Behaviour;
@@ -86,9 +88,10 @@
     let _turn = take_turn();
     let site = site::start(Listener::Front, Limits::Defaults);
     let text = format!("ms=10 {}", "\\u00e9".repeat(1_990));
-    let steps = r#"{"count":260,"cpu":10,"mem_mb":1,"est_runtime_ms":400}"#;
     let target = Target {
-        body_start: format!(r#"{{"spec":"{text}","best_effort":true,"steps":[{steps}]"#),
+        body_start: job_of_small_tasks(&text, 260)
+            .trim_end_matches('}')
+            .to_owned(),
         ..site.target()
     };
     assert_eq!(
@@ -133,11 +136,11 @@
     let _turn = take_turn();
     let site = site::start(Listener::Ready, Limits::Defaults);
     let addr = site.target().addr;
-    let check = b"GET /api/readyz HTTP/1.1\r\nHost: balancer\r\n\r\n";
+    let check = format!("GET {READINESS_PATH} HTTP/1.1\r\nHost: balancer\r\n\r\n");
     let mut kept = connect(addr);
     for _ in 0..CHECKS {
-        assert_eq!(status_of(&mut kept, check), 200);
-        assert_eq!(status_of(&mut connect(addr), check), 200);
+        assert_eq!(status_of(&mut kept, check.as_bytes()), 200);
+        assert_eq!(status_of(&mut connect(addr), check.as_bytes()), 200);
     }
 }
 
--- a/crates/daemon/tests/crowds/site.rs
+++ b/crates/daemon/tests/crowds/site.rs
@@ -6,7 +6,10 @@
 use std::process::ExitStatus;
 use std::process::Stdio;
 
+use gannetvane_platform_standins::JobRequest;
 use gannetvane_platform_standins::MinionStandIn;
+use gannetvane_platform_standins::READINESS_PATH;
+use gannetvane_platform_standins::REPORTS_PATH;
 use gannetvane_platform_standins::StoreStandIn;
 use gannetvane_platform_standins::get;
 use gannetvane_platform_standins::http;
@@ -39,8 +42,14 @@
   {"name":"slots","host":"desk.example","path_prefix":"/slots/","type":"non_idempotent","timeout_ms":1500,
    "target_latency_ms":60,"priority":0,"service":"desk","max_attempts":2,"stretch":1.6}],
   "services":[{"name":"desk"}]}"#;
-/// Start of a job with one task; spaces and the end of the object follow.
-const JOB_START: &str = r#"{"spec":"ms=300","best_effort":true,"steps":[{"count":1,"cpu":1000,"mem_mb":64,"est_runtime_ms":300}]"#;
+/// A job with one task.
+const JOB: JobRequest<'_> = JobRequest {
+    id: JOB_ID,
+    spec: "ms=300",
+    tasks: 1,
+    work_ms: 300,
+    is_stored: false,
+};
 
 /// An HTTP listener of a process.
 #[derive(Clone, Copy, Debug)]
@@ -133,7 +142,7 @@
             _minion: MinionStandIn::start(minion, control),
             _store: store,
         };
-        until("readiness", || get(ready, "/api/readyz").0 == 200);
+        until("readiness", || get(ready, READINESS_PATH).0 == 200);
         until("a served job", || site.serves_jobs());
         site
     }
@@ -167,18 +176,18 @@
 impl Site for PlatformSite {
     fn target(&self) -> Target {
         let (addr, request) = match self.listener {
-            Listener::Ready => (self.ready, "POST /api/readyz"),
-            Listener::Metrics => (self.entry.http, "POST /metrics"),
-            Listener::AgentMetrics => (self.agent.http, "POST /metrics"),
-            Listener::Control => (self.control, "PUT /api/instances/i-1"),
-            Listener::Link => (self.link, ""),
-            _ => (self.front, &*format!("POST /slots/{JOB_ID}")),
+            Listener::Ready => (self.ready, format!("POST {READINESS_PATH}")),
+            Listener::Metrics => (self.entry.http, "POST /metrics".to_owned()),
+            Listener::AgentMetrics => (self.agent.http, "POST /metrics".to_owned()),
+            Listener::Control => (self.control, format!("PUT {REPORTS_PATH}i-1")),
+            Listener::Link => (self.link, String::new()),
+            _ => (self.front, format!("POST /slots/{JOB_ID}")),
         };
         Target {
             addr,
-            request: request.to_owned(),
+            request,
             host: "desk.example",
-            body_start: JOB_START.to_owned(),
+            body_start: JOB.body().trim_end_matches('}').to_owned(),
             body_end: "}",
             max_body_bytes: match self.listener {
                 Listener::Control => MAX_REPORT_BYTES,
@@ -198,12 +207,19 @@
 
     fn serves(&self) -> bool {
         match self.listener {
-            Listener::Ready => get(self.ready, "/api/readyz").0 == 200,
+            Listener::Ready => get(self.ready, READINESS_PATH).0 == 200,
             Listener::Metrics => get(self.entry.http, "/metrics").0 == 200,
             Listener::AgentMetrics => get(self.agent.http, "/metrics").0 == 200,
             // A minion of another service is turned away by the agent itself.
             Listener::Control => {
-                http(self.control, "PUT", "agent", "/api/instances/i-2", "{}").0 == 400
+                http(
+                    self.control,
+                    "PUT",
+                    "agent",
+                    &format!("{REPORTS_PATH}i-2"),
+                    "{}",
+                )
+                .0 == 400
                     && self.serves_jobs()
             }
             _ => self.serves_jobs(),
--- a/crates/node/src/client_limits.rs
+++ b/crates/node/src/client_limits.rs
@@ -26,9 +26,9 @@
 /// Size of the write buffer, the parser and the task of an open connection, in bytes.
 const CONNECTION_OVERHEAD_BYTES: usize = 16 * 1024;
 /// Connections to a listener for checks and metrics: those of a balancer and of scrapers.
-const CHECK_CONNECTIONS: usize = 32;
+const MONITORING_CONNECTIONS: usize = 32;
 /// Size of the answers that a listener for checks and metrics holds, in bytes.
-const CHECK_HELD_BYTES: usize = 2 * MEGABYTE;
+const MONITORING_HELD_BYTES: usize = 2 * MEGABYTE;
 
 /// The section `clients` of the settings. Limits that are absent follow from the size of
 /// the host.
@@ -123,10 +123,10 @@
 
     /// Returns the limits of a listener that only serves checks and metrics.
     #[must_use]
-    pub fn check_limits(&self) -> ClientLimits {
+    pub fn monitoring_limits(&self) -> ClientLimits {
         ClientLimits {
-            max_connections: CHECK_CONNECTIONS,
-            max_held_bytes: CHECK_HELD_BYTES,
+            max_connections: MONITORING_CONNECTIONS,
+            max_held_bytes: MONITORING_HELD_BYTES,
             ..self.limits()
         }
     }
--- a/crates/node/src/client_stream.rs
+++ b/crates/node/src/client_stream.rs
@@ -14,7 +14,7 @@
 use tokio::net::TcpStream;
 use tokio::time::Sleep;
 
-use crate::connection_table::CloseReason;
+use crate::close_reason::CloseReason;
 use crate::connection_table::ConnectionSlot;
 
 /// The socket of a client's connection.
--- a/crates/node/src/connection_table.rs
+++ b/crates/node/src/connection_table.rs
@@ -8,112 +8,25 @@
 use std::fmt;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 
 use thiserror::Error;
 use tokio::sync::Notify;
 
 use crate::ClientLimits;
+use crate::close_reason::CloseReason;
+use crate::connection_phase::Phase;
+use crate::connection_phase::RequestCounts;
 
 /// Turns that other tasks get before a connection is closed for another one. After a pause
 /// of the process, requests have arrived that were not read yet.
 const TURNS_BEFORE_EVICTION: usize = 4;
 
-/// Why a connection of a client was closed by this side.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum CloseReason {
-    /// Another client connected while the most connections were open.
-    ConnectionLimit,
-    /// A new connection, while all others had a request that was being served.
-    AllServing,
-    /// Another client needed the memory.
-    MemoryLimit,
-    /// The head of the request was larger than the limit.
-    HeadTooLarge,
-    /// The head of the request did not arrive in time.
-    HeadTimeout,
-    /// The client neither sent nor received for too long.
-    IoTimeout,
-}
-
-impl CloseReason {
-    /// Returns the event name for metrics.
-    #[must_use]
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::ConnectionLimit => "client-closed-connection-limit",
-            Self::AllServing => "client-closed-all-serving",
-            Self::MemoryLimit => "client-closed-memory-limit",
-            Self::HeadTooLarge => "client-closed-head-too-large",
-            Self::HeadTimeout => "client-closed-head-timeout",
-            Self::IoTimeout => "client-closed-io-timeout",
-        }
-    }
-}
-
 /// The memory for clients is used up by requests that are being served.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 #[error("the memory for clients is used up")]
 pub struct ClientMemoryExhausted;
 
-/// What a connection does.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Phase {
-    /// The client is expected to send the head of a request or the rest of it.
-    Head,
-    /// The client is expected to send the rest of a body.
-    Body,
-    /// The request is complete and is being served.
-    Serving,
-    /// The client is expected to receive the answer.
-    Responding,
-    /// The client has its answer and may send another request.
-    Idle,
-}
-
-impl Phase {
-    /// Returns the order in which connections are closed for others, lowest first;
-    /// `None` if they are not.
-    fn eviction_rank(self) -> Option<u8> {
-        match self {
-            Self::Head | Self::Body | Self::Responding => Some(0),
-            Self::Idle => Some(1),
-            Self::Serving => None,
-        }
-    }
-}
-
-/// Requests of one server, which other threads may read.
-#[derive(Debug, Default)]
-pub struct RequestCounts {
-    serving: AtomicUsize,
-    transferring: AtomicUsize,
-}
-
-impl RequestCounts {
-    /// Returns the number of complete requests that have no answer yet.
-    #[must_use]
-    pub fn serving(&self) -> usize {
-        self.serving.load(Ordering::SeqCst)
-    }
-
-    /// Returns the number of requests whose body or answer is being transferred.
-    #[must_use]
-    pub fn transferring(&self) -> usize {
-        self.transferring.load(Ordering::SeqCst)
-    }
-
-    /// Returns the count of requests in this phase, if there is one.
-    fn count(&self, phase: Phase) -> Option<&AtomicUsize> {
-        match phase {
-            Phase::Serving => Some(&self.serving),
-            Phase::Body | Phase::Responding => Some(&self.transferring),
-            Phase::Head | Phase::Idle => None,
-        }
-    }
-}
-
 /// Order of eviction: the rank of the phase, when the phase began, and the connection.
 type EvictionKey = (u8, u64, u64);
 
--- a/crates/node/src/http_server.rs
+++ b/crates/node/src/http_server.rs
@@ -34,10 +34,10 @@
 use crate::ClientLimits;
 use crate::client_request::ClientRequest;
 use crate::client_stream::ClientStream;
-use crate::connection_table::CloseReason;
+use crate::close_reason::CloseReason;
+use crate::connection_phase::RequestCounts;
 use crate::connection_table::ConnectionSlot;
 use crate::connection_table::ConnectionTable;
-use crate::connection_table::RequestCounts;
 
 /// Timeout for reading the header of a request where no pause of a client is bounded, in
 /// milliseconds. The limits that users configure on their sites are not below it.
