Clients: the body of a closed connection is free at once

What callers saw: nothing yet.

Cause: what an evicted connection held counted as free when it was told to close, but was free only when its task ran, after others had grown into the room; and buffers that double leave holes of all sizes in the heap. Ruled out: the number of connections (175 descriptors).

Change: a body is received in segments of 4 KiB that the table drops with the eviction, and joined in one piece at its end, for which its size is reserved once more; so clients.max_held_bytes is at least twice http.max_body_bytes.

--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -380,7 +380,8 @@
         check_range(
             "clients.max_held_bytes",
             self.clients.limits().max_held_bytes as u64,
-            http.max_body_bytes as u64,
+            // A body is held twice while it is joined.
+            2 * http.max_body_bytes as u64,
             1 << 36,
         )
     }
--- a/crates/daemon/tests/crowds/crowd.rs
+++ b/crates/daemon/tests/crowds/crowd.rs
@@ -1,11 +1,16 @@
 //! Clients that send much, stop before they are done, and keep their connections open.
 
+use std::collections::VecDeque;
 use std::io::ErrorKind;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread;
+use std::thread::JoinHandle;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -14,6 +19,8 @@
 
 /// Number of clients in a crowd.
 const CLIENTS: usize = 400;
+/// Number of threads of a crowd that comes again.
+const RETURNING_THREADS: usize = 4;
 /// Time without progress of any client after which a crowd is complete.
 const QUIET_TIME: Duration = Duration::from_millis(500);
 /// Clients that cannot connect for this long stay away: the server's backlog is full.
@@ -248,3 +255,52 @@
         }
     }
 }
+
+/// A crowd whose clients come again and again with bodies that they do not end, until it
+/// is dropped.
+#[derive(Debug)]
+pub struct ReturningCrowd {
+    should_stop: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl ReturningCrowd {
+    /// Starts the crowd.
+    pub fn start(target: &Target) -> Self {
+        let should_stop = Arc::new(AtomicBool::new(false));
+        let threads = (0..RETURNING_THREADS).map(|_| {
+            let target = target.clone();
+            let stop = Arc::clone(&should_stop);
+            thread::spawn(move || return_until(&target, &stop))
+        });
+        Self {
+            threads: threads.collect(),
+            should_stop,
+        }
+    }
+}
+
+impl Drop for ReturningCrowd {
+    fn drop(&mut self) {
+        self.should_stop.store(true, Ordering::SeqCst);
+        for thread in self.threads.drain(..) {
+            // A client that panics has said so itself.
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Connects client after client, of which the last ones stay, until `stop` is set.
+fn return_until(target: &Target, stop: &AtomicBool) {
+    let bytes = Rc::new(target.bytes(Behaviour::ShortBody));
+    let mut clients = VecDeque::new();
+    while !stop.load(Ordering::SeqCst) {
+        if clients.len() >= CLIENTS / RETURNING_THREADS {
+            clients.pop_front();
+        }
+        clients.extend(Client::connect(target.addr, Rc::clone(&bytes)));
+        clients.iter_mut().for_each(|client| {
+            client.send(WRITE_BYTES);
+        });
+    }
+}
--- a/crates/daemon/tests/crowds/main.rs
+++ b/crates/daemon/tests/crowds/main.rs
@@ -12,9 +12,12 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::thread;
+use std::time::Duration;
 
 use crowd::Behaviour;
 use crowd::Crowd;
+use crowd::ReturningCrowd;
 use site::Limits;
 use site::Listener;
 use usage::UsageWatch;
@@ -25,6 +28,9 @@
 /// Descriptors of the host's process, without those that are reserved for files.
 const HOST_DESCRIPTORS: usize = 312;
 
+/// Time for which a crowd comes again before others ask.
+const CROWD_TIME: Duration = Duration::from_secs(2);
+
 /// Waits until no other test of this file runs, so that the processes of one test have the
 /// machine for themselves.
 fn take_turn() -> MutexGuard<'static, ()> {
@@ -81,3 +87,25 @@
     drop(crowd);
     assert!(site.serves(), "the process answers nobody after the crowd");
 }
+
+#[parameterized(
+    front = { Listener::Front },
+    control = { Listener::Control },
+    own_entry = { Listener::OwnEntry },
+)]
+fn crowd_that_comes_again_shuts_out_nobody(listener: Listener) {
+    let _turn = take_turn();
+    let site = site::start(listener, Limits::Lowered);
+    let target = site.target();
+    let watch = UsageWatch::start(site.pid(), vec![target.addr]);
+    let crowd = ReturningCrowd::start(&target);
+    thread::sleep(CROWD_TIME);
+    let serves_beside_crowd = site.serves();
+    let usage = watch.finish();
+    println!("{listener:?}: {usage:?}, serves {serves_beside_crowd}");
+    assert!(usage.memory_bytes <= HOST_MEMORY_BYTES, "{usage:?}");
+    assert!(usage.descriptors <= HOST_DESCRIPTORS, "{usage:?}");
+    assert!(serves_beside_crowd, "the crowd shuts out others");
+    drop(crowd);
+    assert!(site.serves(), "the process answers nobody after the crowd");
+}
--- a/crates/node/src/client_request.rs
+++ b/crates/node/src/client_request.rs
@@ -15,8 +15,6 @@
 use crate::connection_table::ConnectionSlot;
 use crate::connection_table::HeldBytes;
 
-/// Capacity that a body has at first, in bytes.
-const FIRST_CAPACITY_BYTES: usize = 4 * 1024;
 /// Largest rest of a refused body that is read and dropped, in bytes: a client that is
 /// still sending does not see the answer.
 const MAX_DROPPED_BYTES: usize = 1024 * 1024;
@@ -33,7 +31,7 @@
 #[derive(Debug)]
 pub struct ClientBody {
     bytes: Vec<u8>,
-    held: HeldBytes,
+    _held: HeldBytes,
 }
 
 /// Why a body was not read to its end.
@@ -97,9 +95,12 @@
     /// [`BodyError`] if it is larger, if the memory for clients is used up, or if the
     /// client breaks off.
     pub async fn read_body(&mut self, max_bytes: usize) -> Result<ClientBody, BodyError> {
-        let body = self
-            .read_within(max_bytes.min(self.slot.max_held_bytes()))
-            .await;
+        // A body is held twice while it is joined.
+        let max_held_bytes = self.slot.max_held_bytes() / 2;
+        let body = self.read_within(max_bytes.min(max_held_bytes)).await;
+        if body.is_err() {
+            self.slot.take_body();
+        }
         if matches!(
             body,
             Err(BodyError::TooLarge | BodyError::MemoryExhausted(_))
@@ -114,20 +115,25 @@
         if self.declared_bytes() > max_bytes as u64 {
             return Err(BodyError::TooLarge);
         }
-        let declared_bytes = self.body.size_hint().exact();
-        let declared_bytes = declared_bytes.and_then(|bytes| usize::try_from(bytes).ok());
-        let max_bytes = declared_bytes.unwrap_or(max_bytes);
-        let mut body = ClientBody {
-            bytes: Vec::new(),
-            held: self.slot.hold(0)?,
-        };
-        while let Some(data) = self.next_data().await? {
-            if body.bytes.len() + data.len() > max_bytes {
+        let mut held = self.slot.hold(0)?;
+        let mut received_bytes = 0;
+        while let Some(part) = self.next_data().await? {
+            received_bytes += part.len();
+            if received_bytes > max_bytes {
                 return Err(BodyError::TooLarge);
             }
-            body.append(&data, max_bytes)?;
+            self.slot.append_to_body(&part, &mut held)?;
         }
-        Ok(body)
+        self.join_body(held)
+    }
+
+    /// Returns the received body in one piece.
+    fn join_body(&self, segments: HeldBytes) -> Result<ClientBody, BodyError> {
+        let body = self.slot.take_body();
+        let held = self.slot.hold(body.len())?;
+        let bytes = body.into_bytes();
+        drop(segments);
+        Ok(ClientBody { bytes, _held: held })
     }
 
     /// Reads and drops the rest of a body that is not too large.
@@ -167,17 +173,4 @@
     pub fn bytes(&self) -> &[u8] {
         &self.bytes
     }
-
-    /// Copies a part, since the library's own part may keep a whole read buffer alive.
-    fn append(&mut self, part: &[u8], max_bytes: usize) -> Result<(), ClientMemoryExhausted> {
-        let needed = self.bytes.len() + part.len();
-        if needed > self.bytes.capacity() {
-            let doubled = (2 * self.bytes.capacity()).max(FIRST_CAPACITY_BYTES);
-            let capacity = doubled.min(max_bytes).max(needed);
-            self.held.grow(capacity - self.bytes.capacity())?;
-            self.bytes.reserve_exact(capacity - self.bytes.len());
-        }
-        self.bytes.extend_from_slice(part);
-        Ok(())
-    }
 }
--- a/crates/node/src/connection_table.rs
+++ b/crates/node/src/connection_table.rs
@@ -14,6 +14,7 @@
 use tokio::sync::Notify;
 
 use crate::ClientLimits;
+use crate::body_buffer::BodyBuffer;
 use crate::close_reason::CloseReason;
 use crate::connection_phase::Phase;
 use crate::connection_phase::RequestCounts;
@@ -39,14 +40,18 @@
     held_bytes: usize,
     /// Size of the answer that is not sent yet.
     answer_bytes: usize,
-    eviction: Rc<Eviction>,
+    shared: Rc<Shared>,
 }
 
-/// Tells the task of a connection that it has to close the connection.
+/// What the table and the task of a connection share.
 #[derive(Debug, Default)]
-struct Eviction {
+struct Shared {
+    /// Tells the task that it has to close the connection.
     evicted: Notify,
     is_evicted: Cell<bool>,
+    /// The body that is being received. It is dropped with the eviction, since the task
+    /// runs only later.
+    body: RefCell<BodyBuffer>,
 }
 
 impl Entry {
@@ -124,7 +129,7 @@
     }
 
     fn register(&self) -> ConnectionSlot {
-        let eviction = Rc::<Eviction>::default();
+        let shared = Rc::<Shared>::default();
         let mut inner = self.inner.borrow_mut();
         inner.last_change += 1;
         let id = inner.last_change;
@@ -133,7 +138,7 @@
             since: id,
             held_bytes: 0,
             answer_bytes: 0,
-            eviction: Rc::clone(&eviction),
+            shared: Rc::clone(&shared),
         };
         inner.enter(id, entry.phase, entry.since);
         inner.entries.insert(id, entry);
@@ -141,7 +146,7 @@
         ConnectionSlot {
             id,
             table: self.clone(),
-            eviction,
+            shared,
         }
     }
 
@@ -159,8 +164,9 @@
         inner.held_bytes -= entry.held_bytes;
         drop(inner);
         self.count(reason);
-        entry.eviction.is_evicted.set(true);
-        entry.eviction.evicted.notify_one();
+        entry.shared.body.take();
+        entry.shared.is_evicted.set(true);
+        entry.shared.evicted.notify_one();
     }
 
     /// Adds to what is held for the request of a connection. Closes others for it if the
@@ -278,13 +284,13 @@
 pub(crate) struct ConnectionSlot {
     id: u64,
     table: ConnectionTable,
-    eviction: Rc<Eviction>,
+    shared: Rc<Shared>,
 }
 
 impl ConnectionSlot {
     /// Waits until the connection is to be closed for another one.
     pub(crate) async fn evicted(&self) {
-        self.eviction.evicted.notified().await;
+        self.shared.evicted.notified().await;
     }
 
     /// Notes that bytes arrived: after an answer they begin another request.
@@ -343,6 +349,27 @@
         Ok(held)
     }
 
+    /// Adds a part to the body, whose memory is reserved in `held`.
+    ///
+    /// # Errors
+    ///
+    /// [`ClientMemoryExhausted`] if no other connection can be closed for it.
+    pub(crate) fn append_to_body(
+        &self,
+        part: &[u8],
+        held: &mut HeldBytes,
+    ) -> Result<(), ClientMemoryExhausted> {
+        let needed_bytes = self.shared.body.borrow().needed_bytes(part);
+        held.grow(needed_bytes)?;
+        self.shared.body.borrow_mut().append(part);
+        Ok(())
+    }
+
+    /// Takes the body that was received so far.
+    pub(crate) fn take_body(&self) -> BodyBuffer {
+        self.shared.body.take()
+    }
+
     /// Returns the most memory that may be held for all connections, in bytes.
     pub(crate) fn max_held_bytes(&self) -> usize {
         self.table.inner.borrow().limits.max_held_bytes
@@ -378,7 +405,7 @@
     ///
     /// [`ClientMemoryExhausted`] if no other connection can be closed for it.
     pub(crate) fn grow(&mut self, bytes: usize) -> Result<(), ClientMemoryExhausted> {
-        if !self.slot.eviction.is_evicted.get() {
+        if !self.slot.shared.is_evicted.get() {
             self.slot.table.hold(self.slot.id, bytes)?;
         }
         self.bytes += bytes;
@@ -388,7 +415,7 @@
 
 impl Drop for HeldBytes {
     fn drop(&mut self) {
-        if !self.slot.eviction.is_evicted.get() {
+        if !self.slot.shared.is_evicted.get() {
             self.slot.table.release(self.slot.id, self.bytes);
         }
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod agent_links;
 mod agent_node;
+mod body_buffer;
 mod client_limits;
 mod client_request;
 mod client_stream;
