Clients: connections that wait to be accepted are bounded

Cause: up to 1,024 connections wait in the listener's backlog, and the system receives for each of them as for an open one: 32 MB that no limit counts.

The addresses for agents and other processes keep 1,024, since all may come at once, and ask for receive buffers of 16 KiB.

--- a/crates/daemon/src/net.rs
+++ b/crates/daemon/src/net.rs
@@ -64,7 +64,7 @@
 /// bytes; one of the largest size fits.
 const MAX_UNKNOWN_PEER_BYTES: usize = 2 * MAX_FRAME_BYTES;
 /// Receive buffer that is requested for each connection, in bytes.
-const RECEIVE_BUFFER_BYTES: usize = 32 * 1024;
+const RECEIVE_BUFFER_BYTES: usize = 16 * 1024;
 /// Largest number of connections that wait to be accepted.
 const BACKLOG: i32 = 1_024;
 
--- a/crates/node/src/agent_links.rs
+++ b/crates/node/src/agent_links.rs
@@ -21,10 +21,10 @@
 use crate::ClientSettings;
 use crate::CloseReason;
 use crate::Metrics;
-use crate::bind_clients;
 use crate::connection_table::ConnectionSlot;
 use crate::connection_table::ConnectionTable;
 use crate::entry_handle::Input;
+use crate::http_server::listen;
 use crate::links;
 use crate::links::FrameReader;
 use crate::peer_links;
@@ -39,7 +39,9 @@
 /// Largest size of incomplete greetings, in bytes; one of the largest size fits.
 const MAX_GREETING_BYTES: usize = 8 * 1024 * 1024;
 /// Receive buffer of a connection, in bytes: it takes what an agent reports at a time.
-const RECEIVE_BUFFER_BYTES: usize = 64 * 1024;
+const RECEIVE_BUFFER_BYTES: usize = 16 * 1024;
+/// Largest number of connections that wait to be accepted: all agents may come at once.
+const BACKLOG: i32 = 1_024;
 /// Time within which a greeting arrives, in milliseconds.
 const GREETING_TIMEOUT_MS: u64 = 5_000;
 
@@ -49,7 +51,7 @@
 ///
 /// An I/O error if the address cannot be bound.
 pub(crate) fn bind(addr: SocketAddr) -> std::io::Result<TcpListener> {
-    bind_clients(addr, &greeting_limits()).and_then(TcpListener::from_std)
+    listen(addr, RECEIVE_BUFFER_BYTES, BACKLOG).and_then(TcpListener::from_std)
 }
 
 /// Accepts connections of agents and other entries; never returns.
@@ -93,7 +95,6 @@
     ClientLimits {
         max_connections: MAX_GREETING_CONNECTIONS,
         max_held_bytes: MAX_GREETING_BYTES,
-        receive_buffer_bytes: RECEIVE_BUFFER_BYTES,
         ..ClientSettings::default().limits()
     }
 }
--- a/crates/node/src/http_server.rs
+++ b/crates/node/src/http_server.rs
@@ -44,8 +44,9 @@
 const HEADER_TIMEOUT_MS: u64 = 15_000;
 /// Pause after a failed accept, in milliseconds.
 const ACCEPT_PAUSE_MS: u64 = 20;
-/// Largest number of connections that wait to be accepted.
-const BACKLOG: i32 = 1_024;
+/// Largest number of connections that wait to be accepted, if as many may be open. What
+/// they have sent counts as received and not read.
+const MAX_BACKLOG: i32 = 1_024;
 
 /// A response of the server.
 pub type HttpResponse = Response<Full<Bytes>>;
@@ -88,13 +89,24 @@
 pub fn bind_clients(
     addr: SocketAddr,
     limits: &ClientLimits,
+) -> std::io::Result<std::net::TcpListener> {
+    let max_connections = i32::try_from(limits.max_connections).unwrap_or(i32::MAX);
+    let backlog = max_connections.min(MAX_BACKLOG);
+    listen(addr, limits.receive_buffer_bytes, backlog)
+}
+
+/// Binds an address; connections to it get this receive buffer.
+pub(crate) fn listen(
+    addr: SocketAddr,
+    receive_buffer_bytes: usize,
+    backlog: i32,
 ) -> std::io::Result<std::net::TcpListener> {
     let socket = Socket::new(Domain::for_address(addr), Type::STREAM, Some(Protocol::TCP))?;
     socket.set_reuse_address(true)?;
     socket.set_nonblocking(true)?;
-    socket.set_recv_buffer_size(limits.receive_buffer_bytes)?;
+    socket.set_recv_buffer_size(receive_buffer_bytes)?;
     socket.bind(&addr.into())?;
-    socket.listen(BACKLOG)?;
+    socket.listen(backlog)?;
     Ok(socket.into())
 }
 
